--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Development commands. `make check` is the whole test command.
+
+GOLANGCI_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools
+
+export PATH := $(TOOLS):$(PATH)
+
+.PHONY: tools check format-check lint build vet test generated bench demo
+
+tools: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	touch $@
+
+check: tools format-check vet lint build test
+
+format-check:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { echo "not formatted:"; gofmt -l $$(git ls-files '*.go'); exit 1; }
+
+vet:
+	go vet ./...
+
+lint: tools
+	golangci-lint run ./...
+
+build:
+	go build ./...
+
+test:
+	go test -race -count=1 ./...
+
+bench:
+	go test -run '^$$' -bench . ./...
+
+demo:
+	go run . demo
--- /dev/null
+++ b/commands/demo.go
@@ -0,0 +1,72 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"quincewinch/demo"
+	"quincewinch/lib/logfmt"
+	"quincewinch/peer/system"
+)
+
+// demoCommand runs the whole system on loopback.
+type demoCommand struct {
+	deployment string
+	duration   time.Duration
+	readyFile  string
+	logLevel   string
+}
+
+func registerDemo(app *kingpin.Application) (string, command) {
+	c := &demoCommand{}
+	clause := app.Command("demo", "Run the whole system on this machine, with stand-ins for what lies outside it.")
+	clause.Flag("deployment", "Whose sizes: tamarind or zarqa.").Default("tamarind").EnumVar(&c.deployment, "tamarind", "zarqa")
+	clause.Flag("for", "Stop after this time; 0 runs until interrupted.").DurationVar(&c.duration)
+	clause.Flag("ready-file", "Write where to call to this file.").StringVar(&c.readyFile)
+	clause.Flag("log-level", "debug, info, warn or error.").Default("warn").StringVar(&c.logLevel)
+	return clause.FullCommand(), c
+}
+
+func (c *demoCommand) run(env environment) error {
+	deployment, err := demo.Find(c.deployment)
+	if err != nil {
+		return err
+	}
+	logger, err := logfmt.New(c.logLevel, env.stderr)
+	if err != nil {
+		return err
+	}
+	clock := system.NewClock()
+	running, err := demo.Start(env.ctx, deployment, clock, logger)
+	if err != nil {
+		return err
+	}
+	if c.readyFile != "" {
+		if err := running.Ready.WriteFile(c.readyFile); err != nil {
+			return err
+		}
+	}
+	describe(env, deployment, running.Ready)
+	wait(env.ctx, clock, c.duration)
+	return running.Stop(context.WithoutCancel(env.ctx))
+}
+
+func describe(env environment, deployment demo.Deployment, ready demo.Ready) {
+	_, _ = fmt.Fprintf(env.stdout, "callers:   %s\n", ready.Callers[0])
+	_, _ = fmt.Fprintf(env.stdout, "operators: %s (key %s)\n", ready.Operators[0], ready.OperatorKey)
+	_, _ = fmt.Fprintf(env.stdout, "metrics:   %s/metrics\n", ready.Metrics[0])
+	_, _ = fmt.Fprintf(env.stdout, "try:\n  curl -s %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\": \"%s\", \"messages\": [{\"role\": \"user\", \"content\": \"Which oak flitches are in stock?\"}]}'\n",
+		ready.Callers[0], ready.Workspaces[0].Key, deployment.Pools[0].Model)
+}
+
+// wait returns when ctx ends, or after d where d is over 0.
+func wait(ctx context.Context, clock system.Clock, d time.Duration) {
+	if d > 0 {
+		_ = clock.Sleep(ctx, d)
+		return
+	}
+	<-ctx.Done()
+}
--- /dev/null
+++ b/control/system.go
@@ -0,0 +1,86 @@
+// Package control holds what runs without a request: configuration,
+// membership, leases, the fleet, usage windows. Each is a Task that one
+// actor steps; the actor's mailbox keeps two steps of a task from overlapping.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"quincewinch/peer"
+)
+
+// Task is one control loop.
+type Task interface {
+	// Step does one round of the loop. Calls never overlap.
+	Step(ctx context.Context)
+}
+
+// tick asks an actor for one step of its task.
+type tick struct{}
+
+// System runs tasks as actors.
+type System struct {
+	clock  peer.Clock
+	actors *actor.ActorSystem
+	ctx    context.Context
+	cancel context.CancelFunc
+	pids   []*actor.PID
+}
+
+// NewSystem returns a system without tasks. The actors' own log goes to logger.
+func NewSystem(clock peer.Clock, logger *slog.Logger) *System {
+	ctx, cancel := context.WithCancel(context.Background())
+	factory := func(*actor.ActorSystem) *slog.Logger { return logger }
+	return &System{
+		clock:  clock,
+		actors: actor.NewActorSystem(actor.WithLoggerFactory(factory)),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+}
+
+// Spawn starts an actor that steps a task now and then at each interval.
+func (s *System) Spawn(task Task, interval time.Duration) {
+	props := actor.PropsFromProducer(func() actor.Actor {
+		return &stepper{system: s, task: task, interval: interval}
+	})
+	s.pids = append(s.pids, s.actors.Root.Spawn(props))
+}
+
+// Stop ends all tasks and waits for their last step.
+func (s *System) Stop() {
+	s.cancel()
+	for _, pid := range s.pids {
+		_ = s.actors.Root.StopFuture(pid).Wait()
+	}
+	s.actors.Shutdown()
+}
+
+// stepper is the actor of one task.
+type stepper struct {
+	system   *System
+	task     Task
+	interval time.Duration
+}
+
+// Receive implements actor.Actor.
+func (s *stepper) Receive(c actor.Context) {
+	switch c.Message().(type) {
+	case *actor.Started, tick:
+		s.task.Step(s.system.ctx)
+		s.next(c.Self())
+	}
+}
+
+// next sends the next tick after the interval.
+func (s *stepper) next(self *actor.PID) {
+	go func() {
+		if s.system.clock.Sleep(s.system.ctx, s.interval) == nil {
+			s.system.actors.Root.Send(self, tick{})
+		}
+	}()
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,265 @@
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"quincewinch/config"
+	"quincewinch/daemon"
+	"quincewinch/models"
+	"quincewinch/peer"
+	standinengine "quincewinch/standin/engine"
+	standinplatform "quincewinch/standin/platform"
+	standinservice "quincewinch/standin/service"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	stopTimeout   = 10 * time.Second
+)
+
+// System is a running demo.
+type System struct {
+	Store    *standinplatform.Store
+	Engines  map[models.EngineID]*standinengine.Engine
+	Services map[string]*standinservice.Service
+	Daemons  []*daemon.Daemon
+	Ready    Ready
+
+	deployment Deployment
+	clock      peer.Clock
+	logger     *zap.Logger
+	servers    []*http.Server
+}
+
+// Ready tells where the running demo is reached.
+type Ready struct {
+	Callers     []string
+	Operators   []string
+	Metrics     []string
+	OperatorKey string
+	Workspaces  []WorkspaceKey
+	Engines     []string
+	Services    []ReadyService
+}
+
+// WorkspaceKey is a workspace and a key to it.
+type WorkspaceKey struct {
+	Name string
+	Key  string
+}
+
+// ReadyService is a plain service and where its stand-in answers.
+type ReadyService struct {
+	Name       string
+	URL        string
+	Repeatable bool
+	Open       bool
+}
+
+// Start starts the demo of a deployment.
+func Start(ctx context.Context, deployment Deployment, clock peer.Clock, logger *zap.Logger) (*System, error) {
+	s := &System{
+		Store:      standinplatform.NewStore(clock),
+		Engines:    map[models.EngineID]*standinengine.Engine{},
+		Services:   map[string]*standinservice.Service{},
+		deployment: deployment,
+		clock:      clock,
+		logger:     logger,
+	}
+	s.Ready.OperatorKey = "op-" + randomText()
+	if err := s.startBackends(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.seed(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.startDaemons(ctx); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Stop is a graceful shutdown of the daemons, then of the stand-ins.
+func (s *System) Stop(ctx context.Context) error {
+	var failed error
+	for _, d := range s.Daemons {
+		if err := d.Stop(ctx); err != nil {
+			failed = err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	for _, server := range s.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			failed = errors.Annotate(err, "a stand-in does not stop")
+		}
+	}
+	return failed
+}
+
+func (s *System) startBackends(ctx context.Context) error {
+	number := 0
+	for _, pool := range s.deployment.Pools {
+		for i := range pool.Engines {
+			zone := s.deployment.Zones[number%len(s.deployment.Zones)]
+			number++
+			if err := s.startEngine(ctx, pool, i, zone); err != nil {
+				return err
+			}
+		}
+	}
+	for _, plan := range s.deployment.Services {
+		if err := s.startService(ctx, plan); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEngine(ctx context.Context, pool Pool, i int, zone models.Zone) error {
+	id := models.EngineID(pool.Name + "-" + strconv.Itoa(i+1))
+	server := models.BackendServer{
+		Engine:      id,
+		Zone:        zone,
+		Cheap:       i < pool.Cheap,
+		ChecksFence: i%2 == 0,
+	}
+	e := standinengine.New(s.clock, standinengine.Settings{
+		ID:          id,
+		Role:        models.RoleBoth,
+		Models:      []models.Model{pool.Model},
+		ChecksFence: server.ChecksFence,
+		Cost:        standinengine.DefaultCost(),
+	})
+	address, err := s.serve(standinengine.NewHandler(e))
+	if err != nil {
+		return err
+	}
+	server.URL = address
+	s.Engines[id] = e
+	s.Store.AddServer(server)
+	s.Ready.Engines = append(s.Ready.Engines, address)
+	return s.put(ctx, "backend-server", string(id), backendCells(server))
+}
+
+func (s *System) startService(ctx context.Context, plan ServicePlan) error {
+	service := standinservice.New()
+	address, err := s.serve(service)
+	if err != nil {
+		return err
+	}
+	s.Services[plan.Name] = service
+	s.Ready.Services = append(s.Ready.Services, ReadyService{
+		Name:       plan.Name,
+		URL:        address,
+		Repeatable: plan.Repeatable,
+		Open:       plan.Open,
+	})
+	if err := s.put(ctx, "route", plan.Name, routeCells(models.RouteService, plan.Open, plan.Repeatable)); err != nil {
+		return err
+	}
+	return s.put(ctx, "service", plan.Name+"-1", serviceCells(plan.Name, s.deployment.Zones[0], address))
+}
+
+// startDaemons serves the platform and starts the daemons against it.
+func (s *System) startDaemons(ctx context.Context) error {
+	address, err := s.serve(standinplatform.NewHandler(s.Store))
+	if err != nil {
+		return err
+	}
+	platform, err := url.Parse(address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for i := range DaemonCount {
+		settings, err := s.settings(i, platform)
+		if err != nil {
+			return err
+		}
+		d := daemon.New(settings, s.logger, s.clock)
+		if err := d.Start(); err != nil {
+			return err
+		}
+		s.Daemons = append(s.Daemons, d)
+		addresses := d.Addresses()
+		s.Ready.Callers = append(s.Ready.Callers, "http://"+addresses.Callers.String())
+		s.Ready.Operators = append(s.Ready.Operators, "http://"+addresses.Operators.String())
+		s.Ready.Metrics = append(s.Ready.Metrics, "http://"+addresses.Metrics.String())
+	}
+	return s.awaitReady(ctx)
+}
+
+// awaitReady waits until each daemon says that it is ready.
+func (s *System) awaitReady(ctx context.Context) error {
+	for _, address := range s.Ready.Metrics {
+		for !isReady(ctx, address) {
+			if err := s.clock.Sleep(ctx, readyPoll); err != nil {
+				return errors.Annotate(err, "a daemon did not become ready")
+			}
+		}
+	}
+	return nil
+}
+
+const readyPoll = 50 * time.Millisecond
+
+func isReady(ctx context.Context, address string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *System) settings(i int, platform *url.URL) (*config.Settings, error) {
+	raw := `{
+		"name": "entry-` + strconv.Itoa(i+1) + `",
+		"zone": "` + string(s.deployment.Zones[i%len(s.deployment.Zones)]) + `",
+		"callers": {"address": "127.0.0.1:0"},
+		"operators": {"address": "127.0.0.1:0", "key": "` + s.Ready.OperatorKey + `"},
+		"daemons": {"address": "127.0.0.1:0"},
+		"metrics": {"address": "127.0.0.1:0"},
+		"platform": {"url": "` + platform.String() + `"},
+		"tls": {"plain": true}
+	}`
+	return config.Parse([]byte(raw))
+}
+
+func (s *System) serve(handler http.Handler) (string, error) {
+	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback))
+	if err != nil {
+		return "", errors.Annotate(err, "cannot listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	s.servers = append(s.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.logger.Error("stand-in ended", zap.Error(err))
+		}
+	}()
+	return "http://" + listener.Addr().String(), nil
+}
+
+// randomText returns a random name; the system's source never fails.
+func randomText() string {
+	raw := make([]byte, 16)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,81 @@
+package demo_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"quincewinch/demo"
+	"quincewinch/models"
+	"quincewinch/peer/system"
+	"quincewinch/standin/engine"
+)
+
+const question = `{"model": "catalogue", "messages": [{"role": "user", "content": "Which oak?"}]`
+
+// start runs the demo for one test.
+func start(t *testing.T) *demo.System {
+	t.Helper()
+	is := is.New(t)
+	deployment, err := demo.Find("tamarind")
+	is.NoErr(err)
+	running, err := demo.Start(t.Context(), deployment, system.NewClock(), zap.NewNop())
+	is.NoErr(err)
+	t.Cleanup(func() { is.NoErr(running.Stop(context.Background())) })
+	return running
+}
+
+// post sends a body and returns the status and the answer.
+func post(t *testing.T, url, key, body string) (int, string) {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewBufferString(body))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, string(raw)
+}
+
+func TestWholePath(t *testing.T) {
+	running := start(t)
+	key := running.Ready.Workspaces[0].Key
+	want := engine.Answer(models.Model("catalogue"), "user: Which oak?\n", 0)
+	for _, address := range running.Ready.Callers {
+		t.Run("whole", func(t *testing.T) {
+			is := is.New(t)
+			status, body := post(t, address+"/v1/chat/completions", key, question+"}")
+			is.Equal(status, http.StatusOK)
+			is.True(strings.Contains(body, want)) // the whole answer
+		})
+		t.Run("streamed", func(t *testing.T) {
+			is := is.New(t)
+			status, body := post(t, address+"/v1/chat/completions", key, question+`, "stream": true}`)
+			is.Equal(status, http.StatusOK)
+			is.True(strings.HasSuffix(body, "data: [DONE]\n\n")) // the stream ends
+		})
+		t.Run("wrong key", func(t *testing.T) {
+			is := is.New(t)
+			status, body := post(t, address+"/v1/chat/completions", "wrong", question+"}")
+			is.Equal(status, http.StatusUnauthorized)
+			is.True(strings.Contains(body, `"not-run":true`)) // it did not run
+		})
+	}
+	t.Run("engines never see the key", func(t *testing.T) {
+		is := is.New(t)
+		for _, e := range running.Engines {
+			for _, received := range e.Received() {
+				is.True(!strings.Contains(received.Prompt, key)) // no key in the prompt
+			}
+		}
+	})
+}
--- /dev/null
+++ b/demo/deployment.go
@@ -0,0 +1,94 @@
+// Package demo runs the whole system in one process on loopback: the
+// platform's stand-in, the engines and plain services of a deployment, and
+// seven daemons over four availability zones.
+package demo
+
+import (
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+)
+
+// Deployment is what one user runs.
+type Deployment struct {
+	Name       string
+	Zones      []models.Zone
+	Pools      []Pool
+	Services   []ServicePlan
+	Workspaces []WorkspacePlan
+	FleetCells string
+}
+
+// Pool is a number of engines with one model.
+type Pool struct {
+	Name    string
+	Model   models.Model
+	Engines int
+	Cheap   int // how many of them are on cheap backend servers
+}
+
+// ServicePlan is a plain service and its route.
+type ServicePlan struct {
+	Name       string
+	Repeatable bool
+	Open       bool
+}
+
+// WorkspacePlan is a workspace and its row's cells.
+type WorkspacePlan struct {
+	Name  string
+	Cells string
+}
+
+// DaemonCount is the number of entry VMs of a deployment.
+const DaemonCount = 7
+
+var deployments = map[string]Deployment{
+	"tamarind": {
+		Name:  "tamarind",
+		Zones: []models.Zone{"port-louis-a", "port-louis-b", "port-louis-c", "port-louis-d"},
+		Pools: []Pool{
+			{Name: "catalogue", Model: "catalogue", Engines: 10, Cheap: 5},
+			{Name: "stock", Model: "stock", Engines: 4, Cheap: 1},
+		},
+		Services: []ServicePlan{
+			{Name: "flitches", Repeatable: true},
+			{Name: "reservations"},
+			{Name: "opening-hours", Repeatable: true, Open: true},
+		},
+		Workspaces: []WorkspacePlan{
+			{"sales", `{"weight": 4}`}, {"stock", `{"weight": 4}`},
+			{"photos", `{}`}, {"suppliers", `{}`}, {"buyers", `{"weight": 2}`},
+			{"grading", `{}`}, {"archive", `{"weight": 0.5}`}, {"trial", `{"weight": 0.5}`},
+		},
+		FleetCells: `{"spend-per-hour": 60, "max-per-zone": 6, "cost-weight": 3, "cheap-share": 0.6}`,
+	},
+	"zarqa": {
+		Name:  "zarqa",
+		Zones: []models.Zone{"amman-a", "amman-b", "amman-c", "amman-d"},
+		Pools: []Pool{
+			{Name: "drafting", Model: "drafting", Engines: 12, Cheap: 3},
+			{Name: "order-desk", Model: "order-desk", Engines: 4},
+		},
+		Services: []ServicePlan{
+			{Name: "coils", Repeatable: true},
+			{Name: "cut-releases"},
+			{Name: "opening-hours", Repeatable: true, Open: true},
+		},
+		Workspaces: []WorkspacePlan{
+			{"zarqa-north", `{"weight": 3}`}, {"zarqa-south", `{"weight": 3}`},
+			{"irbid", `{}`}, {"madaba", `{}`}, {"aqaba", `{}`},
+			{"salt", `{}`}, {"karak", `{}`}, {"desk", `{"weight": 2}`},
+		},
+		FleetCells: `{"spend-per-hour": 80, "max-per-zone": 6, "worst-weight": 3, "cheap-share": 0.3}`,
+	},
+}
+
+// Find returns a deployment by name.
+func Find(name string) (Deployment, error) {
+	deployment, ok := deployments[name]
+	if !ok {
+		return Deployment{}, errors.NotFoundf("deployment %q", name)
+	}
+	return deployment, nil
+}
--- /dev/null
+++ b/demo/ready.go
@@ -0,0 +1,58 @@
+package demo
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/juju/errors"
+)
+
+type readyForm struct {
+	Callers     []string        `json:"callers"`
+	Operators   []string        `json:"operators"`
+	Metrics     []string        `json:"metrics"`
+	OperatorKey string          `json:"operator-key"`
+	Workspaces  []workspaceForm `json:"workspaces"`
+	Engines     []string        `json:"engines"`
+	Services    []serviceForm   `json:"services"`
+}
+
+type workspaceForm struct {
+	Name string `json:"name"`
+	Key  string `json:"key"`
+}
+
+type serviceForm struct {
+	Name       string `json:"name"`
+	URL        string `json:"url"`
+	Repeatable bool   `json:"repeatable"`
+	Open       bool   `json:"open"`
+}
+
+const readyFileMode = 0o600
+
+// WriteFile writes what is ready as JSON. The file appears whole or not at all.
+func (r Ready) WriteFile(path string) error {
+	form := readyForm{
+		Callers:     r.Callers,
+		Operators:   r.Operators,
+		Metrics:     r.Metrics,
+		OperatorKey: r.OperatorKey,
+		Engines:     r.Engines,
+	}
+	for _, workspace := range r.Workspaces {
+		form.Workspaces = append(form.Workspaces, workspaceForm(workspace))
+	}
+	for _, service := range r.Services {
+		form.Services = append(form.Services, serviceForm(service))
+	}
+	raw, err := json.MarshalIndent(form, "", "  ")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	partial := path + ".partial"
+	if err := os.WriteFile(partial, append(raw, '\n'), readyFileMode); err != nil {
+		return errors.Annotate(err, "cannot write the ready file")
+	}
+	return errors.Trace(os.Rename(partial, path))
+}
--- /dev/null
+++ b/lib/logfmt/logger.go
@@ -0,0 +1,32 @@
+// Package logfmt makes loggers that write one line of key=value pairs for
+// each event.
+package logfmt
+
+import (
+	"io"
+	"log/slog"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/exp/zapslog"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger of a level (debug, info, warn, error) that writes to w.
+func New(level string, w io.Writer) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.NewNotValid(err, "log level")
+	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.TimeKey = "time"
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(zapcore.AddSync(w)), parsed)
+	return zap.New(core), nil
+}
+
+// Standard returns the logger in the form that libraries take.
+func Standard(logger *zap.Logger) *slog.Logger {
+	return slog.New(zapslog.NewHandler(logger.Core()))
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command quincewinch serves models for a limited fleet. See README.md.
+package main
+
+import (
+	"os"
+
+	"quincewinch/commands"
+)
+
+func main() {
+	os.Exit(commands.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/models/lease.go
@@ -0,0 +1,30 @@
+package models
+
+import "time"
+
+// LeaseName names a thing to be in charge of.
+type LeaseName string
+
+// LeaseState is a lease's row: the holder and the fencing number, which grows
+// with each new holder, never with a renewal.
+type LeaseState struct {
+	Name     LeaseName
+	Holder   DaemonID
+	Fence    uint64
+	Renewal  uint64 // grows with each renewal
+	Duration time.Duration
+	Released bool
+}
+
+// Authority is what a holder has to show before it acts: the fencing number,
+// and the instant, by its own monotonic clock, at which it stops.
+type Authority struct {
+	Lease    LeaseName
+	Fence    uint64
+	Deadline time.Time
+}
+
+// Valid reports whether the authority still holds at now.
+func (a Authority) Valid(now time.Time) bool {
+	return a.Fence > 0 && now.Before(a.Deadline)
+}
--- /dev/null
+++ b/peer/caller/decode.go
@@ -0,0 +1,149 @@
+package caller
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+)
+
+// content is a text, or a list of parts whose texts are joined.
+type content string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *content) UnmarshalJSON(raw []byte) error {
+	var text string
+	if err := json.Unmarshal(raw, &text); err == nil {
+		*c = content(text)
+		return nil
+	}
+	var parts []json.RawMessage
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return errors.New("content must be a text or a list of parts")
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		text, err := partText(part)
+		if err != nil {
+			return err
+		}
+		joined.WriteString(text)
+	}
+	*c = content(joined.String())
+	return nil
+}
+
+// partText returns a part's text; an image is named by its address.
+func partText(raw json.RawMessage) (string, error) {
+	var text string
+	if err := json.Unmarshal(raw, &text); err == nil {
+		return text, nil
+	}
+	var part struct {
+		Text  string `json:"text"`
+		Image struct {
+			URL string `json:"url"`
+		} `json:"image_url"`
+	}
+	if err := json.Unmarshal(raw, &part); err != nil {
+		return "", errors.New("a part of the content is neither text nor image")
+	}
+	return part.Text + part.Image.URL, nil
+}
+
+// stops is one stop text or a list of them.
+type stops []string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *stops) UnmarshalJSON(raw []byte) error {
+	if string(raw) == "null" {
+		return nil
+	}
+	var one string
+	if err := json.Unmarshal(raw, &one); err == nil {
+		*s = stops{one}
+		return nil
+	}
+	var list []string
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return errors.New("stop must be a text or a list of texts")
+	}
+	*s = list
+	return nil
+}
+
+// decoded is a request for tokens, and how its answer is to be written.
+type decoded struct {
+	generation   models.Generation
+	chat         bool
+	stream       bool
+	includeUsage bool
+}
+
+func decodeChat(raw []byte) (decoded, error) {
+	var form chatRequest
+	if err := json.Unmarshal(raw, &form); err != nil {
+		return decoded{}, errors.NewNotValid(err, "body is no chat completion request")
+	}
+	if len(form.Messages) == 0 {
+		return decoded{}, errors.NotValidf("messages: must not be empty")
+	}
+	var prompt strings.Builder
+	for _, m := range form.Messages {
+		prompt.WriteString(m.Role + ": " + string(m.Content) + "\n")
+	}
+	maxTokens := form.MaxCompletionTokens
+	if maxTokens == 0 {
+		maxTokens = form.MaxTokens
+	}
+	d := decoded{
+		generation: models.Generation{
+			Model:       models.Model(form.Model),
+			Prompt:      prompt.String(),
+			MaxTokens:   maxTokens,
+			Temperature: form.Temperature,
+			TopP:        form.TopP,
+			Seed:        form.Seed,
+			Stop:        form.Stop,
+		},
+		chat:         true,
+		stream:       form.Stream,
+		includeUsage: form.StreamOptions != nil && form.StreamOptions.IncludeUsage,
+	}
+	return d, check(d.generation)
+}
+
+func decodeCompletion(raw []byte) (decoded, error) {
+	var form completionRequest
+	if err := json.Unmarshal(raw, &form); err != nil {
+		return decoded{}, errors.NewNotValid(err, "body is no completion request")
+	}
+	d := decoded{
+		generation: models.Generation{
+			Model:       models.Model(form.Model),
+			Prompt:      string(form.Prompt),
+			MaxTokens:   form.MaxTokens,
+			Temperature: form.Temperature,
+			TopP:        form.TopP,
+			Seed:        form.Seed,
+			Stop:        form.Stop,
+		},
+		stream:       form.Stream,
+		includeUsage: form.StreamOptions != nil && form.StreamOptions.IncludeUsage,
+	}
+	return d, check(d.generation)
+}
+
+func check(generation models.Generation) error {
+	switch {
+	case generation.Model == "":
+		return errors.NotValidf("model: missing,")
+	case generation.Prompt == "":
+		return errors.NotValidf("prompt: missing,")
+	case generation.MaxTokens < 0:
+		return errors.NotValidf("max_tokens: negative,")
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/caller/handler.go
@@ -0,0 +1,189 @@
+// Package caller speaks the OpenAI-compatible HTTP protocol with callers, and
+// plain HTTP for the services under /services/.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/request"
+)
+
+const (
+	// IdempotencyHeader names a request that may not be repeated.
+	IdempotencyHeader = "Idempotency-Key"
+	// RequestIDHeader tells the caller the request's identity.
+	RequestIDHeader = "X-Request-Id"
+	bearerPrefix    = "Bearer "
+	ownedBy         = "quincewinch"
+)
+
+// Settings bound what a caller may send.
+type Settings struct {
+	MaxBodyBytes int
+	Timeout      time.Duration
+}
+
+// Handler serves callers.
+type Handler struct {
+	line          request.Handler
+	configuration peer.Configuration
+	clock         peer.Clock
+	newID         func() models.RequestID
+	settings      Settings
+	mux           *http.ServeMux
+}
+
+// NewHandler returns a handler that sends requests down a line of filters.
+func NewHandler(line request.Handler, configuration peer.Configuration, clock peer.Clock, newID func() models.RequestID, settings Settings) *Handler {
+	h := &Handler{
+		line:          line,
+		configuration: configuration,
+		clock:         clock,
+		newID:         newID,
+		settings:      settings,
+		mux:           http.NewServeMux(),
+	}
+	h.mux.HandleFunc("POST /v1/chat/completions", h.tokens(decodeChat))
+	h.mux.HandleFunc("POST /v1/completions", h.tokens(decodeCompletion))
+	h.mux.HandleFunc("GET /v1/models", h.models)
+	h.mux.HandleFunc("/services/{name}/{path...}", h.service)
+	h.mux.HandleFunc("/services/{name}", h.service)
+	h.mux.HandleFunc("/", h.unknown)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) tokens(decode func([]byte) (decoded, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e, ok := h.exchange(w, r)
+		if !ok {
+			return
+		}
+		body, ok := h.body(w, r)
+		if !ok {
+			return
+		}
+		d, err := decode(body)
+		if err != nil {
+			refuse(w, &models.Refusal{Code: models.RefusalMalformed, Message: err.Error(), NotRun: true})
+			return
+		}
+		e.RouteName = string(d.generation.Model)
+		e.Generation = &d.generation
+		h.run(w, r, e, body, d)
+	}
+}
+
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	e, ok := h.exchange(w, r)
+	if !ok {
+		return
+	}
+	body, ok := h.body(w, r)
+	if !ok {
+		return
+	}
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	e.RouteName = r.PathValue("name")
+	e.Call = &models.ServiceCall{
+		ID:       e.ID,
+		Service:  models.ServiceName(e.RouteName),
+		Method:   r.Method,
+		Path:     path,
+		Header:   forwarded(r.Header),
+		Body:     body,
+		Deadline: e.Deadline,
+	}
+	h.run(w, r, e, body, decoded{})
+}
+
+// exchange starts a request's record.
+func (h *Handler) exchange(w http.ResponseWriter, r *http.Request) (*request.Exchange, bool) {
+	now := h.clock.Now()
+	e := &request.Exchange{
+		ID:             h.newID(),
+		Received:       now,
+		Deadline:       now.Add(h.settings.Timeout),
+		IdempotencyKey: r.Header.Get(IdempotencyHeader),
+	}
+	e.Key, _ = strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	w.Header().Set(RequestIDHeader, string(e.ID))
+	if carriesKey(r, e.Key) {
+		refuse(w, &models.Refusal{Code: models.RefusalMalformed, Message: "the request repeats its key outside the Authorization header", NotRun: true})
+		return nil, false
+	}
+	return e, true
+}
+
+func (h *Handler) body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(h.settings.MaxBodyBytes)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		refuse(w, &models.Refusal{Code: models.RefusalTooLarge, Message: "the body is too large", NotRun: true})
+		return nil, false
+	case err != nil:
+		refuse(w, &models.Refusal{Code: models.RefusalMalformed, Message: "the body broke off", NotRun: true})
+		return nil, false
+	}
+	return body, true
+}
+
+func (h *Handler) run(w http.ResponseWriter, r *http.Request, e *request.Exchange, body []byte, d decoded) {
+	if e.Key != "" && bytes.Contains(body, []byte(e.Key)) {
+		refuse(w, &models.Refusal{Code: models.RefusalMalformed, Message: "the body repeats the key", NotRun: true})
+		return
+	}
+	e.BodyHash = sha256.Sum256(body)
+	s := &sink{w: w, id: e.ID, created: e.Received.Unix(), request: d}
+	e.Sink = s
+	ctx, cancel := context.WithDeadline(r.Context(), e.Deadline)
+	defer cancel()
+	err := h.line.Handle(ctx, e)
+	if err == nil {
+		return
+	}
+	s.fail(refusalOf(err))
+}
+
+func refusalOf(err error) *models.Refusal {
+	var refusal *models.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &models.Refusal{Code: models.RefusalInternal, Message: "an internal error"}
+}
+
+func (h *Handler) models(w http.ResponseWriter, _ *http.Request) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for name, route := range h.configuration.Config().Routes {
+		if route.Kind == models.RouteModel {
+			list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: ownedBy})
+		}
+	}
+	slices.SortFunc(list.Data, func(a, b modelItem) int { return strings.Compare(a.ID, b.ID) })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
+	refuse(w, &models.Refusal{Code: models.RefusalUnknownRoute, Message: "no such path: " + r.Method + " " + r.URL.Path, NotRun: true})
+}
--- /dev/null
+++ b/peer/caller/header.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// dropped are headers that end at this hop or that no backend server may see.
+var dropped = []string{
+	"Authorization", "Cookie", "Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Host", "Accept-Encoding", "Expect",
+}
+
+// forwarded returns the headers of a request that go to the service.
+func forwarded(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, name := range dropped {
+		kept.Del(name)
+	}
+	for _, listed := range header.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	return kept
+}
+
+func copyHeader(to http.Header, from map[string][]string) {
+	for name, values := range from {
+		if !slices.Contains(dropped, http.CanonicalHeaderKey(name)) {
+			to[name] = values
+		}
+	}
+}
+
+// carriesKey reports whether the key stands anywhere but in Authorization.
+func carriesKey(r *http.Request, key string) bool {
+	if key == "" {
+		return false
+	}
+	if strings.Contains(r.URL.RequestURI(), key) || strings.Contains(r.URL.Path, key) {
+		return true
+	}
+	for name, values := range r.Header {
+		if name == "Authorization" {
+			continue
+		}
+		if slices.ContainsFunc(values, func(value string) bool { return strings.Contains(value, key) }) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/peer/caller/refuse.go
@@ -0,0 +1,74 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"quincewinch/models"
+)
+
+var statuses = map[models.RefusalCode]int{
+	models.RefusalMalformed:      http.StatusBadRequest,
+	models.RefusalTooLarge:       http.StatusRequestEntityTooLarge,
+	models.RefusalNoKey:          http.StatusUnauthorized,
+	models.RefusalKeyWithdrawn:   http.StatusUnauthorized,
+	models.RefusalKeyStale:       http.StatusServiceUnavailable,
+	models.RefusalUnknownRoute:   http.StatusNotFound,
+	models.RefusalRateLimit:      http.StatusTooManyRequests,
+	models.RefusalOverload:       http.StatusServiceUnavailable,
+	models.RefusalDeadline:       http.StatusGatewayTimeout,
+	models.RefusalNoBackend:      http.StatusServiceUnavailable,
+	models.RefusalDraining:       http.StatusServiceUnavailable,
+	models.RefusalStore:          http.StatusServiceUnavailable,
+	models.RefusalClaimMismatch:  http.StatusUnprocessableEntity,
+	models.RefusalOutcomeUnknown: http.StatusConflict,
+	models.RefusalBackendFailed:  http.StatusBadGateway,
+	models.RefusalCancelled:      http.StatusRequestTimeout,
+	models.RefusalInternal:       http.StatusInternalServerError,
+}
+
+// shouldRetryHeader keeps the protocol's clients from repeating a request on
+// their own where it may have run.
+const shouldRetryHeader = "X-Should-Retry"
+
+func refuse(w http.ResponseWriter, refusal *models.Refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(shouldRetryHeader, strconv.FormatBool(refusal.NotRun && refusal.RetryAfter > 0))
+	if refusal.RetryAfter > 0 {
+		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(statusOf(refusal.Code))
+	_ = json.NewEncoder(w).Encode(problemForm(refusal))
+}
+
+func statusOf(code models.RefusalCode) int {
+	if status, ok := statuses[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+func problemForm(refusal *models.Refusal) problem {
+	return problem{Error: problemDetail{
+		Message:  refusal.Message,
+		Type:     problemType(refusal.Code),
+		Code:     string(refusal.Code),
+		NotRun:   refusal.NotRun,
+		Evidence: refusal.Evidence,
+	}}
+}
+
+func problemType(code models.RefusalCode) string {
+	switch statusOf(code) {
+	case http.StatusUnauthorized:
+		return "authentication_error"
+	case http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
--- /dev/null
+++ b/request/exchange.go
@@ -0,0 +1,63 @@
+// Package request takes a caller's request through a line of filters:
+// authenticate, limit, queue, claim, place, send, meter. Each filter is one
+// file.
+package request
+
+import (
+	"context"
+	"time"
+
+	"quincewinch/models"
+)
+
+// Exchange is one request on its way through the filters. One of Generation
+// and Call is set.
+type Exchange struct {
+	ID             models.RequestID
+	Received       time.Time
+	Deadline       time.Time
+	Key            string // the bearer's secret; authenticate clears it
+	KeyID          models.KeyID
+	RouteName      string
+	Route          models.Route
+	Workspace      models.WorkspaceSettings // the zero one on an open route
+	IdempotencyKey string
+	BodyHash       [32]byte
+	Generation     *models.Generation
+	Call           *models.ServiceCall
+	Sink           Sink
+	Usage          models.Usage // what it used so far
+	Started        bool         // a backend server may have seen it
+}
+
+// Sink takes the answer towards the caller. A call returns when the caller's
+// connection has taken it, or an error when the caller is gone.
+type Sink interface {
+	Piece(ctx context.Context, piece models.Piece) error
+	Answer(ctx context.Context, answer models.ServiceAnswer) error
+}
+
+// Handler handles a request. Its error is a *models.Refusal.
+type Handler interface {
+	Handle(ctx context.Context, exchange *Exchange) error
+}
+
+// HandlerFunc is a function that handles a request.
+type HandlerFunc func(ctx context.Context, exchange *Exchange) error
+
+// Handle implements Handler.
+func (f HandlerFunc) Handle(ctx context.Context, exchange *Exchange) error {
+	return f(ctx, exchange)
+}
+
+// Filter is one step: it handles a request itself or hands it on to next.
+type Filter func(next Handler) Handler
+
+// Chain returns a handler that takes requests through filters in order.
+func Chain(last Handler, filters ...Filter) Handler {
+	handler := last
+	for i := len(filters) - 1; i >= 0; i-- {
+		handler = filters[i](handler)
+	}
+	return handler
+}
--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,181 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/platform/wire"
+)
+
+// Handler serves a store over the platform's HTTP protocol.
+type Handler struct {
+	store   *Store
+	servers *Servers
+	usage   *Usage
+	mux     *http.ServeMux
+}
+
+// NewHandler returns a handler of a store.
+func NewHandler(store *Store) *Handler {
+	h := &Handler{
+		store:   store,
+		servers: NewServers(store),
+		usage:   NewUsage(store),
+		mux:     http.NewServeMux(),
+	}
+	h.mux.HandleFunc("POST "+wire.PathRead, h.read)
+	h.mux.HandleFunc("GET "+wire.PathChanges, h.changes)
+	h.mux.HandleFunc("POST "+wire.PathTransactions, h.transact)
+	h.mux.HandleFunc(wire.PathObjects+"{name}", h.object)
+	h.mux.HandleFunc("GET "+wire.PathVMs, h.vms)
+	h.mux.HandleFunc("GET "+wire.PathServers, h.listServers)
+	h.mux.HandleFunc("POST "+wire.PathServerOrders, h.orderServers)
+	h.mux.HandleFunc("PUT "+wire.PathUsageReports+"{id}", h.reportUsage)
+	h.mux.HandleFunc("GET "+wire.PathUsageReports+"{id}", h.acceptedUsage)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) {
+	var form wire.ReadRequest
+	if !decode(w, r, &form) {
+		return
+	}
+	var keys []models.RowKey
+	for _, key := range form.Keys {
+		keys = append(keys, key.Model())
+	}
+	rows, err := h.store.Read(r.Context(), keys...)
+	answer(w, wire.Changes{Rows: wire.FromRows(rows)}, err)
+}
+
+func (h *Handler) changes(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad revision", err))
+		return
+	}
+	partition := models.Partition(r.URL.Query().Get("partition"))
+	changes, err := h.store.Changes(r.Context(), partition, models.Revision(after))
+	form := wire.Changes{
+		Rows:         wire.FromRows(changes.Rows),
+		Through:      uint64(changes.Through),
+		PlatformTime: changes.PlatformTime,
+	}
+	answer(w, form, err)
+}
+
+func (h *Handler) transact(w http.ResponseWriter, r *http.Request) {
+	var form wire.Transaction
+	if !decode(w, r, &form) {
+		return
+	}
+	revision, err := h.store.Transact(r.Context(), form.Model())
+	if err != nil && peer.OutcomeOf(err) == peer.OutcomeUnknown {
+		// A lost answer: the connection ends without one.
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, wire.Committed{Revision: uint64(revision)}, err)
+}
+
+func (h *Handler) object(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	switch r.Method {
+	case http.MethodGet:
+		value, err := h.store.Get(r.Context(), name)
+		if err != nil {
+			answer(w, nil, err)
+			return
+		}
+		_, _ = w.Write(value)
+	case http.MethodPut:
+		value, err := io.ReadAll(r.Body)
+		if err != nil {
+			answer(w, nil, peer.NewFailure(peer.OutcomeNotDone, "the body broke off", err))
+			return
+		}
+		answer(w, struct{}{}, h.store.Put(r.Context(), name, value))
+	case http.MethodDelete:
+		answer(w, struct{}{}, h.store.Delete(r.Context(), name))
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (h *Handler) vms(w http.ResponseWriter, r *http.Request) {
+	vms, err := h.store.List(r.Context())
+	answer(w, wire.FromVMs(vms), err)
+}
+
+func (h *Handler) listServers(w http.ResponseWriter, r *http.Request) {
+	servers, err := h.servers.List(r.Context())
+	answer(w, wire.FromServers(servers), err)
+}
+
+func (h *Handler) orderServers(w http.ResponseWriter, r *http.Request) {
+	var form wire.ServerOrder
+	if !decode(w, r, &form) {
+		return
+	}
+	answer(w, struct{}{}, h.servers.Order(r.Context(), form.Model()))
+}
+
+func (h *Handler) reportUsage(w http.ResponseWriter, r *http.Request) {
+	var form wire.UsageReport
+	if !decode(w, r, &form) {
+		return
+	}
+	err := h.usage.Report(r.Context(), form.Model())
+	if err != nil && peer.OutcomeOf(err) == peer.OutcomeUnknown {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, struct{}{}, err)
+}
+
+func (h *Handler) acceptedUsage(w http.ResponseWriter, r *http.Request) {
+	report, ok, err := h.usage.Accepted(r.Context(), r.PathValue("id"))
+	if err == nil && !ok {
+		err = peer.NewFailure(peer.OutcomeMissing, "no such report", nil)
+	}
+	answer(w, wire.FromUsageReport(report), err)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, form any) bool {
+	if err := json.NewDecoder(r.Body).Decode(form); err != nil {
+		answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad body", err))
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, form any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	var failure *peer.Failure
+	if errors.As(err, &failure) {
+		w.WriteHeader(status(failure.Outcome))
+		form = wire.Problem{Outcome: string(failure.Outcome), Message: failure.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(form)
+}
+
+func status(outcome peer.Outcome) int {
+	switch outcome {
+	case peer.OutcomeConflict, peer.OutcomeStale:
+		return http.StatusConflict
+	case peer.OutcomeRefused:
+		return http.StatusBadRequest
+	case peer.OutcomeMissing:
+		return http.StatusNotFound
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,260 @@
+// Package platform is a small stand-in for the platform: the transactional
+// table service, the object store, the list of VMs, the ordering of backend
+// servers and the acceptance of usage reports. Store implements the
+// interfaces of peer in memory; Handler serves it over HTTP.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+)
+
+// Store is the platform's state in memory, with switches for its faults.
+type Store struct {
+	clock peer.Clock
+
+	mu       sync.Mutex
+	revision models.Revision
+	rows     map[models.RowKey]models.Row
+	objects  map[string][]byte
+	vms      []models.VM
+	servers  map[models.EngineID]models.BackendServer
+	orders   []models.ServerOrder
+	accepted map[string]models.UsageReport
+	reports  []models.UsageReport
+	faults   Faults
+	counts   Counts
+	launcher Launcher
+}
+
+// Faults are the platform's troubles. The zero value has none.
+type Faults struct {
+	Down  bool          // every call fails before it has an effect
+	Delay time.Duration // every call takes this long
+	// LoseAnswer, where set, is asked after each effect of a write; true
+	// loses the answer.
+	LoseAnswer func(transaction models.Transaction) bool
+}
+
+// Counts counts calls.
+type Counts struct {
+	Reads  int64
+	Writes int64
+}
+
+// Launcher starts and stops backend servers for orders.
+type Launcher interface {
+	Launch(zone models.Zone, cheap bool) (models.BackendServer, error)
+	Stop(engine models.EngineID) error
+}
+
+// NewStore returns an empty platform.
+func NewStore(clock peer.Clock) *Store {
+	return &Store{
+		clock:    clock,
+		rows:     map[models.RowKey]models.Row{},
+		objects:  map[string][]byte{},
+		servers:  map[models.EngineID]models.BackendServer{},
+		accepted: map[string]models.UsageReport{},
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// SetVMs replaces the list of VMs.
+func (s *Store) SetVMs(vms []models.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = vms
+}
+
+// SetLauncher sets who starts and stops backend servers.
+func (s *Store) SetLauncher(launcher Launcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.launcher = launcher
+}
+
+// AddServer makes a running backend server known.
+func (s *Store) AddServer(server models.BackendServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers[server.Engine] = server
+}
+
+// Counts returns the calls so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// UsageReports returns the accepted reports in order of arrival.
+func (s *Store) UsageReports() []models.UsageReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]models.UsageReport(nil), s.reports...)
+}
+
+// ServerOrders returns the orders in order of arrival.
+func (s *Store) ServerOrders() []models.ServerOrder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]models.ServerOrder(nil), s.orders...)
+}
+
+// Read implements peer.Table.
+func (s *Store) Read(ctx context.Context, keys ...models.RowKey) ([]models.Row, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []models.Row
+	for _, key := range keys {
+		if row, ok := s.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Changes implements peer.Table.
+func (s *Store) Changes(ctx context.Context, partition models.Partition, after models.Revision) (models.Changes, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return models.Changes{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := models.Changes{Through: s.revision, PlatformTime: s.clock.Now()}
+	for key, row := range s.rows {
+		if key.Partition == partition && row.Revision > after {
+			changes.Rows = append(changes.Rows, row)
+		}
+	}
+	sort.Slice(changes.Rows, func(i, j int) bool {
+		a, b := changes.Rows[i], changes.Rows[j]
+		if a.Revision != b.Revision {
+			return a.Revision < b.Revision
+		}
+		return a.Key.Name < b.Key.Name
+	})
+	return changes, nil
+}
+
+// Transact implements peer.Table.
+func (s *Store) Transact(ctx context.Context, transaction models.Transaction) (models.Revision, error) {
+	if err := s.enter(ctx, true); err != nil {
+		return 0, err
+	}
+	revision, lose, err := s.commit(transaction)
+	if err != nil {
+		return 0, err
+	}
+	if lose {
+		return 0, peer.NewFailure(peer.OutcomeUnknown, "the platform's answer was lost", nil)
+	}
+	return revision, nil
+}
+
+func (s *Store) commit(transaction models.Transaction) (models.Revision, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, condition := range transaction.Conditions {
+		if s.rows[condition.Key].Revision != condition.Revision {
+			return 0, false, peer.NewFailure(peer.OutcomeConflict, "row "+condition.Key.Name+" has changed", nil)
+		}
+	}
+	s.revision++
+	for _, write := range transaction.Writes {
+		s.rows[write.Key] = models.Row{
+			Key:      write.Key,
+			Revision: s.revision,
+			Value:    bytes.Clone(write.Value),
+			Deleted:  write.Delete,
+		}
+	}
+	lose := s.faults.LoseAnswer != nil && s.faults.LoseAnswer(transaction)
+	return s.revision, lose, nil
+}
+
+// Get implements peer.Objects.
+func (s *Store) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, ok := s.objects[name]
+	if !ok {
+		return nil, peer.NewFailure(peer.OutcomeMissing, "no object "+name, nil)
+	}
+	return bytes.Clone(value), nil
+}
+
+// Put implements peer.Objects.
+func (s *Store) Put(ctx context.Context, name string, value []byte) error {
+	if err := s.enter(ctx, true); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.objects[name]; ok && !bytes.Equal(old, value) {
+		return peer.NewFailure(peer.OutcomeConflict, "object "+name+" exists", nil)
+	}
+	s.objects[name] = bytes.Clone(value)
+	return nil
+}
+
+// Delete implements peer.Objects.
+func (s *Store) Delete(ctx context.Context, name string) error {
+	if err := s.enter(ctx, true); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.objects, name)
+	return nil
+}
+
+// List implements peer.VMs.
+func (s *Store) List(ctx context.Context) ([]models.VM, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]models.VM(nil), s.vms...), nil
+}
+
+// enter waits out the delay in force and refuses while the store is down.
+func (s *Store) enter(ctx context.Context, write bool) error {
+	s.mu.Lock()
+	faults := s.faults
+	if write {
+		s.counts.Writes++
+	} else {
+		s.counts.Reads++
+	}
+	s.mu.Unlock()
+	if faults.Delay > 0 {
+		if err := s.clock.Sleep(ctx, faults.Delay); err != nil {
+			return peer.NewFailure(peer.OutcomeNotDone, "gave up waiting for the platform", err)
+		}
+	}
+	if faults.Down {
+		return peer.NewFailure(peer.OutcomeNotDone, "the platform is down", nil)
+	}
+	return nil
+}
--- /dev/null
+++ b/table/config.go
@@ -0,0 +1,157 @@
+package table
+
+import (
+	"encoding/hex"
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+)
+
+// NewConfig returns an empty configuration.
+func NewConfig() *models.Config {
+	return &models.Config{
+		Workspaces: map[models.Workspace]models.WorkspaceSettings{},
+		Keys:       map[[32]byte]models.Key{},
+		Routes:     map[string]models.Route{},
+		Models:     map[models.Model]models.ModelPlan{},
+		Backends:   map[models.EngineID]models.BackendServer{},
+		Services:   map[models.ServiceName][]models.ServiceBackend{},
+	}
+}
+
+// Build makes a configuration of all rows, complete through a revision. A row
+// that does not parse is left out; the errors name each.
+func Build(rows []models.Row, through models.Revision) (*models.Config, []error) {
+	c := NewConfig()
+	c.Through = through
+	var faults []error
+	rows = slices.Clone(rows)
+	slices.SortFunc(rows, func(a, b models.Row) int { return compare(a.Key.Name, b.Key.Name) })
+	for _, row := range rows {
+		if row.Deleted {
+			continue
+		}
+		if err := add(c, row); err != nil {
+			faults = append(faults, errors.Annotate(err, row.Key.Name))
+		}
+	}
+	return c, faults
+}
+
+// Merge returns rows with news laid over them: of two rows with one key, the
+// one with the higher revision stands.
+func Merge(rows map[string]models.Row, news []models.Row) (map[string]models.Row, bool) {
+	merged := rows
+	changed := false
+	for _, row := range news {
+		if old, ok := merged[row.Key.Name]; ok && old.Revision >= row.Revision {
+			continue
+		}
+		if !changed {
+			merged = maps.Clone(rows)
+			changed = true
+		}
+		merged[row.Key.Name] = row
+	}
+	return merged, changed
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func add(c *models.Config, row models.Row) error {
+	kind, name := SplitName(row.Key)
+	cells, err := Parse(kind, row.Value)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case KindWorkspace:
+		c.Workspaces[models.Workspace(name)] = workspace(name, cells)
+	case KindKey:
+		return addKey(c, name, cells)
+	case KindRoute:
+		c.Routes[name] = models.Route{
+			Name:       name,
+			Kind:       models.RouteKind(cells.text("kind")),
+			Open:       cells.flag("open"),
+			Repeatable: cells.flag("repeatable"),
+		}
+	case KindModel:
+		c.Models[models.Model(name)] = models.ModelPlan{
+			Model:   models.Model(name),
+			Version: cells.text("version"),
+			Pieces:  cells.integer("pieces"),
+			MinHot:  cells.integer("min-hot"),
+		}
+	case KindBackend:
+		c.Backends[models.EngineID(name)] = models.BackendServer{
+			Engine:      models.EngineID(name),
+			Zone:        models.Zone(cells.text("zone")),
+			URL:         cells.text("url"),
+			Cheap:       cells.flag("cheap"),
+			ChecksFence: cells.flag("checks-fence"),
+			Leaving:     cells.flag("leaving"),
+		}
+	case KindService:
+		service := models.ServiceName(cells.text("service"))
+		c.Services[service] = append(c.Services[service], models.ServiceBackend{
+			Service: service,
+			Zone:    models.Zone(cells.text("zone")),
+			URL:     cells.text("url"),
+		})
+	case KindFleet:
+		c.Fleet = fleet(cells)
+	}
+	return nil
+}
+
+func workspace(name string, cells Cells) models.WorkspaceSettings {
+	return models.WorkspaceSettings{
+		Name:              models.Workspace(name),
+		Weight:            cells.number("weight"),
+		RequestsPerSecond: cells.number("requests-per-second"),
+		TokensPerSecond:   cells.number("tokens-per-second"),
+		Concurrent:        cells.integer("concurrent"),
+		KeyFreshness:      cells.duration("key-freshness"),
+		ClaimRetention:    cells.duration("claim-retention"),
+		Priority:          models.Priority(cells.integer("priority")),
+	}
+}
+
+func fleet(cells Cells) models.FleetLimits {
+	return models.FleetLimits{
+		SpendPerHour:     cells.number("spend-per-hour"),
+		MaxPerZone:       cells.integer("max-per-zone"),
+		CostWeight:       cells.number("cost-weight"),
+		WorstWeight:      cells.number("worst-weight"),
+		CheapShare:       cells.number("cheap-share"),
+		LoadsPerMinute:   cells.number("loads-per-minute"),
+		MinPerRoleInZone: cells.integer("min-per-role-in-zone"),
+	}
+}
+
+func addKey(c *models.Config, name string, cells Cells) error {
+	raw, err := hex.DecodeString(cells.text("hash"))
+	if err != nil || len(raw) != len(models.Key{}.Hash) {
+		return &CellError{KindKey, "hash", "must be a SHA-256 in hexadecimal"}
+	}
+	key := models.Key{
+		ID:        models.KeyID(name),
+		Workspace: models.Workspace(cells.text("workspace")),
+		Withdrawn: cells.flag("withdrawn"),
+	}
+	copy(key.Hash[:], raw)
+	c.Keys[key.Hash] = key
+	return nil
+}
