--- a/peer/daemon.go
+++ b/peer/daemon.go
@@ -21,6 +21,11 @@
 	Reports() []models.PeerReport
 }
 
+// ReportSource fills in its part of this daemon's report to the others.
+type ReportSource interface {
+	Fill(report *models.DaemonReport)
+}
+
 // Configuration gives the configuration in force, and how fresh it is.
 type Configuration interface {
 	// Config returns the configuration, never older than an earlier answer.
