control: daemons register, exchange, spread the configuration and prove its freshness

Cause: each daemon polled the table alone, and nobody saw the others. Change: gRPC between daemons (peer/daemon); registrations in the table and removal of what is gone (control/membership); exchange of reports, rows and evidence (control/gossip, control/fanout); one table reader a zone, deltas to the rest (control/configuration, control/replica); edits pass only through daemons that all others have noted as open (control/editing), which is the proof in an outage of the store; withdrawals name who has confirmed; the time line merges all daemons. models.Gossip.Members gives way to Editing: registrations travel as rows. Keys can no longer be edited as plain rows, which would have revived a withdrawn one.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 export PATH := $(TOOLS):$(PATH)
 
-.PHONY: tools check format-check lint build vet test generated bench demo
+.PHONY: tools check format-check lint build vet test generated generated-check bench demo
 
 tools: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
@@ -31,6 +31,14 @@
 test:
 	go test -race -count=1 ./...
 
+# Both need buf, protoc-gen-go and protoc-gen-go-grpc on the PATH; `check`
+# leaves them out, since a fresh machine has none of them.
+generated:
+	cd peer/daemon && buf generate
+
+generated-check: generated
+	git diff --exit-code -- peer/daemon/proto
+
 bench:
 	go test -run '^$$' -bench . ./...
 
--- a/control/editor.go
+++ b/control/editor.go
@@ -6,7 +6,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"strings"
+	"sync"
 
 	"quincewinch/models"
 	"quincewinch/peer"
@@ -17,18 +19,43 @@
 	keyBytes   = 24
 	keyIDBytes = 6
 	keyPrefix  = "qw-"
+
+	transactionIDBytes = 12
 )
 
-// Editor implements peer.Editor on the platform's table.
+// withdrawAttempts bounds the tries of a withdrawal that loses a race.
+const withdrawAttempts = 3
+
+// Editor implements peer.Editor on the platform's table. It is the only
+// writer of the rows that operators edit.
 type Editor struct {
+	self          models.DaemonID
 	table         peer.Table
 	configuration *Configuration
+	editing       *Editing
+	pusher        Pusher
 	timeline      peer.Timeline
+
+	mu        sync.Mutex
+	unsettled []models.Transaction
+}
+
+// Pusher tells the other daemons what is new.
+type Pusher interface {
+	// Push returns the daemons that have taken it in.
+	Push(ctx context.Context) []models.DaemonID
 }
 
 // NewEditor returns an editor of a table; edits are in force here at once.
-func NewEditor(t peer.Table, configuration *Configuration, timeline peer.Timeline) *Editor {
-	return &Editor{table: t, configuration: configuration, timeline: timeline}
+func NewEditor(self models.DaemonID, t peer.Table, configuration *Configuration, editing *Editing, pusher Pusher, timeline peer.Timeline) *Editor {
+	return &Editor{
+		self:          self,
+		table:         t,
+		configuration: configuration,
+		editing:       editing,
+		pusher:        pusher,
+		timeline:      timeline,
+	}
 }
 
 // Rows implements peer.Editor.
@@ -45,6 +72,9 @@
 
 // Put implements peer.Editor.
 func (e *Editor) Put(ctx context.Context, kind, name string, version models.Revision, cells []byte) (peer.TableRow, error) {
+	if table.Kind(kind) == table.KindKey {
+		return peer.TableRow{}, peer.NewFailure(peer.OutcomeRefused, "keys are given and withdrawn, not edited", nil)
+	}
 	parsed, err := table.Parse(table.Kind(kind), cells)
 	if err != nil {
 		return peer.TableRow{}, err
@@ -76,48 +106,145 @@
 	return id, secret, nil
 }
 
-// WithdrawKey implements peer.Editor.
+// WithdrawKey implements peer.Editor. Withdrawing a key twice is the same as
+// once, and tells anew where that is in force.
 func (e *Editor) WithdrawKey(ctx context.Context, id models.KeyID) (models.Withdrawal, error) {
 	key := table.Key(table.KindKey, string(id))
+	for attempt := 1; ; attempt++ {
+		row, cells, err := e.readKey(ctx, key)
+		if err != nil {
+			return models.Withdrawal{}, err
+		}
+		if cells["withdrawn"] != true {
+			cells["withdrawn"] = true
+			row, err = e.writeKey(ctx, row, cells)
+		}
+		if err == nil {
+			return e.withdrawal(ctx, id, row.Revision, cells), nil
+		}
+		if peer.OutcomeOf(err) != peer.OutcomeConflict || attempt == withdrawAttempts {
+			return models.Withdrawal{}, err
+		}
+	}
+}
+
+// readKey returns a key's row, the newer of the table's answer, which may lag,
+// and of what is known here.
+func (e *Editor) readKey(ctx context.Context, key models.RowKey) (models.Row, table.Cells, error) {
 	rows, err := e.table.Read(ctx, key)
 	if err != nil {
-		return models.Withdrawal{}, err
-	}
-	if len(rows) == 0 {
-		return models.Withdrawal{}, peer.NewFailure(peer.OutcomeMissing, "no key "+string(id), nil)
+		return models.Row{}, nil, err
 	}
-	cells, err := table.Parse(table.KindKey, rows[0].Value)
-	if err != nil {
-		return models.Withdrawal{}, err
+	e.configuration.Learn(rows)
+	row := e.configuration.Row(key)
+	if row.Revision == 0 || row.Deleted {
+		return models.Row{}, nil, peer.NewFailure(peer.OutcomeMissing, "no key "+key.Name, nil)
 	}
-	cells["withdrawn"] = true
+	cells, err := table.Parse(table.KindKey, row.Value)
+	return row, cells, err
+}
+
+func (e *Editor) writeKey(ctx context.Context, row models.Row, cells table.Cells) (models.Row, error) {
 	encoded, err := table.Encode(cells)
 	if err != nil {
-		return models.Withdrawal{}, err
+		return models.Row{}, err
 	}
-	row, err := e.write(ctx, models.Write{Key: key, Value: encoded}, rows[0].Revision)
-	if err != nil {
-		return models.Withdrawal{}, err
+	written, err := e.write(ctx, models.Write{Key: row.Key, Value: encoded}, row.Revision)
+	return models.Row{Key: row.Key, Revision: written.Version}, err
+}
+
+// withdrawal tells the others at once. One that does not answer stops taking
+// the key when its evidence is older than the workspace's key-freshness, for
+// evidence younger than the withdrawal would have brought the row along.
+func (e *Editor) withdrawal(ctx context.Context, id models.KeyID, revision models.Revision, cells table.Cells) models.Withdrawal {
+	confirmed := e.pusher.Push(ctx)
+	w := models.Withdrawal{Key: id, Revision: revision, InForce: append([]models.DaemonID{e.self}, confirmed...)}
+	slices.Sort(w.InForce)
+	for member := range e.configuration.Roster().Members {
+		if !slices.Contains(w.InForce, member) {
+			w.Pending = append(w.Pending, member)
+		}
+	}
+	slices.Sort(w.Pending)
+	if len(w.Pending) > 0 {
+		workspace, _ := cells["workspace"].(string)
+		w.StopsWith = e.configuration.Config().Workspaces[models.Workspace(workspace)].KeyFreshness
+	}
+	e.timeline.Record(models.Event{Kind: models.EventKey, What: "key " + string(id) + " withdrawn", Why: "an operator withdrew it"})
+	return w
+}
+
+// Step settles the edits whose outcome is unknown, by trying each again: its
+// conditions let it take effect once at most.
+func (e *Editor) Step(ctx context.Context) {
+	e.mu.Lock()
+	waiting := e.unsettled
+	e.unsettled = nil
+	e.mu.Unlock()
+	for _, transaction := range waiting {
+		tryContext, cancel := context.WithTimeout(ctx, readTimeout)
+		_, _ = e.transact(tryContext, transaction)
+		cancel()
 	}
-	return models.Withdrawal{Key: id, Revision: row.Version}, nil
 }
 
+// write commits one row where it still has a version, as long as this
+// daemon's registration stands.
 func (e *Editor) write(ctx context.Context, write models.Write, version models.Revision) (peer.TableRow, error) {
+	if err := e.editing.Begin(); err != nil {
+		return peer.TableRow{}, err
+	}
+	registration := table.MemberKey(e.self)
 	transaction := models.Transaction{
-		ID:         randomHex(keyIDBytes),
-		Conditions: []models.Condition{{Key: write.Key, Revision: version}},
-		Writes:     []models.Write{write},
+		ID: randomHex(transactionIDBytes),
+		Conditions: []models.Condition{
+			{Key: write.Key, Revision: version},
+			{Key: registration, Revision: e.configuration.Roster().Registration(e.self)},
+		},
+		Writes: []models.Write{write},
 	}
-	revision, err := e.table.Transact(ctx, transaction)
+	row, err := e.transact(ctx, transaction)
 	if err != nil {
 		return e.standing(ctx, write.Key, err)
 	}
-	row := models.Row{Key: write.Key, Revision: revision, Value: write.Value, Deleted: write.Delete}
-	e.configuration.Learn([]models.Row{row})
 	e.timeline.Record(models.Event{Kind: models.EventConfig, What: "row " + write.Key.Name + " written", Why: "an operator's edit was accepted"})
 	return show(row), nil
 }
 
+// transact commits a begun edit and settles it, or keeps it for Step where its
+// outcome is unknown.
+func (e *Editor) transact(ctx context.Context, transaction models.Transaction) (models.Row, error) {
+	write := transaction.Writes[0]
+	revision, err := e.table.Transact(ctx, transaction)
+	if err != nil && !e.settled(ctx, write.Key, err) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.unsettled = append(e.unsettled, transaction)
+		return models.Row{}, err
+	}
+	row := models.Row{Key: write.Key, Revision: revision, Value: write.Value, Deleted: write.Delete}
+	if err == nil {
+		e.configuration.Learn([]models.Row{row})
+	}
+	e.editing.Settle()
+	return row, err
+}
+
+// settled reports whether a failed try leaves nothing unknown. A conflict may
+// come of an earlier try that took effect, so that the row has to be read.
+func (e *Editor) settled(ctx context.Context, key models.RowKey, failure error) bool {
+	switch peer.OutcomeOf(failure) {
+	case peer.OutcomeUnknown:
+		return false
+	case peer.OutcomeConflict:
+		rows, err := e.table.Read(ctx, key)
+		e.configuration.Learn(rows)
+		return err == nil
+	default:
+		return true
+	}
+}
+
 // standing returns the row as it stands beside the error of a lost race.
 func (e *Editor) standing(ctx context.Context, key models.RowKey, cause error) (peer.TableRow, error) {
 	if peer.OutcomeOf(cause) != peer.OutcomeConflict {
--- /dev/null
+++ b/control/fanout.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"context"
+
+	"quincewinch/models"
+	"quincewinch/table"
+)
+
+const (
+	// readerFanout is how many table readers of other zones a table reader
+	// exchanges with at each step.
+	readerFanout = 3
+	// confirmFanout bounds the daemons asked for confirmation at each step.
+	confirmFanout = 16
+)
+
+// targets returns whom to exchange with at this step: every other daemon
+// where they are few, else the table readers of the zone, some of the other
+// zones' for a table reader, one at random, and those whose word is needed.
+func (g *Gossip) targets() []target {
+	others := g.membership.Others()
+	chosen := map[models.DaemonID]bool{}
+	if len(others) <= meshMembers {
+		for _, member := range others {
+			chosen[member.ID] = true
+		}
+	} else {
+		g.chooseFew(chosen, others)
+	}
+	var targets []target
+	for _, member := range others {
+		if chosen[member.ID] {
+			targets = append(targets, targetOf(member))
+		}
+	}
+	for i, vm := range g.membership.Strangers() {
+		if i < readerFanout {
+			targets = append(targets, target{vm: vm})
+		}
+	}
+	return targets
+}
+
+func (g *Gossip) chooseFew(chosen map[models.DaemonID]bool, others []table.Member) {
+	chosen[others[g.random.IntN(len(others))].ID] = true
+	for _, reader := range g.membership.Readers(g.self.Zone) {
+		chosen[reader.ID] = true
+	}
+	roster := g.configuration.Roster()
+	for id := range g.editing.Unconfirmed(roster) {
+		if len(chosen) < confirmFanout {
+			chosen[id] = true
+		}
+	}
+	if !g.membership.Reader() {
+		return
+	}
+	readers := g.otherReaders(others)
+	for range min(readerFanout, len(readers)) {
+		chosen[readers[g.random.IntN(len(readers))].ID] = true
+	}
+	if g.clock.Now().Sub(g.configuration.Evidence().At) > evidenceDue {
+		for id := range g.editing.Asked(roster) {
+			chosen[id] = true
+		}
+	}
+}
+
+// otherReaders returns the table readers of the other zones.
+func (g *Gossip) otherReaders(others []table.Member) []table.Member {
+	zones := map[models.Zone]bool{g.self.Zone: true}
+	var readers []table.Member
+	for _, member := range others {
+		if !zones[member.Zone] {
+			zones[member.Zone] = true
+			readers = append(readers, g.membership.Readers(member.Zone)...)
+		}
+	}
+	return readers
+}
+
+// Spread tells the others at once when rows came in. Among many daemons the
+// way is a tree: to the table readers of all zones, and from these to their
+// own zone.
+type Spread struct {
+	gossip *Gossip
+}
+
+// NewSpread returns the task that spreads what an exchange took in.
+func NewSpread(gossip *Gossip) *Spread {
+	return &Spread{gossip: gossip}
+}
+
+// Step tells the others where there is news.
+func (s *Spread) Step(ctx context.Context) {
+	if s.gossip.configuration.TakeNews() {
+		s.gossip.ask(ctx, s.targets())
+	}
+}
+
+func (s *Spread) targets() []target {
+	g := s.gossip
+	others := g.membership.Others()
+	few := len(others) <= meshMembers
+	reader := g.membership.Reader()
+	readers := map[models.DaemonID]bool{}
+	for _, member := range append(g.otherReaders(others), g.membership.Readers(g.self.Zone)...) {
+		readers[member.ID] = true
+	}
+	var targets []target
+	for _, member := range others {
+		if few || readers[member.ID] || reader && member.Zone == g.self.Zone {
+			targets = append(targets, targetOf(member))
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,321 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/table"
+)
+
+const (
+	// aliveFor is how long a daemon counts as alive after it was heard.
+	aliveFor = 3 * time.Second
+	// removeAfter is how long a daemon is silent before its registration is
+	// removed; it registers anew when it comes back.
+	removeAfter = 30 * time.Second
+	// listEvery is the time between two reads of the platform's list of VMs.
+	listEvery = 5 * time.Second
+	// readersPerZone is the number of table readers in each availability zone.
+	readersPerZone = 1
+)
+
+// Membership knows the other daemons: from the table's registrations, the
+// platform's lagging list of VMs, and what is heard of each.
+type Membership struct {
+	self          table.Member
+	table         peer.Table
+	vms           peer.VMs
+	clock         peer.Clock
+	timeline      peer.Timeline
+	configuration *Configuration
+	editing       *Editing
+
+	mu       sync.Mutex
+	leaving  bool
+	started  time.Time
+	heard    map[models.DaemonID]time.Time
+	listed   []models.VM
+	listedAt time.Time
+	shown    map[netip.AddrPort]time.Time // when the platform's list last had an address
+	seen     map[models.DaemonID]bool     // alive at the last step
+}
+
+// NewMembership returns the membership of a daemon that has yet to register.
+func NewMembership(self table.Member, t peer.Table, vms peer.VMs, clock peer.Clock, timeline peer.Timeline, configuration *Configuration, editing *Editing) *Membership {
+	return &Membership{
+		self:          self,
+		table:         t,
+		vms:           vms,
+		clock:         clock,
+		timeline:      timeline,
+		configuration: configuration,
+		editing:       editing,
+		started:       clock.Now(),
+		heard:         map[models.DaemonID]time.Time{},
+		shown:         map[netip.AddrPort]time.Time{},
+		seen:          map[models.DaemonID]bool{},
+	}
+}
+
+// Step registers this daemon where it is not, reads the platform's list, and
+// removes the registrations of daemons that are gone.
+func (m *Membership) Step(ctx context.Context) {
+	m.list(ctx)
+	roster := m.configuration.Roster()
+	registration := roster.Registration(m.self.ID)
+	failing := m.configuration.StoreFailing()
+	if registration == 0 && failing == 0 && !m.isLeaving() {
+		m.register(ctx, m.configuration.Row(table.MemberKey(m.self.ID)).Revision)
+	}
+	complete := registration > 0 && roster.Through >= registration
+	m.editing.Want(complete && failing < closeAfter && !m.isLeaving(), roster)
+	m.note(roster)
+	if complete && failing == 0 {
+		m.removeGone(ctx, roster)
+	}
+}
+
+// Leave tells that this daemon is about to stop, and closes it to edits.
+func (m *Membership) Leave() {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.editing.Want(false, m.configuration.Roster())
+}
+
+// Deregister removes this daemon's registration at a planned stop.
+func (m *Membership) Deregister(ctx context.Context) error {
+	row := m.configuration.Row(table.MemberKey(m.self.ID))
+	if row.Revision == 0 || row.Deleted {
+		return nil
+	}
+	return m.remove(ctx, row, nil)
+}
+
+// Heard notes that a daemon showed itself at a time.
+func (m *Membership) Heard(id models.DaemonID, at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.heard[id]) {
+		m.heard[id] = at
+	}
+}
+
+// Alive reports whether a daemon was heard within the last seconds.
+func (m *Membership) Alive(id models.DaemonID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.alive(id)
+}
+
+func (m *Membership) alive(id models.DaemonID) bool {
+	at, ok := m.heard[id]
+	return ok && m.clock.Now().Sub(at) <= aliveFor
+}
+
+// Others returns the other registered daemons in order of identity.
+func (m *Membership) Others() []table.Member {
+	var others []table.Member
+	for id, member := range m.configuration.Roster().Members {
+		if id != m.self.ID {
+			others = append(others, member)
+		}
+	}
+	slices.SortFunc(others, func(a, b table.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return others
+}
+
+// Strangers returns the VMs on the platform's list that no registration names.
+func (m *Membership) Strangers() []models.VM {
+	known := map[netip.AddrPort]bool{m.self.Address: true}
+	for _, member := range m.configuration.Roster().Members {
+		known[member.Address] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var strangers []models.VM
+	for _, vm := range m.listed {
+		if !known[vm.Address] {
+			strangers = append(strangers, vm)
+		}
+	}
+	return strangers
+}
+
+// Reader reports whether this daemon is a table reader of its zone.
+func (m *Membership) Reader() bool {
+	return slices.ContainsFunc(m.Readers(m.self.Zone), func(r table.Member) bool { return r.ID == m.self.ID })
+}
+
+// Readers returns the table readers of a zone among the daemons alive.
+func (m *Membership) Readers(zone models.Zone) []table.Member {
+	var candidates []table.Member
+	if zone == m.self.Zone {
+		candidates = append(candidates, m.self)
+	}
+	for _, member := range m.Others() {
+		if member.Zone == zone && m.Alive(member.ID) {
+			candidates = append(candidates, member)
+		}
+	}
+	return choose(candidates, "reader", readersPerZone)
+}
+
+func (m *Membership) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+func (m *Membership) list(ctx context.Context) {
+	now := m.clock.Now()
+	if !m.listedAt.IsZero() && now.Sub(m.listedAt) < listEvery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	vms, err := m.vms.List(ctx)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listedAt = now
+	m.listed = vms
+	for _, vm := range vms {
+		m.shown[vm.Address] = now
+	}
+}
+
+// register writes this daemon's row. A lost answer is settled by the next
+// read of the table.
+func (m *Membership) register(ctx context.Context, standing models.Revision) {
+	value, err := table.EncodeMember(m.self)
+	if err != nil {
+		return
+	}
+	m.editing.Forget()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	key := table.MemberKey(m.self.ID)
+	revision, err := m.table.Transact(ctx, models.Transaction{
+		ID:         randomHex(keyIDBytes),
+		Conditions: []models.Condition{{Key: key, Revision: standing}},
+		Writes:     []models.Write{{Key: key, Value: value}},
+	})
+	if err != nil {
+		m.recover(ctx, key)
+		return
+	}
+	m.configuration.Learn([]models.Row{{Key: key, Revision: revision, Value: value}})
+	m.timeline.Record(models.Event{Kind: models.EventMembership, What: "registered", Why: "this daemon was not on the table's list of daemons"})
+}
+
+// recover reads a row whose write may have taken effect.
+func (m *Membership) recover(ctx context.Context, key models.RowKey) {
+	if rows, err := m.table.Read(ctx, key); err == nil {
+		m.configuration.Learn(rows)
+	}
+}
+
+// note records who came and who went.
+func (m *Membership) note(roster Roster) {
+	m.mu.Lock()
+	seen := map[models.DaemonID]bool{}
+	for id := range roster.Members {
+		seen[id] = id != m.self.ID && m.alive(id)
+	}
+	before := m.seen
+	m.seen = seen
+	m.mu.Unlock()
+	for id, alive := range seen {
+		switch {
+		case alive && !before[id]:
+			m.timeline.Record(models.Event{Kind: models.EventMembership, What: "daemon " + string(id) + " is alive", Why: "it was heard"})
+		case !alive && before[id]:
+			m.timeline.Record(models.Event{Kind: models.EventMembership, What: "daemon " + string(id) + " is not heard", Why: "it was silent for " + aliveFor.String()})
+		}
+	}
+}
+
+// removeGone removes the registrations of daemons that are gone. One of the
+// daemons alive does it for each.
+func (m *Membership) removeGone(ctx context.Context, roster Roster) {
+	var alive []table.Member
+	for _, member := range roster.Members {
+		if member.ID == m.self.ID || m.Alive(member.ID) {
+			alive = append(alive, member)
+		}
+	}
+	own := m.configuration.Row(table.MemberKey(m.self.ID))
+	for id, member := range roster.Members {
+		remover := choose(alive, "remove/"+string(id), 1)
+		if id == m.self.ID || remover[0].ID != m.self.ID || !replaced(member, roster) && !m.gone(member) {
+			continue
+		}
+		m.editing.Expel(id, member.Revision)
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		err := m.remove(ctx, m.configuration.Row(table.MemberKey(id)), &own)
+		cancel()
+		if err == nil {
+			m.timeline.Record(models.Event{Kind: models.EventMembership, What: "registration of daemon " + string(id) + " removed", Why: "it was silent, or another process has its address"})
+		}
+	}
+}
+
+// replaced reports whether a later process registered the same address, which
+// only one process at a time can listen on.
+func replaced(member table.Member, roster Roster) bool {
+	for _, other := range roster.Members {
+		if other.Address == member.Address && other.Revision > member.Revision {
+			return true
+		}
+	}
+	return false
+}
+
+// gone reports whether a daemon's registration is to be removed. A daemon
+// that is open to edits may decide it by silence. One that is not yet open
+// goes by silence together with the platform's list, which has to have left
+// the VM out all the time.
+func (m *Membership) gone(member table.Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	last := m.started
+	if m.heard[member.ID].After(last) {
+		last = m.heard[member.ID]
+	}
+	if now.Sub(last) < removeAfter {
+		return false
+	}
+	if m.editing.Open() {
+		return true
+	}
+	shown := m.shown[member.Address]
+	return !m.listedAt.IsZero() && now.Sub(m.listedAt) <= 2*listEvery && now.Sub(shown) >= removeAfter
+}
+
+// remove deletes a registration, as long as the remover's own stands.
+func (m *Membership) remove(ctx context.Context, row models.Row, own *models.Row) error {
+	conditions := []models.Condition{{Key: row.Key, Revision: row.Revision}}
+	if own != nil {
+		conditions = append(conditions, models.Condition{Key: own.Key, Revision: own.Revision})
+	}
+	revision, err := m.table.Transact(ctx, models.Transaction{
+		ID:         randomHex(keyIDBytes),
+		Conditions: conditions,
+		Writes:     []models.Write{{Key: row.Key, Delete: true}},
+	})
+	if err != nil {
+		return err
+	}
+	m.configuration.Learn([]models.Row{{Key: row.Key, Revision: revision, Deleted: true}})
+	return nil
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"quincewinch/config"
 	"quincewinch/control"
@@ -42,6 +43,7 @@
 	system        *control.System
 	configuration *control.Configuration
 	engines       *control.Engines
+	exchange      exchange
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -52,6 +54,7 @@
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Metrics   netip.AddrPort
+	Daemons   netip.AddrPort
 }
 
 // Addresses returns where the daemon listens.
@@ -86,7 +89,11 @@
 	d.configuration = control.NewConfiguration(table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
 	line := d.line(table, engines, service.NewClients(client))
-	editor := control.NewEditor(table, d.configuration, d.ring)
+	if err := d.startExchange(table, table, insecure.NewCredentials()); err != nil {
+		return err
+	}
+	editor := control.NewEditor(d.id, table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
+	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
 	if err := d.listen(line, editor); err != nil {
@@ -100,6 +107,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.ring.Record(models.Event{Kind: models.EventProcess, What: "daemon stops", Why: "a planned stop"})
 	d.ready.drain()
+	d.leaveExchange(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
 	var failed error
@@ -109,6 +117,7 @@
 		}
 	}
 	d.system.Stop()
+	d.stopExchange(context.WithoutCancel(ctx))
 	return failed
 }
 
--- /dev/null
+++ b/daemon/gossip.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials"
+
+	"quincewinch/control"
+	"quincewinch/models"
+	"quincewinch/peer"
+	peerdaemon "quincewinch/peer/daemon"
+	"quincewinch/table"
+)
+
+const (
+	exchangeTimeout = time.Second
+	spreadInterval  = 100 * time.Millisecond
+	memberInterval  = 250 * time.Millisecond
+)
+
+// exchange is this daemon's part in the exchange between daemons.
+type exchange struct {
+	client     *peerdaemon.Client
+	server     *peerdaemon.Server
+	editing    *control.Editing
+	membership *control.Membership
+	gossip     *control.Gossip
+	spread     *control.Spread
+}
+
+// startExchange listens for the other daemons and builds what speaks with them.
+func (d *Daemon) startExchange(t peer.Table, vms peer.VMs, credentials credentials.TransportCredentials) error {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.settings.Daemons.Address))
+	if err != nil {
+		return errors.Annotate(err, "cannot listen for the other daemons")
+	}
+	d.addresses.Daemons = listener.Addr().(*net.TCPAddr).AddrPort()
+	self := table.Member{ID: d.id, Zone: d.settings.Zone, Address: d.addresses.Daemons}
+	e := &d.exchange
+	e.client = peerdaemon.NewClient(credentials, exchangeTimeout)
+	e.editing = control.NewEditing(d.id)
+	e.membership = control.NewMembership(self, t, vms, d.clock, d.ring, d.configuration, e.editing)
+	e.gossip = control.NewGossip(self, e.client, d.clock, d.ring, d.configuration, e.membership, e.editing)
+	e.spread = control.NewSpread(e.gossip)
+	e.server = peerdaemon.NewServer(receiver{d}, credentials)
+	d.configuration.ReadWhen(e.membership.Reader)
+	go func() {
+		if err := e.server.Serve(listener); err != nil {
+			d.logger.Error("listener for daemons ended", zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// spawnExchange starts the tasks of the exchange.
+func (d *Daemon) spawnExchange(editor *control.Editor) {
+	d.system.Spawn(d.exchange.membership, memberInterval)
+	d.system.Spawn(d.exchange.gossip, d.settings.Daemons.Interval)
+	d.system.Spawn(d.exchange.spread, spreadInterval)
+	d.system.Spawn(editor, memberInterval)
+}
+
+// leaveExchange closes this daemon to edits and tells the others that it
+// leaves, so that they need not wait for its word.
+func (d *Daemon) leaveExchange(ctx context.Context) {
+	d.exchange.membership.Leave()
+	d.exchange.gossip.Drain()
+	d.exchange.gossip.Push(ctx)
+}
+
+// stopExchange removes the registration and ends the exchange.
+func (d *Daemon) stopExchange(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	if err := d.exchange.membership.Deregister(ctx); err != nil {
+		d.logger.Warn("registration not removed", zap.Error(err))
+	}
+	d.exchange.server.Stop()
+	d.exchange.client.Close()
+}
+
+// TakesEdits reports whether operators' edits may go through this daemon now.
+func (d *Daemon) TakesEdits() bool {
+	return d.exchange.editing.Open()
+}
+
+// receiver implements peerdaemon.Receiver.
+type receiver struct {
+	daemon *Daemon
+}
+
+// Receive takes in what another daemon tells.
+func (r receiver) Receive(message models.Gossip) models.Gossip {
+	return r.daemon.exchange.gossip.Receive(message)
+}
+
+// Events returns this daemon's own events.
+func (r receiver) Events(filter models.EventFilter) []models.Event {
+	return r.daemon.ring.Events(filter)
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -197,10 +197,24 @@
 		s.Ready.Operators = append(s.Ready.Operators, "http://"+addresses.Operators.String())
 		s.Ready.Metrics = append(s.Ready.Metrics, "http://"+addresses.Metrics.String())
 	}
+	s.Store.SetVMs(s.vms())
 	return s.awaitReady(ctx)
 }
 
-// awaitReady waits until each daemon says that it is ready.
+// vms lists the daemons' VMs as the platform shows them.
+func (s *System) vms() []models.VM {
+	var vms []models.VM
+	for i, d := range s.Daemons {
+		vms = append(vms, models.VM{
+			Daemon:  "entry-" + strconv.Itoa(i+1),
+			Zone:    s.deployment.Zones[i%len(s.deployment.Zones)],
+			Address: d.Addresses().Daemons,
+		})
+	}
+	return vms
+}
+
+// awaitReady waits until each daemon says that it is ready, and takes edits.
 func (s *System) awaitReady(ctx context.Context) error {
 	for _, address := range s.Ready.Metrics {
 		for !isReady(ctx, address) {
@@ -209,6 +223,13 @@
 			}
 		}
 	}
+	for _, d := range s.Daemons {
+		for !d.TakesEdits() {
+			if err := s.clock.Sleep(ctx, readyPoll); err != nil {
+				return errors.Annotate(err, "a daemon takes no edits")
+			}
+		}
+	}
 	return nil
 }
 
--- a/models/gossip.go
+++ b/models/gossip.go
@@ -13,7 +13,17 @@
 	// EvidenceAge is the age of the sender's evidence when it sent this.
 	EvidenceAge    time.Duration
 	EvidenceSource EvidenceSource
-	Members        []DaemonID // registered daemons that the sender knows
+	Editing        Editing
+}
+
+// Editing is what a daemon states to another about the edits that operators
+// make through it. The proof that no edit was missed rests on it.
+type Editing struct {
+	Epoch     uint64   // grows each time that the sender opens or closes
+	Open      bool     // edits may go through the sender
+	Settled   bool     // no edit is under way and none is of unknown outcome
+	Member    Revision // the receiver's registration as the sender knows it; 0: none
+	Confirmed uint64   // the receiver's epoch that the sender has noted as open
 }
 
 // EventFilter selects events of the time line; empty fields select all.
--- /dev/null
+++ b/peer/daemon/client.go
@@ -0,0 +1,114 @@
+// Package daemon speaks gRPC with the other daemons.
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/daemon/proto"
+)
+
+// MaxMessageBytes bounds one message between daemons.
+const MaxMessageBytes = 32 << 20
+
+// Client reaches the other daemons over one connection each. It implements
+// peer.Daemons.
+type Client struct {
+	credentials credentials.TransportCredentials
+	timeout     time.Duration // of one call
+
+	mu          sync.Mutex
+	connections map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewClient returns a client without connections.
+func NewClient(credentials credentials.TransportCredentials, timeout time.Duration) *Client {
+	return &Client{
+		credentials: credentials,
+		timeout:     timeout,
+		connections: map[netip.AddrPort]*grpc.ClientConn{},
+	}
+}
+
+// Exchange implements peer.Daemons.
+func (c *Client) Exchange(ctx context.Context, to models.VM, message models.Gossip) (models.Gossip, error) {
+	connection, err := c.connection(to.Address)
+	if err != nil {
+		return models.Gossip{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	answer, err := proto.NewDaemonsClient(connection).Exchange(ctx, EncodeGossip(message))
+	if err != nil {
+		return models.Gossip{}, failure(err)
+	}
+	return DecodeGossip(answer), nil
+}
+
+// Events implements peer.Daemons.
+func (c *Client) Events(ctx context.Context, to models.VM, filter models.EventFilter) ([]models.Event, error) {
+	connection, err := c.connection(to.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	answer, err := proto.NewDaemonsClient(connection).Events(ctx, encodeFilter(filter))
+	if err != nil {
+		return nil, failure(err)
+	}
+	events := make([]models.Event, 0, len(answer.GetEvents()))
+	for _, event := range answer.GetEvents() {
+		events = append(events, decodeEvent(event))
+	}
+	return events, nil
+}
+
+// Keep closes the connections to all addresses but those given.
+func (c *Client) Keep(addresses map[netip.AddrPort]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, connection := range c.connections {
+		if !addresses[address] {
+			_ = connection.Close()
+			delete(c.connections, address)
+		}
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.Keep(nil)
+}
+
+func (c *Client) connection(address netip.AddrPort) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connection, ok := c.connections[address]; ok {
+		return connection, nil
+	}
+	connection, err := grpc.NewClient(
+		"passthrough:///"+address.String(),
+		grpc.WithTransportCredentials(c.credentials),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
+	)
+	if err != nil {
+		return nil, peer.NewFailure(peer.OutcomeNotDone, "no connection to daemon "+address.String(), errors.Trace(err))
+	}
+	c.connections[address] = connection
+	return connection, nil
+}
+
+// failure leaves the outcome open: the other daemon may have taken the
+// message in.
+func failure(err error) error {
+	return peer.NewFailure(peer.OutcomeUnknown, "a daemon does not answer", err)
+}
--- /dev/null
+++ b/peer/daemon/codec_test.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quincewinch/models"
+)
+
+// full returns a message in which every field has a value of its own.
+func full() models.Gossip {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 7, time.UTC)
+	state := models.EngineState{
+		Engine: "e", MeasuredAt: at, Role: models.RoleDecode, Models: []models.Model{"m"}, Draining: true, Changing: true,
+		EvictionAt: at, Fence: 1, LastOrder: "o", Running: 2, Queued: 3, QueuedTokens: 4, FreePieces: 5, TotalPieces: 6,
+		PieceTokens: 7, PrefillRate: 8, DecodeRate: 9, CacheSequence: 10,
+	}
+	return models.Gossip{
+		From:  "a",
+		Stamp: models.Stamp{Wall: 1, Logical: 2},
+		Reports: []models.DaemonReport{{
+			Daemon: "a", Zone: "z", Sequence: 3, Config: 4, StoreFailing: 5, Draining: true,
+			Inflight: map[models.EngineID]models.InflightWork{"e": {Requests: 1, PromptTokens: 2, OutputTokens: 3}},
+			Work:     map[models.Workspace]models.WorkDone{"w": {Requests: 1, PromptTokens: 2, OutputTokens: 3, Running: 4, Waiting: 5, Refused: 6}},
+			Offered:  map[models.Model]models.OfferedWork{"m": {Requests: 1, PromptTokens: 2, OutputTokens: 3}},
+			States:   map[models.EngineID]models.EngineState{"e": state},
+			Ejected:  map[models.EngineID]time.Duration{"e": time.Second},
+		}},
+		Rows: []models.Row{{
+			Key: models.RowKey{Partition: models.PartitionConfig, Name: "key/k"}, Revision: 6, Value: []byte("v"), Deleted: true,
+		}},
+		Through:        7,
+		Known:          8,
+		EvidenceAge:    9,
+		EvidenceSource: models.EvidenceOwn,
+		Editing:        models.Editing{Epoch: 1, Open: true, Settled: true, Member: 3, Confirmed: 2},
+	}
+}
+
+func TestGossipSurvivesTheWire(t *testing.T) {
+	is := is.New(t)
+	is.Equal(DecodeGossip(EncodeGossip(full())), full())
+	is.Equal(DecodeGossip(EncodeGossip(models.Gossip{})), models.Gossip{})
+}
+
+// echo answers with what it got and with one event.
+type echo struct{}
+
+func (echo) Receive(message models.Gossip) models.Gossip { return message }
+
+func (echo) Events(filter models.EventFilter) []models.Event {
+	return []models.Event{{
+		Stamp: models.Stamp{Wall: 1, Logical: 2}, At: time.Unix(1, 0).UTC(), Daemon: "d", Zone: "z", Kind: filter.Kind,
+		Request: filter.Request, Engine: filter.Engine, Workspace: filter.Workspace, Lease: filter.Lease,
+		What: "what", Why: "why", Cause: "cause",
+	}}
+}
+
+func TestClientAndServer(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewServer(echo{}, insecure.NewCredentials())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	client := NewClient(insecure.NewCredentials(), time.Minute)
+	to := models.VM{Address: listener.Addr().(*net.TCPAddr).AddrPort()}
+
+	answer, err := client.Exchange(context.Background(), to, full())
+	is.NoErr(err)
+	is.Equal(answer, full())
+
+	filter := models.EventFilter{Request: "r", Engine: "e", Workspace: "w", Lease: "l", Kind: models.EventKey, Limit: 1}
+	events, err := client.Events(context.Background(), to, filter)
+	is.NoErr(err)
+	is.Equal(events, echo{}.Events(filter))
+
+	server.Stop()
+	is.NoErr(<-ended)
+	_, err = client.Exchange(context.Background(), to, full())
+	is.True(err != nil) // nobody listens
+	client.Close()
+}
--- /dev/null
+++ b/peer/daemon/server.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"net"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"quincewinch/models"
+	"quincewinch/peer/daemon/proto"
+)
+
+// Receiver answers the other daemons.
+type Receiver interface {
+	// Receive takes in what another daemon tells and returns the answer.
+	Receive(message models.Gossip) models.Gossip
+	// Events returns the events of this daemon alone.
+	Events(filter models.EventFilter) []models.Event
+}
+
+// Server serves the other daemons.
+type Server struct {
+	proto.UnimplementedDaemonsServer
+	receiver Receiver
+	server   *grpc.Server
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(receiver Receiver, credentials credentials.TransportCredentials) *Server {
+	s := &Server{
+		receiver: receiver,
+		server:   grpc.NewServer(grpc.Creds(credentials), grpc.MaxRecvMsgSize(MaxMessageBytes)),
+	}
+	proto.RegisterDaemonsServer(s.server, s)
+	return s
+}
+
+// Serve answers on a listener until Stop.
+func (s *Server) Serve(listener net.Listener) error {
+	return errors.Trace(s.server.Serve(listener))
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	s.server.Stop()
+}
+
+// Exchange implements proto.DaemonsServer.
+func (s *Server) Exchange(_ context.Context, form *proto.Gossip) (*proto.Gossip, error) {
+	return EncodeGossip(s.receiver.Receive(DecodeGossip(form))), nil
+}
+
+// Events implements proto.DaemonsServer.
+func (s *Server) Events(_ context.Context, form *proto.EventFilter) (*proto.EventList, error) {
+	list := &proto.EventList{}
+	for _, event := range s.receiver.Events(decodeFilter(form)) {
+		list.Events = append(list.Events, encodeEvent(event))
+	}
+	return list, nil
+}
--- /dev/null
+++ b/table/apply.go
@@ -0,0 +1,122 @@
+package table
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+)
+
+// Change is a row's step from one version to the next. Old is the zero row
+// where the row is new.
+type Change struct {
+	Old models.Row
+	New models.Row
+}
+
+// Apply returns the configuration after changes, complete through a revision.
+// It copies only the maps that the changes concern; the given configuration
+// stays as it is. The result equals that of Build over all rows.
+func Apply(c *models.Config, through models.Revision, changes []Change) (*models.Config, []error) {
+	next := *c
+	next.Through = through
+	var faults []error
+	cloned := map[Kind]bool{}
+	for _, change := range changes {
+		kind, _ := SplitName(change.New.Key)
+		if !cloned[kind] {
+			clone(&next, kind)
+			cloned[kind] = true
+		}
+		remove(&next, change.Old)
+		if change.New.Deleted {
+			continue
+		}
+		if err := add(&next, change.New); err != nil {
+			faults = append(faults, errors.Annotate(err, change.New.Key.Name))
+		}
+	}
+	if cloned[KindService] {
+		sortServices(&next)
+	}
+	return &next, faults
+}
+
+// clone gives a configuration a map of its own for a kind of row.
+func clone(c *models.Config, kind Kind) {
+	switch kind {
+	case KindWorkspace:
+		c.Workspaces = maps.Clone(c.Workspaces)
+	case KindKey:
+		c.Keys = maps.Clone(c.Keys)
+	case KindRoute:
+		c.Routes = maps.Clone(c.Routes)
+	case KindModel:
+		c.Models = maps.Clone(c.Models)
+	case KindBackend:
+		c.Backends = maps.Clone(c.Backends)
+	case KindService:
+		c.Services = maps.Clone(c.Services)
+		for name, backends := range c.Services {
+			c.Services[name] = slices.Clone(backends)
+		}
+	}
+}
+
+// remove takes a row's former version out of a configuration.
+func remove(c *models.Config, old models.Row) {
+	if old.Revision == 0 || old.Deleted {
+		return
+	}
+	kind, name := SplitName(old.Key)
+	cells, err := Parse(kind, old.Value)
+	if err != nil {
+		return // it was left out
+	}
+	switch kind {
+	case KindWorkspace:
+		delete(c.Workspaces, models.Workspace(name))
+	case KindKey:
+		removeKey(c, name)
+	case KindRoute:
+		delete(c.Routes, name)
+	case KindModel:
+		delete(c.Models, models.Model(name))
+	case KindBackend:
+		delete(c.Backends, models.EngineID(name))
+	case KindService:
+		removeService(c, cells)
+	case KindFleet:
+		c.Fleet = models.FleetLimits{}
+	}
+}
+
+func removeKey(c *models.Config, name string) {
+	maps.DeleteFunc(c.Keys, func(_ [32]byte, key models.Key) bool { return key.ID == models.KeyID(name) })
+}
+
+func removeService(c *models.Config, cells Cells) {
+	old := serviceBackend(cells)
+	backends := c.Services[old.Service]
+	if i := slices.Index(backends, old); i >= 0 {
+		backends = slices.Delete(backends, i, i+1)
+	}
+	if len(backends) == 0 {
+		delete(c.Services, old.Service)
+		return
+	}
+	c.Services[old.Service] = backends
+}
+
+// sortServices puts the backends of each service in an order that does not
+// depend on the way that the rows came.
+func sortServices(c *models.Config) {
+	for _, backends := range c.Services {
+		slices.SortFunc(backends, func(a, b models.ServiceBackend) int {
+			return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.URL, b.URL))
+		})
+	}
+}
--- a/table/config.go
+++ b/table/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"maps"
 	"slices"
 
 	"github.com/juju/errors"
@@ -38,27 +37,10 @@
 			faults = append(faults, errors.Annotate(err, row.Key.Name))
 		}
 	}
+	sortServices(c)
 	return c, faults
 }
 
-// Merge returns rows with news laid over them: of two rows with one key, the
-// one with the higher revision stands.
-func Merge(rows map[string]models.Row, news []models.Row) (map[string]models.Row, bool) {
-	merged := rows
-	changed := false
-	for _, row := range news {
-		if old, ok := merged[row.Key.Name]; ok && old.Revision >= row.Revision {
-			continue
-		}
-		if !changed {
-			merged = maps.Clone(rows)
-			changed = true
-		}
-		merged[row.Key.Name] = row
-	}
-	return merged, changed
-}
-
 func compare(a, b string) int {
 	switch {
 	case a < b:
@@ -104,12 +86,8 @@
 			Leaving:     cells.flag("leaving"),
 		}
 	case KindService:
-		service := models.ServiceName(cells.text("service"))
-		c.Services[service] = append(c.Services[service], models.ServiceBackend{
-			Service: service,
-			Zone:    models.Zone(cells.text("zone")),
-			URL:     cells.text("url"),
-		})
+		backend := serviceBackend(cells)
+		c.Services[backend.Service] = append(c.Services[backend.Service], backend)
 	case KindFleet:
 		c.Fleet = fleet(cells)
 	}
@@ -129,6 +107,14 @@
 	}
 }
 
+func serviceBackend(cells Cells) models.ServiceBackend {
+	return models.ServiceBackend{
+		Service: models.ServiceName(cells.text("service")),
+		Zone:    models.Zone(cells.text("zone")),
+		URL:     cells.text("url"),
+	}
+}
+
 func fleet(cells Cells) models.FleetLimits {
 	return models.FleetLimits{
 		SpendPerHour:     cells.number("spend-per-hour"),
--- /dev/null
+++ b/table/member.go
@@ -0,0 +1,48 @@
+package table
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+)
+
+// Member is a registered daemon: a row of PartitionDaemons.
+type Member struct {
+	ID       models.DaemonID
+	Zone     models.Zone
+	Address  netip.AddrPort // where the other daemons reach it
+	Revision models.Revision
+}
+
+type memberForm struct {
+	Zone    string         `json:"zone"`
+	Address netip.AddrPort `json:"address"`
+}
+
+// MemberKey returns the key of a daemon's registration.
+func MemberKey(id models.DaemonID) models.RowKey {
+	return models.RowKey{Partition: models.PartitionDaemons, Name: string(id)}
+}
+
+// EncodeMember returns the value of a daemon's registration.
+func EncodeMember(member Member) ([]byte, error) {
+	raw, err := json.Marshal(memberForm{Zone: string(member.Zone), Address: member.Address})
+	return raw, errors.Trace(err)
+}
+
+// ParseMember reads a daemon's registration.
+func ParseMember(row models.Row) (Member, error) {
+	var form memberForm
+	if err := json.Unmarshal(row.Value, &form); err != nil {
+		return Member{}, errors.Annotate(err, row.Key.Name)
+	}
+	return Member{
+		ID:       models.DaemonID(row.Key.Name),
+		Zone:     models.Zone(form.Zone),
+		Address:  form.Address,
+		Revision: row.Revision,
+	}, nil
+}
