--- a/control/configuration.go
+++ b/control/configuration.go
@@ -140,7 +140,8 @@
 	return !c.failing.IsZero() || now.Sub(c.evidence.At) > evidenceDue
 }
 
-// Read reads what has changed in the table.
+// Read reads what has changed in the table, and then asks the table whether
+// that is all: a read may lag, a transaction does not.
 func (c *Configuration) Read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -148,23 +149,41 @@
 	started := c.clock.Now()
 	c.readAt = started
 	after := c.replica.Through()
-	highest := c.replica.Highest()
 	c.mu.Unlock()
 	changes, err := c.changes(ctx, after)
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if err != nil {
-		if c.failing.IsZero() {
-			c.failing = started
-		}
+		c.reached(started, false)
 		return
 	}
-	c.failing = time.Time{}
+	mark, complete := c.takeRead(changes, after)
+	_, err = c.table.Transact(ctx, models.Transaction{
+		Conditions: []models.Condition{{Key: table.EditMarkKey, Revision: mark}},
+	})
+	c.reached(started, err == nil || peer.OutcomeOf(err) == peer.OutcomeConflict)
+	if err == nil && complete {
+		c.Prove(models.Evidence{At: started, Source: models.EvidenceOwn})
+	}
+}
+
+// takeRead takes in what was read, and returns the latest edit known and
+// whether all edits up to it are.
+func (c *Configuration) takeRead(changes models.Changes, after models.Revision) (mark models.Revision, complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.take(changes.Rows, after, changes.Through)
-	// A read that does not show what was known before it began lags, and is
-	// no evidence.
-	if changes.Through >= highest {
-		c.prove(models.Evidence{At: started, Source: models.EvidenceOwn})
+	mark = c.replica.rows[table.EditMarkKey].Revision
+	return mark, mark <= c.replica.Through()
+}
+
+// reached notes whether the table was in reach of a read begun at a time.
+func (c *Configuration) reached(started time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case ok:
+		c.failing = time.Time{}
+	case c.failing.IsZero():
+		c.failing = started
 	}
 }
 
@@ -241,9 +260,11 @@
 func (c *Configuration) take(rows []models.Row, base, through models.Revision) {
 	var edits, registrations []table.Change
 	for _, change := range c.replica.Take(rows) {
-		if change.New.Key.Partition == models.PartitionDaemons {
+		switch {
+		case change.New.Key == table.EditMarkKey:
+		case change.New.Key.Partition == models.PartitionDaemons:
 			registrations = append(registrations, change)
-		} else {
+		default:
 			edits = append(edits, change)
 		}
 	}
--- a/control/editor.go
+++ b/control/editor.go
@@ -182,9 +182,7 @@
 	e.unsettled = nil
 	e.mu.Unlock()
 	for _, transaction := range waiting {
-		tryContext, cancel := context.WithTimeout(ctx, readTimeout)
-		_, _ = e.transact(tryContext, transaction)
-		cancel()
+		e.retry(ctx, transaction)
 	}
 }
 
@@ -201,48 +199,69 @@
 			{Key: write.Key, Revision: version},
 			{Key: registration, Revision: e.configuration.Roster().Registration(e.self)},
 		},
-		Writes: []models.Write{write},
+		Writes: []models.Write{write, {Key: table.EditMarkKey}},
 	}
 	row, err := e.transact(ctx, transaction)
 	if err != nil {
+		e.settleOrKeep(transaction, peer.OutcomeOf(err) != peer.OutcomeUnknown)
 		return e.standing(ctx, write.Key, err)
 	}
+	e.editing.Settle()
 	e.timeline.Record(models.Event{Kind: models.EventConfig, What: "row " + write.Key.Name + " written", Why: "an operator's edit was accepted"})
 	return show(row), nil
 }
 
-// transact commits a begun edit and settles it, or keeps it for Step where its
-// outcome is unknown.
+// transact commits an edit and takes it in.
 func (e *Editor) transact(ctx context.Context, transaction models.Transaction) (models.Row, error) {
-	write := transaction.Writes[0]
 	revision, err := e.table.Transact(ctx, transaction)
-	if err != nil && !e.settled(ctx, write.Key, err) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.unsettled = append(e.unsettled, transaction)
+	if err != nil {
 		return models.Row{}, err
 	}
-	row := models.Row{Key: write.Key, Revision: revision, Value: write.Value, Deleted: write.Delete}
-	if err == nil {
-		e.configuration.Learn([]models.Row{row})
+	var rows []models.Row
+	for _, write := range transaction.Writes {
+		rows = append(rows, models.Row{Key: write.Key, Revision: revision, Value: write.Value, Deleted: write.Delete})
 	}
-	e.editing.Settle()
-	return row, err
+	e.configuration.Learn(rows)
+	return rows[0], nil
+}
+
+// retry tries an edit of unknown outcome again. A conflict may come of the
+// earlier try that took effect; then its row has to be known before the edit
+// counts as settled.
+func (e *Editor) retry(ctx context.Context, transaction models.Transaction) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	_, err := e.transact(ctx, transaction)
+	settled := err == nil || peer.OutcomeOf(err) == peer.OutcomeRefused
+	if err != nil && peer.OutcomeOf(err) == peer.OutcomeConflict {
+		settled = e.knowsEnd(ctx, transaction)
+	}
+	e.settleOrKeep(transaction, settled)
 }
 
-// settled reports whether a failed try leaves nothing unknown. A conflict may
-// come of an earlier try that took effect, so that the row has to be read.
-func (e *Editor) settled(ctx context.Context, key models.RowKey, failure error) bool {
-	switch peer.OutcomeOf(failure) {
-	case peer.OutcomeUnknown:
-		return false
-	case peer.OutcomeConflict:
-		rows, err := e.table.Read(ctx, key)
+// knowsEnd reports whether what became of a conflicting edit is known here:
+// the row has moved on, or the registration that it was made under is gone
+// and all rows up to there are known.
+func (e *Editor) knowsEnd(ctx context.Context, transaction models.Transaction) bool {
+	condition, registration := transaction.Conditions[0], transaction.Conditions[1]
+	if rows, err := e.table.Read(ctx, condition.Key); err == nil {
 		e.configuration.Learn(rows)
-		return err == nil
-	default:
+	}
+	if e.configuration.Row(condition.Key).Revision > condition.Revision {
 		return true
 	}
+	own := e.configuration.Row(registration.Key).Revision
+	return own > registration.Revision && e.configuration.Roster().Through >= own
+}
+
+func (e *Editor) settleOrKeep(transaction models.Transaction, settled bool) {
+	if settled {
+		e.editing.Settle()
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unsettled = append(e.unsettled, transaction)
 }
 
 // standing returns the row as it stands beside the error of a lost race.
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -51,6 +51,7 @@
 	membership    *Membership
 	editing       *Editing
 	random        *rand.Rand // used by Step alone
+	parallel      int        // exchanges under way at once
 
 	mu       sync.Mutex
 	sources  []peer.ReportSource
@@ -74,6 +75,7 @@
 		membership:    membership,
 		editing:       editing,
 		random:        rand.New(rand.NewPCG(xxhash.Sum64String(string(self.ID)), 0)),
+		parallel:      parallelExchanges,
 		reports:       map[models.DaemonID]models.PeerReport{},
 		known:         map[models.DaemonID]models.Revision{},
 		relayed:       map[models.DaemonID]time.Time{},
@@ -155,15 +157,19 @@
 	var mu sync.Mutex
 	var answered []models.DaemonID
 	var group sync.WaitGroup
-	slots := make(chan struct{}, parallelExchanges)
+	queue := make(chan target, len(targets))
 	for _, t := range targets {
-		slots <- struct{}{}
+		queue <- t
+	}
+	close(queue)
+	for range min(g.parallel, len(targets)) {
 		group.Go(func() {
-			defer func() { <-slots }()
-			if id, ok := g.exchange(ctx, t); ok {
-				mu.Lock()
-				defer mu.Unlock()
-				answered = append(answered, id)
+			for t := range queue {
+				if id, ok := g.exchange(ctx, t); ok {
+					mu.Lock()
+					answered = append(answered, id)
+					mu.Unlock()
+				}
 			}
 		})
 	}
@@ -191,8 +197,10 @@
 	if whole {
 		g.configuration.Prove(models.Evidence{At: sentAt.Add(-answer.EvidenceAge), Source: relayedSource(answer.EvidenceSource)})
 	}
-	registration := g.configuration.Roster().Registration(g.self.ID)
-	g.editing.Answer(answer.From, answer.Editing, whole, registration, sentAt)
+	if answer.To == g.self.ID {
+		registration := g.configuration.Roster().Registration(g.self.ID)
+		g.editing.Answer(answer.From, answer.Editing, whole, registration, sentAt)
+	}
 	return answer.From, true
 }
 
@@ -202,8 +210,10 @@
 	g.stamps.Observe(message.Stamp)
 	missing := g.configuration.TakeDelta(message.Rows, message.Known, message.Through)
 	whole := !missing && message.EvidenceSource != models.EvidenceNone
-	registration := g.configuration.Roster().Registration(g.self.ID)
-	g.editing.Note(message.From, message.Editing, whole, registration)
+	if message.To == g.self.ID {
+		registration := g.configuration.Roster().Registration(g.self.ID)
+		g.editing.Note(message.From, message.Editing, whole, registration)
+	}
 	now := g.clock.Now()
 	g.membership.Heard(message.From, now)
 	g.mu.Lock()
@@ -233,6 +243,7 @@
 	rows, through, evidence := g.configuration.Delta(base)
 	return models.Gossip{
 		From:           g.self.ID,
+		To:             to,
 		Stamp:          g.stamps.Stamp(),
 		Reports:        g.reportsFor(to),
 		Rows:           rows,
--- a/control/membership.go
+++ b/control/membership.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -121,14 +120,8 @@
 
 // Others returns the other registered daemons in order of identity.
 func (m *Membership) Others() []table.Member {
-	var others []table.Member
-	for id, member := range m.configuration.Roster().Members {
-		if id != m.self.ID {
-			others = append(others, member)
-		}
-	}
-	slices.SortFunc(others, func(a, b table.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return others
+	list := m.configuration.Roster().List
+	return slices.DeleteFunc(slices.Clone(list), func(member table.Member) bool { return member.ID == m.self.ID })
 }
 
 // Strangers returns the VMs on the platform's list that no registration names.
@@ -247,26 +240,31 @@
 // removeGone removes the registrations of daemons that are gone. One of the
 // daemons alive does it for each.
 func (m *Membership) removeGone(ctx context.Context, roster Roster) {
-	var alive []table.Member
-	for _, member := range roster.Members {
-		if member.ID == m.self.ID || m.Alive(member.ID) {
-			alive = append(alive, member)
-		}
-	}
-	own := m.configuration.Row(table.MemberKey(m.self.ID))
-	for id, member := range roster.Members {
-		remover := choose(alive, "remove/"+string(id), 1)
-		if id == m.self.ID || remover[0].ID != m.self.ID || !replaced(member, roster) && !m.gone(member) {
+	for _, member := range m.Others() {
+		if !replaced(member, roster) && !m.gone(member) || !m.isRemover(member.ID, roster) {
 			continue
 		}
-		m.editing.Expel(id, member.Revision)
+		m.editing.Expel(member.ID, member.Revision)
+		own := m.configuration.Row(table.MemberKey(m.self.ID))
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		err := m.remove(ctx, m.configuration.Row(table.MemberKey(id)), &own)
+		err := m.remove(ctx, m.configuration.Row(table.MemberKey(member.ID)), &own)
 		cancel()
 		if err == nil {
-			m.timeline.Record(models.Event{Kind: models.EventMembership, What: "registration of daemon " + string(id) + " removed", Why: "it was silent, or another process has its address"})
+			m.timeline.Record(models.Event{Kind: models.EventMembership, What: "registration of daemon " + string(member.ID) + " removed", Why: "it was silent, or another process has its address"})
+		}
+	}
+}
+
+// isRemover reports whether this daemon is the one of those alive that removes
+// another's registration.
+func (m *Membership) isRemover(id models.DaemonID, roster Roster) bool {
+	var alive []table.Member
+	for _, member := range roster.Members {
+		if member.ID == m.self.ID || m.Alive(member.ID) {
+			alive = append(alive, member)
 		}
 	}
+	return choose(alive, "remove/"+string(id), 1)[0].ID == m.self.ID
 }
 
 // replaced reports whether a later process registered the same address, which
--- a/control/replica.go
+++ b/control/replica.go
@@ -15,7 +15,6 @@
 	rows    map[models.RowKey]models.Row
 	log     []entry // in order of revision; superseded entries stay until compaction
 	through models.Revision
-	highest models.Revision
 }
 
 // entry notes that a row was written at a revision.
@@ -37,16 +36,6 @@
 	return r.through
 }
 
-// Highest returns the highest revision heard of.
-func (r *Replica) Highest() models.Revision {
-	return r.highest
-}
-
-// Heard notes that a revision exists.
-func (r *Replica) Heard(revision models.Revision) {
-	r.highest = max(r.highest, revision)
-}
-
 // Take lays committed rows over the copy and returns what changed.
 func (r *Replica) Take(rows []models.Row) []table.Change {
 	var changes []table.Change
@@ -57,7 +46,6 @@
 		}
 		r.rows[row.Key] = row
 		r.note(entry{row.Revision, row.Key})
-		r.Heard(row.Revision)
 		changes = append(changes, table.Change{Old: old, New: row})
 	}
 	r.compact()
@@ -67,7 +55,6 @@
 // Advance notes that all rows after base up to through have been taken. It
 // has no effect where rows before base may be missing, or on an older list.
 func (r *Replica) Advance(base, through models.Revision) {
-	r.Heard(through)
 	if base <= r.through {
 		r.through = max(r.through, through)
 	}
--- a/control/roster.go
+++ b/control/roster.go
@@ -15,6 +15,7 @@
 // changed.
 type Roster struct {
 	Members map[models.DaemonID]table.Member
+	List    []table.Member                      // the members in order of identity
 	Removed map[models.DaemonID]models.Revision // when a registration was removed
 	Through models.Revision                     // all registrations up to here are known
 }
@@ -52,6 +53,7 @@
 			next.Members[id] = member
 		}
 	}
+	next.List = slices.SortedFunc(maps.Values(next.Members), func(a, b table.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return next
 }
 
@@ -59,11 +61,14 @@
 // hashing: all who know the same members choose the same, and one member's
 // coming or going moves no other choice.
 func choose(members []table.Member, subject string, n int) []table.Member {
+	if len(members) <= n {
+		return members
+	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b table.Member) int {
 		return cmp.Or(cmp.Compare(rank(b.ID, subject), rank(a.ID, subject)), cmp.Compare(a.ID, b.ID))
 	})
-	return ranked[:min(n, len(ranked))]
+	return ranked[:n]
 }
 
 func rank(id models.DaemonID, subject string) uint64 {
--- a/models/gossip.go
+++ b/models/gossip.go
@@ -5,6 +5,7 @@
 // Gossip is what two daemons tell each other in one exchange.
 type Gossip struct {
 	From    DaemonID
+	To      DaemonID // whom it is meant for; another may have its address by now
 	Stamp   Stamp
 	Reports []DaemonReport // the sender's own, and others it relays
 	Rows    []Row          // configuration rows newer than Known
--- a/peer/daemon/codec.go
+++ b/peer/daemon/codec.go
@@ -11,6 +11,7 @@
 func EncodeGossip(gossip models.Gossip) *proto.Gossip {
 	form := &proto.Gossip{
 		From:           string(gossip.From),
+		To:             string(gossip.To),
 		Stamp:          encodeStamp(gossip.Stamp),
 		Through:        uint64(gossip.Through),
 		Known:          uint64(gossip.Known),
@@ -37,6 +38,7 @@
 func DecodeGossip(form *proto.Gossip) models.Gossip {
 	gossip := models.Gossip{
 		From:           models.DaemonID(form.GetFrom()),
+		To:             models.DaemonID(form.GetTo()),
 		Stamp:          decodeStamp(form.GetStamp()),
 		Through:        models.Revision(form.GetThrough()),
 		Known:          models.Revision(form.GetKnown()),
--- a/peer/daemon/codec_test.go
+++ b/peer/daemon/codec_test.go
@@ -22,6 +22,7 @@
 	}
 	return models.Gossip{
 		From:  "a",
+		To:    "b",
 		Stamp: models.Stamp{Wall: 1, Logical: 2},
 		Reports: []models.DaemonReport{{
 			Daemon: "a", Zone: "z", Sequence: 3, Config: 4, StoreFailing: 5, Draining: true,
--- a/table/member.go
+++ b/table/member.go
@@ -17,6 +17,11 @@
 	Revision models.Revision
 }
 
+// EditMarkKey names the row that every operator's edit writes along with its
+// own. Whoever knows its revision can ask in a transaction's condition whether
+// there has been an edit since, which a lagging read could not tell.
+var EditMarkKey = models.RowKey{Partition: models.PartitionDaemons, Name: "latest-edit"}
+
 type memberForm struct {
 	Zone    string         `json:"zone"`
 	Address netip.AddrPort `json:"address"`
