--- /dev/null
+++ b/control/bench_test.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"quincewinch/models"
+	"quincewinch/peer/daemon"
+	"quincewinch/table"
+)
+
+const (
+	grain          = 10 * time.Millisecond // of virtual time
+	benchChanges   = 60
+	benchQuiet     = time.Second
+	benchWorkspace = 11000
+)
+
+// beat steps a task of one daemon at its interval, from a phase of its own.
+type beat struct {
+	task     Task
+	interval time.Duration
+	next     time.Time
+}
+
+// beats gives the daemons the intervals that serve has by default.
+func beats(w *world, random *rand.Rand) []*beat {
+	var all []*beat
+	for _, n := range w.nodes {
+		for task, interval := range map[Task]time.Duration{
+			n.configuration: 500 * time.Millisecond,
+			n.membership:    250 * time.Millisecond,
+			n.gossip:        500 * time.Millisecond,
+			n.spread:        100 * time.Millisecond,
+			n.editor:        250 * time.Millisecond,
+		} {
+			phase := time.Duration(random.Int64N(int64(interval)))
+			all = append(all, &beat{task: task, interval: interval, next: w.clock.now.Add(phase)})
+		}
+	}
+	return all
+}
+
+// play steps what is due, grain by grain, until done or the time is over.
+func play(b *testing.B, w *world, all []*beat, d time.Duration, done func() bool) {
+	for end := w.clock.now.Add(d); w.clock.now.Before(end) && !done(); {
+		w.clock.now = w.clock.now.Add(grain)
+		for _, beat := range all {
+			if !w.clock.now.Before(beat.next) {
+				beat.task.Step(b.Context())
+				beat.next = beat.next.Add(beat.interval)
+			}
+		}
+	}
+}
+
+// BenchmarkSpread measures in virtual time how long an accepted change takes
+// until it is in force everywhere, and what a daemon spends on that.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []int{7, 28, 112} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			for b.Loop() {
+				measureSpread(b, size)
+			}
+		})
+	}
+}
+
+func measureSpread(b *testing.B, size int) {
+	b.Helper()
+	is := is.New(b)
+	random := rand.New(rand.NewPCG(uint64(size), 0))
+	w := newWorld()
+	for i := range size {
+		w.start(models.Zone("zone-"+strconv.Itoa(i%4)), netip.AddrPort{})
+	}
+	all := beats(w, random)
+	never := func() bool { return false }
+	open := func() bool {
+		return !slices.ContainsFunc(w.nodes, func(n *node) bool { return !n.editing.Open() })
+	}
+	began := w.clock.now
+	play(b, w, all, time.Minute, open)
+	is.True(open()) // all take edits
+	openAfter := w.clock.now.Sub(began)
+	play(b, w, all, 5*time.Second, never)
+
+	var bytes, messages int
+	w.sent = func(message models.Gossip) {
+		bytes += proto.Size(daemon.EncodeGossip(message))
+		messages++
+	}
+	counts, began := w.store.Counts(), w.clock.now
+	var times []time.Duration
+	for i := range benchChanges {
+		play(b, w, all, benchQuiet+time.Duration(random.Int64N(int64(time.Second))), never)
+		n := w.nodes[random.IntN(size)]
+		is.NoErr(n.put(i))
+		accepted := w.clock.now
+		key := table.Key(table.KindWorkspace, "w")
+		revision := n.configuration.Row(key).Revision
+		play(b, w, all, time.Minute, func() bool {
+			return !slices.ContainsFunc(w.nodes, func(n *node) bool { return n.configuration.Row(key).Revision < revision })
+		})
+		times = append(times, w.clock.now.Sub(accepted))
+	}
+	slices.Sort(times)
+	spent := w.store.Counts()
+	seconds := w.clock.now.Sub(began).Seconds() * float64(size)
+	report := map[string]float64{
+		"p50-ms":            float64(times[len(times)/2].Milliseconds()),
+		"p99-ms":            float64(times[len(times)*99/100].Milliseconds()),
+		"worst-ms":          float64(times[len(times)-1].Milliseconds()),
+		"open-after-ms":     float64(openAfter.Milliseconds()),
+		"reads/s/daemon":    float64(spent.Reads-counts.Reads) / seconds,
+		"writes/s/daemon":   float64(spent.Writes-counts.Writes) / seconds,
+		"messages/s/daemon": float64(messages) / seconds,
+		"bytes/s/daemon":    float64(bytes) / seconds,
+	}
+	for unit, value := range report {
+		b.ReportMetric(value, unit)
+	}
+}
+
+// BenchmarkChange measures one change among many workspaces, by the way that
+// serve takes and by building all anew.
+func BenchmarkChange(b *testing.B) {
+	var rows []models.Row
+	for i := range benchWorkspace {
+		rows = append(rows, models.Row{
+			Key:      table.Key(table.KindWorkspace, "workspace-"+strconv.Itoa(i)),
+			Revision: models.Revision(i + 1),
+			Value:    []byte(`{"weight": 2, "key-freshness": "5s"}`),
+		})
+	}
+	b.Run("apply", func(b *testing.B) {
+		c := NewConfiguration(nil, &manualClock{}, nowhere{})
+		c.Learn(rows)
+		row := rows[0]
+		b.ReportAllocs()
+		for b.Loop() {
+			row.Revision += benchWorkspace
+			c.Learn([]models.Row{row})
+		}
+	})
+	b.Run("build", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			table.Build(rows, 1)
+		}
+	})
+}
