--- /dev/null
+++ b/control/editing_test.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/table"
+)
+
+// listAll puts all daemons on the platform's list of VMs.
+func listAll(w *world) {
+	var vms []models.VM
+	for _, n := range w.nodes {
+		vms = append(vms, models.VM{Daemon: string(n.self.ID), Zone: n.self.Zone, Address: n.self.Address})
+	}
+	w.store.SetVMs(vms)
+}
+
+// cutStore cuts daemons off from the table.
+func cutStore(nodes ...*node) {
+	for _, n := range nodes {
+		n.storeCut = true
+	}
+}
+
+func TestDaemonThatAloneReachesTheStore(t *testing.T) {
+	t.Run("a new one", func(t *testing.T) {
+		is := is.New(t)
+		w := ready(t)
+		old := w.nodes
+		cutStore(old...)
+		n := w.start("b", netip.AddrPort{})
+		w.isolate(true, n)
+		n.storeCut = false
+		listAll(w)
+		serves(t, w, 2*time.Minute, true, old...)
+		_, err := n.withdraw("k1")
+		is.Equal(peer.OutcomeOf(err), peer.OutcomeNotDone) // the others would not hear of it
+		recovers(t, w)
+	})
+	t.Run("one that had closed", func(t *testing.T) {
+		is := is.New(t)
+		w := ready(t)
+		listAll(w)
+		cutStore(w.nodes...)
+		w.run(settled)
+		n, rest := w.nodes[0], w.nodes[1:]
+		w.isolate(true, n)
+		n.storeCut = false
+		serves(t, w, 2*time.Minute, true, rest...)
+		_, err := n.withdraw("k1")
+		is.Equal(peer.OutcomeOf(err), peer.OutcomeNotDone)
+		recovers(t, w)
+	})
+	t.Run("one that stayed open removes those it does not hear", func(t *testing.T) {
+		is := is.New(t)
+		w := ready(t)
+		listAll(w)
+		n, rest := w.nodes[0], w.nodes[1:]
+		w.isolate(true, n)
+		n.storeCut = false
+		cutStore(rest...)
+		w.run(time.Minute)
+		withdrawal, err := n.withdraw("k1")
+		is.NoErr(err)
+		is.Equal(len(withdrawal.Pending), 0) // their registrations are gone
+		serves(t, w, time.Minute, false, rest...)
+		for _, other := range rest { // they hear it again, and nothing else
+			w.cut(n, other, false)
+		}
+		serves(t, w, time.Minute, true, rest...)
+		recovers(t, w)
+	})
+}
+
+// TestWithdrawalAtEachBoundary pauses a daemon at each boundary of its step,
+// withdraws a key meanwhile, and cuts it off from then on.
+func TestWithdrawalAtEachBoundary(t *testing.T) {
+	for _, lagging := range []bool{false, true} {
+		for boundary := 0; ; boundary++ {
+			reached := false
+			t.Run(strconv.FormatBool(lagging)+" "+strconv.Itoa(boundary), func(t *testing.T) {
+				reached = withdrawAt(t, boundary, lagging)
+			})
+			if !reached {
+				break
+			}
+		}
+	}
+}
+
+// withdrawAt reports whether a step has so many boundaries.
+func withdrawAt(t *testing.T, boundary int, lagging bool) bool {
+	t.Helper()
+	w := ready(t)
+	n, other := w.nodes[2], w.nodes[0]
+	if lagging {
+		n.freeze()
+	}
+	passed := 0
+	w.boundary = func(at *node) {
+		if at != n {
+			return
+		}
+		if passed == boundary {
+			w.boundary = func(*node) {}
+			for _, cut := range w.nodes {
+				w.cut(n, cut, cut != n)
+			}
+			if _, err := other.withdraw("k1"); err != nil {
+				t.Error(err)
+			}
+			w.clock.now = w.clock.now.Add(4 * time.Second)
+		}
+		passed++
+	}
+	n.step()
+	w.boundary = func(*node) {}
+	n.storeCut = true
+	w.run(2 * keyFreshness)
+	holds(t, w)
+	return passed > boundary
+}
+
+func TestStatementsThatBind(t *testing.T) {
+	roster := NewRoster().with([]table.Change{
+		{New: member(t, "self", 5)},
+		{New: member(t, "other", 3)},
+	})
+	at := time.Unix(100, 0)
+	for _, c := range []struct {
+		name      string
+		statement models.Editing
+		whole     bool
+		proven    bool
+	}{
+		{"closed", models.Editing{Settled: true, Member: 5}, true, true},
+		{"open and settled", models.Editing{Epoch: 1, Open: true, Settled: true, Member: 5}, true, true},
+		{"rows are missing", models.Editing{Settled: true, Member: 5}, false, false},
+		{"an edit is under way", models.Editing{Epoch: 1, Open: true, Member: 5}, true, false},
+		{"counted under a former registration", models.Editing{Settled: true, Member: 4}, true, false},
+		{"not counted as registered", models.Editing{Settled: true}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := NewEditing("self")
+			e.Answer("other", c.statement, c.whole, 5, at)
+			_, ok := e.Proven(at, roster)
+			is.Equal(ok, c.proven)
+		})
+	}
+	t.Run("a late closing", func(t *testing.T) {
+		is := is.New(t)
+		e := NewEditing("self")
+		e.Note("other", models.Editing{Epoch: 3, Open: true}, true, 5)
+		e.Note("other", models.Editing{Epoch: 2, Settled: true, Member: 5}, true, 5)
+		_, ok := e.Proven(at, roster)
+		is.True(!ok)
+	})
+	t.Run("before registering anew", func(t *testing.T) {
+		is := is.New(t)
+		e := NewEditing("self")
+		e.Note("other", models.Editing{Epoch: 2, Settled: true, Member: 5}, true, 5)
+		e.Forget()
+		_, ok := e.Proven(at, roster)
+		is.True(!ok)
+	})
+	t.Run("one that was expelled", func(t *testing.T) {
+		is := is.New(t)
+		e := NewEditing("self")
+		e.Expel("other", 3)
+		is.Equal(e.Statement("other", 3).Member, models.Revision(0))
+		is.Equal(e.Statement("other", 4).Member, models.Revision(4)) // registered anew
+	})
+	t.Run("removed, with rows missing before that", func(t *testing.T) {
+		is := is.New(t)
+		removed := roster.with([]table.Change{{New: models.Row{Key: table.MemberKey("other"), Revision: 9, Deleted: true}}})
+		removed.Through = 8
+		_, ok := NewEditing("self").Proven(at, removed)
+		is.True(!ok)
+		removed.Through = 9
+		_, ok = NewEditing("self").Proven(at, removed)
+		is.True(ok)
+	})
+}
+
+func member(t *testing.T, id models.DaemonID, revision models.Revision) models.Row {
+	t.Helper()
+	is := is.New(t)
+	value, err := table.EncodeMember(table.Member{ID: id, Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:" + strconv.Itoa(int(revision)))})
+	is.NoErr(err)
+	return models.Row{Key: table.MemberKey(id), Revision: revision, Value: value}
+}
--- a/control/membership.go
+++ b/control/membership.go
@@ -20,6 +20,8 @@
 	removeAfter = 30 * time.Second
 	// listEvery is the time between two reads of the platform's list of VMs.
 	listEvery = 5 * time.Second
+	// lookEvery is the time between two looks at who is alive and who is gone.
+	lookEvery = time.Second
 	// readersPerZone is the number of table readers in each availability zone.
 	readersPerZone = 1
 )
@@ -37,6 +39,7 @@
 
 	mu       sync.Mutex
 	leaving  bool
+	lookedAt time.Time
 	started  time.Time
 	heard    map[models.DaemonID]time.Time
 	listed   []models.VM
@@ -74,6 +77,11 @@
 	}
 	complete := registration > 0 && roster.Through >= registration
 	m.editing.Want(complete && failing < closeAfter && !m.isLeaving(), roster)
+	now := m.clock.Now()
+	if now.Sub(m.lookedAt) < lookEvery {
+		return
+	}
+	m.lookedAt = now
 	m.note(roster)
 	if complete && failing == 0 {
 		m.removeGone(ctx, roster)
@@ -240,8 +248,10 @@
 // removeGone removes the registrations of daemons that are gone. One of the
 // daemons alive does it for each.
 func (m *Membership) removeGone(ctx context.Context, roster Roster) {
+	latest := latestByAddress(roster)
 	for _, member := range m.Others() {
-		if !replaced(member, roster) && !m.gone(member) || !m.isRemover(member.ID, roster) {
+		replaced := member.Revision < latest[member.Address]
+		if !replaced && !m.gone(member) || !m.isRemover(member.ID, roster) {
 			continue
 		}
 		m.editing.Expel(member.ID, member.Revision)
@@ -267,15 +277,14 @@
 	return choose(alive, "remove/"+string(id), 1)[0].ID == m.self.ID
 }
 
-// replaced reports whether a later process registered the same address, which
-// only one process at a time can listen on.
-func replaced(member table.Member, roster Roster) bool {
-	for _, other := range roster.Members {
-		if other.Address == member.Address && other.Revision > member.Revision {
-			return true
-		}
+// latestByAddress returns the latest registration of each address. An earlier
+// one is of a process that is gone: one alone can listen there.
+func latestByAddress(roster Roster) map[netip.AddrPort]models.Revision {
+	latest := make(map[netip.AddrPort]models.Revision, len(roster.List))
+	for _, member := range roster.List {
+		latest[member.Address] = max(latest[member.Address], member.Revision)
 	}
-	return false
+	return latest
 }
 
 // gone reports whether a daemon's registration is to be removed. A daemon
--- a/control/roster.go
+++ b/control/roster.go
@@ -64,9 +64,13 @@
 	if len(members) <= n {
 		return members
 	}
+	ranks := make(map[models.DaemonID]uint64, len(members))
+	for _, member := range members {
+		ranks[member.ID] = rank(member.ID, subject)
+	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b table.Member) int {
-		return cmp.Or(cmp.Compare(rank(b.ID, subject), rank(a.ID, subject)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(ranks[b.ID], ranks[a.ID]), cmp.Compare(a.ID, b.ID))
 	})
 	return ranked[:n]
 }
