certificates: TLS configurations from PEM files or made in memory

Cause: callers, operators, engines and daemons are to be met over TLS, and a certificate is replaced while the daemon runs.

Change: a source gives the certificate and authority in force; files are read again when they change, bad ones leave the old in force; the demo's are made in memory.

The first form of the test used a synchronous pipe, on which both ends wait for ever after a refused handshake; it now uses loopback.

Conclusion: ready to be wired into listeners and clients.

--- /dev/null
+++ b/lib/certificates/certificates_test.go
@@ -0,0 +1,131 @@
+package certificates_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/lib/certificates"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+)
+
+// handClock is moved by the test.
+type handClock struct {
+	system.Clock
+	now time.Time
+}
+
+func (c *handClock) Now() time.Time { return c.now }
+
+func memory(t *testing.T, clock peer.Clock) *certificates.Memory {
+	t.Helper()
+	m, err := certificates.NewMemory(clock)
+	is.New(t).NoErr(err)
+	return m
+}
+
+// connect returns both ends of a connection on loopback.
+func connect(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	defer listener.Close()
+	var dialer net.Dialer
+	client, err := dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+	is.NoErr(err)
+	server, err := listener.Accept()
+	is.NoErr(err)
+	return server, client
+}
+
+// handshake connects a client to a server on loopback and returns both errors.
+func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+	t.Helper()
+	a, b := connect(t)
+	defer a.Close()
+	defer b.Close()
+	done := make(chan error, 1)
+	go func() {
+		connection := tls.Server(a, server)
+		err := connection.HandshakeContext(context.Background())
+		if err == nil {
+			_, err = connection.Write([]byte{1})
+		}
+		done <- err
+		_ = a.Close()
+	}()
+	client = client.Clone()
+	client.ServerName = "127.0.0.1"
+	connection := tls.Client(b, client)
+	clientErr = connection.HandshakeContext(t.Context())
+	if clientErr == nil {
+		_, clientErr = connection.Read(make([]byte, 1))
+	}
+	_ = b.Close()
+	return <-done, clientErr
+}
+
+func TestTrust(t *testing.T) {
+	clock := system.NewClock()
+	ours, others := memory(t, clock), memory(t, clock)
+	t.Run("one authority", func(t *testing.T) {
+		is := is.New(t)
+		serverErr, clientErr := handshake(t, certificates.Server(ours, true), certificates.Client(ours))
+		is.NoErr(serverErr)
+		is.NoErr(clientErr)
+	})
+	t.Run("a server of another authority", func(t *testing.T) {
+		_, clientErr := handshake(t, certificates.Server(others, false), certificates.Client(ours))
+		is.New(t).True(clientErr != nil) // the client does not trust it
+	})
+	t.Run("a client of another authority", func(t *testing.T) {
+		stranger := certificates.Client(others)
+		stranger.VerifyConnection = nil
+		serverErr, _ := handshake(t, certificates.Server(ours, true), stranger)
+		is.New(t).True(serverErr != nil) // the server does not trust it
+	})
+}
+
+// write writes a source's PEM files with a time of change.
+func write(t *testing.T, directory string, m *certificates.Memory, modified time.Time) {
+	t.Helper()
+	is := is.New(t)
+	certificate, key, err := m.PEM()
+	is.NoErr(err)
+	for name, content := range map[string][]byte{"cert": certificate, "key": key, "ca": m.AuthorityPEM()} {
+		path := filepath.Join(directory, name)
+		is.NoErr(os.WriteFile(path, content, 0o600))
+		is.NoErr(os.Chtimes(path, modified, modified))
+	}
+}
+
+func TestFilesAreTakenUpAgain(t *testing.T) {
+	is := is.New(t)
+	clock := &handClock{now: system.NewClock().Now()}
+	directory := t.TempDir()
+	first, second := memory(t, clock), memory(t, clock)
+	write(t, directory, first, clock.now)
+	path := func(name string) string { return filepath.Join(directory, name) }
+	files, err := certificates.NewFiles(path("cert"), path("key"), path("ca"), time.Minute, clock)
+	is.NoErr(err)
+	write(t, directory, second, clock.now.Add(time.Second))
+	serverErr, _ := handshake(t, certificates.Server(files, false), certificates.Client(first))
+	is.NoErr(serverErr) // within the interval the old one is in force
+	clock.now = clock.now.Add(2 * time.Minute)
+	serverErr, clientErr := handshake(t, certificates.Server(files, false), certificates.Client(second))
+	is.NoErr(serverErr)
+	is.NoErr(clientErr)
+	is.NoErr(os.WriteFile(path("cert"), []byte("bad"), 0o600))
+	is.NoErr(os.Chtimes(path("cert"), clock.now, clock.now))
+	clock.now = clock.now.Add(2 * time.Minute)
+	_, clientErr = handshake(t, certificates.Server(files, false), certificates.Client(second))
+	is.NoErr(clientErr) // a bad file leaves the old one in force
+}
