platform: try the table again without doing anything twice

Cause: a lost answer left every write in doubt, and one slow call held its caller for good. Before not-done is reported after doubt, the marker is taken by a cancellation, so that a late attempt cannot take effect.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"quincewinch/peer/caller"
 	"quincewinch/peer/engine"
 	"quincewinch/peer/operator"
-	"quincewinch/peer/platform"
 	"quincewinch/peer/service"
 	"quincewinch/request"
 	"quincewinch/timeline"
@@ -81,7 +80,7 @@
 // Start binds the listeners and starts the control tasks.
 func (d *Daemon) Start() error {
 	client := &http.Client{}
-	table := platform.NewClient(d.settings.Platform.URL.String(), client)
+	table := d.store(client)
 	engines := engine.NewClients(client)
 	d.configuration = control.NewConfiguration(table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
--- /dev/null
+++ b/peer/platform/marker.go
@@ -0,0 +1,24 @@
+package platform
+
+import (
+	"quincewinch/models"
+)
+
+// Values of a marker row.
+const (
+	markerCommitted = "committed"
+	markerCancelled = "cancelled"
+)
+
+// MarkerKey returns the key of a transaction's marker row.
+func MarkerKey(id string) models.RowKey {
+	return models.RowKey{Partition: models.PartitionMarkers, Name: id}
+}
+
+// withMarker adds a marker to a copy of a transaction.
+func withMarker(transaction models.Transaction, value string) models.Transaction {
+	key := MarkerKey(transaction.ID)
+	conditions := append([]models.Condition{{Key: key}}, transaction.Conditions...)
+	writes := append([]models.Write{{Key: key, Value: []byte(value)}}, transaction.Writes...)
+	return models.Transaction{ID: transaction.ID, Conditions: conditions, Writes: writes}
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -40,6 +40,9 @@
 	// LoseAnswer, where set, is asked after each effect of a write; true
 	// loses the answer.
 	LoseAnswer func(transaction models.Transaction) bool
+	// Late, where set, tells how much later a transaction arrives; its
+	// sender gets no answer then.
+	Late func(transaction models.Transaction) time.Duration
 }
 
 // Counts counts calls.
@@ -158,6 +161,10 @@
 	if err := s.enter(ctx, true); err != nil {
 		return 0, err
 	}
+	if late := s.late(transaction); late > 0 {
+		go s.commitLater(transaction, late)
+		return 0, peer.NewFailure(peer.OutcomeUnknown, "the platform did not answer", nil)
+	}
 	revision, lose, err := s.commit(transaction)
 	if err != nil {
 		return 0, err
@@ -168,6 +175,24 @@
 	return revision, nil
 }
 
+func (s *Store) late(transaction models.Transaction) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Late == nil {
+		return 0
+	}
+	return s.faults.Late(transaction)
+}
+
+// commitLater commits a transaction that was held up on its way; nobody gets
+// its answer.
+func (s *Store) commitLater(transaction models.Transaction, late time.Duration) {
+	if err := s.clock.Sleep(context.Background(), late); err != nil {
+		return
+	}
+	_, _, _ = s.commit(transaction)
+}
+
 func (s *Store) commit(transaction models.Transaction) (models.Revision, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
