--- /dev/null
+++ b/control/orders_codec.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+)
+
+// serverOrderKey is the row of the latest order of backend servers.
+var serverOrderKey = models.RowKey{Partition: models.PartitionFleet, Name: "order/servers"}
+
+// engineOrderKey is the row of the latest order to an engine.
+func engineOrderKey(engine models.EngineID) models.RowKey {
+	return models.RowKey{Partition: models.PartitionFleet, Name: "order/engine/" + string(engine)}
+}
+
+// orderRecord is what a row says of an order to an engine.
+type orderRecord struct {
+	id     string
+	window time.Duration
+}
+
+// serverRecord is what a row says of an order of backend servers. Closed
+// tells that its outcome is certain, taken that the platform took it.
+type serverRecord struct {
+	order  models.ServerOrder
+	window time.Duration
+	closed bool
+	taken  bool
+}
+
+type orderForm struct {
+	ID       string `json:"id"`
+	Fence    uint64 `json:"fence"`
+	Kind     string `json:"kind"`
+	Role     string `json:"role,omitempty"`
+	Model    string `json:"model,omitempty"`
+	WindowMS int64  `json:"window-ms"`
+}
+
+type serverOrderForm struct {
+	ID       string   `json:"id"`
+	Fence    uint64   `json:"fence"`
+	Zone     string   `json:"zone"`
+	Cheap    bool     `json:"cheap"`
+	Count    int      `json:"count"`
+	GiveBack []string `json:"give-back,omitempty"`
+	WindowMS int64    `json:"window-ms"`
+	Closed   bool     `json:"closed"`
+	Taken    bool     `json:"taken"`
+}
+
+func encodeOrder(order models.Order, window time.Duration) ([]byte, error) {
+	form := orderForm{
+		ID:       order.ID,
+		Fence:    order.Fence,
+		Kind:     string(order.Kind),
+		Role:     string(order.Role),
+		Model:    string(order.Model),
+		WindowMS: window.Milliseconds(),
+	}
+	value, err := json.Marshal(form)
+	return value, errors.Annotate(err, "cannot encode an order")
+}
+
+func decodeOrder(value []byte) (orderRecord, error) {
+	var form orderForm
+	if err := json.Unmarshal(value, &form); err != nil {
+		return orderRecord{}, errors.Annotate(err, "cannot decode a recorded order")
+	}
+	return orderRecord{id: form.ID, window: time.Duration(form.WindowMS) * time.Millisecond}, nil
+}
+
+func encodeServerOrder(record serverRecord) ([]byte, error) {
+	form := serverOrderForm{
+		ID:       record.order.ID,
+		Fence:    record.order.Fence,
+		Zone:     string(record.order.Zone),
+		Cheap:    record.order.Cheap,
+		Count:    record.order.Count,
+		GiveBack: record.order.GiveBack,
+		WindowMS: record.window.Milliseconds(),
+		Closed:   record.closed,
+		Taken:    record.taken,
+	}
+	value, err := json.Marshal(form)
+	return value, errors.Annotate(err, "cannot encode an order of backend servers")
+}
+
+func decodeServerOrder(value []byte) (serverRecord, error) {
+	var form serverOrderForm
+	if err := json.Unmarshal(value, &form); err != nil {
+		return serverRecord{}, errors.Annotate(err, "cannot decode a recorded order of backend servers")
+	}
+	order := models.ServerOrder{
+		ID:       form.ID,
+		Fence:    form.Fence,
+		Zone:     models.Zone(form.Zone),
+		Cheap:    form.Cheap,
+		Count:    form.Count,
+		GiveBack: form.GiveBack,
+	}
+	return serverRecord{
+		order:  order,
+		window: time.Duration(form.WindowMS) * time.Millisecond,
+		closed: form.Closed,
+		taken:  form.Taken,
+	}, nil
+}
