request: claim what may not be repeated, and keep its answer

Cause: the thin claim refused every second arrival, lost requests whose claim's answer was lost, kept no answer, and wrote one transaction a request.

Change: claims and outcomes go to the table in group commits. The service client follows no redirect, never sends twice, and tells a call without a connection from one that broke.

Seen to fail when broken (one change each on a scratch copy): no release, unknown outcome freed, dead holder taken over, batch failing whole, caller's cancel passed on, unsure write taken as failed, GetBody given to net/http.

Runs: go test -race -count=20 ./request/: ok. go test -race ./demo: ok.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,7 +30,10 @@
 	"quincewinch/timeline"
 )
 
-const timelineCapacity = 4096
+const (
+	timelineCapacity = 4096
+	claimCleaning    = 5 * time.Minute
+)
 
 // Daemon is one process of the system.
 type Daemon struct {
@@ -42,6 +46,7 @@
 	system        *control.System
 	configuration *control.Configuration
 	engines       *control.Engines
+	claims        *request.Claims
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -89,6 +94,7 @@
 	editor := control.NewEditor(table, d.configuration, d.ring)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
+	d.system.Spawn(request.NewClaimCleaner(table, table, d.clock, d.id), claimCleaning)
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -108,22 +114,13 @@
 			failed = errors.Annotate(err, "requests were still running at the end of the drain timeout")
 		}
 	}
+	if err := d.claims.Flush(ctx); err != nil {
+		failed = errors.Annotate(err, "outcomes of claimed requests were not stored")
+	}
 	d.system.Stop()
 	return failed
 }
 
-// line returns the filters in the order a request meets them.
-func (d *Daemon) line(table peer.Table, engines peer.Engines, services peer.Services) request.Handler {
-	placer := request.NewTurnPlacer(d.configuration, d.engines)
-	sender := request.NewSender(engines, services, d.configuration, placer, d.ring, d.clock)
-	return request.Chain(
-		sender,
-		request.Authenticate(d.configuration, d.clock),
-		request.Metered(control.NewMeter(), d.clock),
-		request.Claim(table),
-	)
-}
-
 func (d *Daemon) listen(line request.Handler, editor peer.Editor) error {
 	callers := caller.NewHandler(line, d.configuration, d.clock, newRequestID, caller.Settings{
 		MaxBodyBytes: d.settings.Callers.MaxBodyBytes,
--- /dev/null
+++ b/daemon/requests.go
@@ -0,0 +1,21 @@
+package daemon
+
+import (
+	"quincewinch/control"
+	"quincewinch/peer"
+	"quincewinch/peer/platform"
+	"quincewinch/request"
+)
+
+// line returns the filters in the order a request meets them.
+func (d *Daemon) line(store *platform.Client, engines peer.Engines, services peer.Services) request.Handler {
+	d.claims = request.NewClaims(store, store, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
+	placer := request.NewTurnPlacer(d.configuration, d.engines)
+	sender := request.NewSender(engines, services, d.configuration, placer, d.ring, d.clock)
+	return request.Chain(
+		sender,
+		request.Authenticate(d.configuration, d.clock),
+		request.Metered(control.NewMeter(), d.clock),
+		d.claims.Filter(),
+	)
+}
--- a/models/refusal.go
+++ b/models/refusal.go
@@ -21,6 +21,7 @@
 	RefusalStore          RefusalCode = "store-unreachable"
 	RefusalClaimMismatch  RefusalCode = "idempotency-mismatch"
 	RefusalOutcomeUnknown RefusalCode = "outcome-unknown"
+	RefusalAnswerNotKept  RefusalCode = "answer-not-kept"
 	RefusalBackendFailed  RefusalCode = "backend-failed"
 	RefusalCancelled      RefusalCode = "cancelled"
 	RefusalInternal       RefusalCode = "internal"
--- a/peer/caller/refuse.go
+++ b/peer/caller/refuse.go
@@ -24,6 +24,7 @@
 	models.RefusalStore:          http.StatusServiceUnavailable,
 	models.RefusalClaimMismatch:  http.StatusUnprocessableEntity,
 	models.RefusalOutcomeUnknown: http.StatusConflict,
+	models.RefusalAnswerNotKept:  http.StatusConflict,
 	models.RefusalBackendFailed:  http.StatusBadGateway,
 	models.RefusalCancelled:      http.StatusRequestTimeout,
 	models.RefusalInternal:       http.StatusInternalServerError,
--- a/peer/engine/client.go
+++ b/peer/engine/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 
@@ -25,9 +26,12 @@
 	client *http.Client
 }
 
-// NewClients returns clients that share one HTTP client.
+// NewClients returns clients that share one HTTP client's connections. They
+// follow no redirect, which would be a second call.
 func NewClients(client *http.Client) Clients {
-	return Clients{client: client}
+	shared := *client
+	shared.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return Clients{client: &shared}
 }
 
 // Engine implements peer.Engines.
@@ -133,13 +137,18 @@
 			return nil, peer.NewFailure(peer.OutcomeNotDone, "cannot encode a call of the engine", err)
 		}
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(encoded))
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(encoded))
 	if err != nil {
 		return nil, peer.NewFailure(peer.OutcomeNotDone, "cannot form a call of the engine", err)
 	}
 	request.Header.Set("Content-Type", contentType)
 	response, err := c.client.Do(request)
 	if err != nil {
+		if !connected {
+			return nil, peer.NewFailure(peer.OutcomeNotDone, "the engine cannot be reached", err)
+		}
 		return nil, peer.NewFailure(peer.OutcomeUnknown, "the engine did not answer", err)
 	}
 	if response.StatusCode/100 != 2 {
--- a/peer/service/client.go
+++ b/peer/service/client.go
@@ -4,10 +4,9 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 
 	"quincewinch/models"
 	"quincewinch/peer"
@@ -24,14 +23,17 @@
 	client *http.Client
 }
 
-// NewClients returns clients that share one HTTP client.
+// NewClients returns clients that share one HTTP client's connections. They
+// follow no redirect, which would be a second call.
 func NewClients(client *http.Client) Clients {
-	return Clients{client: client}
+	shared := *client
+	shared.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return Clients{client: &shared}
 }
 
 // Service implements peer.Services.
 func (c Clients) Service(backend models.ServiceBackend) peer.Service {
-	return NewClient(backend.URL, c.client)
+	return &Client{base: backend.URL, client: c.client}
 }
 
 // Client speaks to one plain service. One call is one attempt.
@@ -40,16 +42,16 @@
 	client *http.Client
 }
 
-// NewClient returns a client of the service at a base URL.
-func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: base, client: client}
-}
-
 // Call implements peer.Service.
 func (c *Client) Call(ctx context.Context, call models.ServiceCall) (models.ServiceAnswer, error) {
-	// GetBody stays unset, so that the transport never sends the body twice.
+	// net/http sends a request again by itself where it takes it for safe, an
+	// Idempotency-Key being reason enough, and the body can be had again. A
+	// body that is set, even if empty, and that GetBody cannot give keeps it
+	// from that.
 	body := struct{ io.Reader }{bytes.NewReader(call.Body)}
-	request, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, body)
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, c.base+call.Path, body)
 	if err != nil {
 		return models.ServiceAnswer{}, peer.NewFailure(peer.OutcomeNotDone, "cannot form a call of the service", err)
 	}
@@ -60,7 +62,7 @@
 	request.Header.Set(RequestIDHeader, string(call.ID))
 	response, err := c.client.Do(request)
 	if err != nil {
-		return models.ServiceAnswer{}, peer.NewFailure(outcome(err), "the service did not answer", err)
+		return models.ServiceAnswer{}, peer.NewFailure(outcome(connected), "the service did not answer", err)
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
@@ -73,11 +75,10 @@
 	return models.ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: raw}, nil
 }
 
-// outcome tells a connection that was never made from one that broke.
-func outcome(err error) peer.Outcome {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return peer.OutcomeNotDone
+// outcome tells a call that never had a connection from one that broke.
+func outcome(connected bool) peer.Outcome {
+	if connected {
+		return peer.OutcomeUnknown
 	}
-	return peer.OutcomeUnknown
+	return peer.OutcomeNotDone
 }
--- a/request/exchange.go
+++ b/request/exchange.go
@@ -30,6 +30,11 @@
 	Started        bool         // a backend server may have seen it
 }
 
+// Repeatable reports whether the request may run more than once.
+func (e *Exchange) Repeatable() bool {
+	return e.Route.Repeatable && e.IdempotencyKey == ""
+}
+
 // Sink takes the answer towards the caller. A call returns when the caller's
 // connection has taken it, or an error when the caller is gone.
 type Sink interface {
--- a/request/send.go
+++ b/request/send.go
@@ -181,14 +181,3 @@
 	}
 	return &models.Refusal{Code: models.RefusalCancelled, Message: "the caller has gone"}
 }
-
-func delivered(err error) error {
-	if err == nil {
-		return nil
-	}
-	return &models.Refusal{Code: models.RefusalCancelled, Message: "the caller has gone"}
-}
-
-func noBackend(message string) *models.Refusal {
-	return &models.Refusal{Code: models.RefusalNoBackend, Message: message, NotRun: true, RetryAfter: busyRetryAfter}
-}
