request: whole answers from engines that break, hang, die or leave

Cause: a stream that broke twice, an engine that hung, an eviction and a key withdrawn mid-stream each ended or cut the answer; the engine was asked under one identity by every attempt; retries had no bound over requests.

Change: an engine's stream is read at most 16 pieces ahead, each piece checked against the attempt's own identity and the next index, resumed at the engine while it makes progress, and given up after the stall time. A repeatable request goes on elsewhere with the text so far, within a retry budget of 9 in 100 first attempts. Requests on an engine that is evicted within 10 s move by KV export. A withdrawn key ends its streams with an explicit error at once; a queued request checks its key again. A caller who takes no token for 10 s is ended. Service calls go to the nearest address that did not fail lately. A daemon that stops refuses new requests as not run and waits for the running ones; callers.drain-timeout may not be less than callers.timeout. Usage is counted once from what the caller got.

Seen to fail when broken (one change each on a scratch copy): index and request of a piece unchecked, no key watch, no move, claimed request going elsewhere, no budget, no stall time, not-run always set, no cancel, unknown service call repeated. The check of a piece's request was not caught at first: the test's crossed pieces never got that far; they do now.

--- a/config/fields.go
+++ b/config/fields.go
@@ -32,7 +32,7 @@
 	{"callers.max-body-bytes", `4194304`, false, "bytes", "greatest body of a request", count(func(s *Settings) *int { return &s.Callers.MaxBodyBytes })},
 	{"callers.header-timeout", `"5s"`, false, "duration", "time for a request's header to arrive", duration(func(s *Settings) *time.Duration { return &s.Callers.HeaderTimeout })},
 	{"callers.timeout", `"2m"`, false, "duration", "time for a whole request", duration(func(s *Settings) *time.Duration { return &s.Callers.Timeout })},
-	{"callers.drain-timeout", `"30s"`, false, "duration", "time for running requests to finish at a planned stop", duration(func(s *Settings) *time.Duration { return &s.Callers.DrainTimeout })},
+	{"callers.drain-timeout", `"130s"`, false, "duration", "time for running requests to finish at a planned stop, no less than callers.timeout", duration(func(s *Settings) *time.Duration { return &s.Callers.DrainTimeout })},
 	{"operators.address", ``, true, "IP:port", "where operators are served", address(func(s *Settings) *netip.AddrPort { return &s.Operators.Address })},
 	{"operators.key", ``, true, "", "operators' credential: {\"file\": PATH}, {\"environment\": NAME} or a text", secret(func(s *Settings) *string { return &s.Operators.Key })},
 	{"daemons.address", ``, true, "IP:port", "where the other daemons reach this one", address(func(s *Settings) *netip.AddrPort { return &s.Daemons.Address })},
@@ -103,10 +103,13 @@
 
 // check finds faults that lie between fields.
 func (s *Settings) check() Faults {
+	var faults Faults
+	if s.Callers.DrainTimeout < s.Callers.Timeout {
+		faults = append(faults, "callers.drain-timeout: must be no less than callers.timeout, or a planned stop cuts requests")
+	}
 	if s.TLS.Plain {
-		return nil
+		return faults
 	}
-	var faults Faults
 	files := map[string]string{
 		"tls.certificate-file": s.TLS.CertificateFile,
 		"tls.key-file":         s.TLS.KeyFile,
--- a/control/engines.go
+++ b/control/engines.go
@@ -43,6 +43,14 @@
 	return states
 }
 
+// State returns the latest state of an engine, false if it does not answer.
+func (e *Engines) State(id models.EngineID) (models.EngineState, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state, ok := e.states[id]
+	return state, ok
+}
+
 // Step asks each engine for its state.
 func (e *Engines) Step(ctx context.Context) {
 	config := e.configuration.Config()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,6 +33,8 @@
 const (
 	timelineCapacity = 4096
 	claimCleaning    = 5 * time.Minute
+	// closingTimeout is for closing connections once nothing runs any more.
+	closingTimeout = 5 * time.Second
 )
 
 // Daemon is one process of the system.
@@ -47,6 +49,7 @@
 	configuration *control.Configuration
 	engines       *control.Engines
 	claims        *request.Claims
+	gate          *request.Gate
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -77,6 +80,7 @@
 		clock:    clock,
 		id:       models.DaemonID(settings.Name + "-" + randomText()),
 		registry: prometheus.NewRegistry(),
+		gate:     request.NewGate(),
 		system:   control.NewSystem(clock, logfmt.Standard(logger)),
 	}
 	d.ring = timeline.NewRing(clock, d.id, settings.Zone, timelineCapacity, d.log)
@@ -108,10 +112,12 @@
 	d.ready.drain()
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
-	var failed error
+	failed := errors.Annotate(d.gate.Drain(ctx), "requests were still running at the end of the drain timeout")
+	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), closingTimeout)
+	defer cancel()
 	for _, server := range d.servers {
 		if err := server.Shutdown(ctx); err != nil {
-			failed = errors.Annotate(err, "requests were still running at the end of the drain timeout")
+			failed = errors.Annotate(err, "connections were still open at the end of the drain")
 		}
 	}
 	if err := d.claims.Flush(ctx); err != nil {
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -11,9 +11,13 @@
 func (d *Daemon) line(store *platform.Client, engines peer.Engines, services peer.Services) request.Handler {
 	d.claims = request.NewClaims(store, store, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
 	placer := request.NewTurnPlacer(d.configuration, d.engines)
-	sender := request.NewSender(engines, services, d.configuration, placer, d.ring, d.clock)
+	sender := request.NewSender(engines, services, d.configuration, placer, d.engines, d.ring, d.clock, request.SenderSettings{
+		Zone:  d.settings.Zone,
+		Stall: d.settings.Engines.Timeout,
+	})
 	return request.Chain(
 		sender,
+		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
 		request.Metered(control.NewMeter(), d.clock),
 		d.claims.Filter(),
--- a/peer/caller/handler.go
+++ b/peer/caller/handler.go
@@ -117,6 +117,8 @@
 
 // exchange starts a request's record.
 func (h *Handler) exchange(w http.ResponseWriter, r *http.Request) (*request.Exchange, bool) {
+	// The connection's last answer may have left its write deadline behind.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	now := h.clock.Now()
 	e := &request.Exchange{
 		ID:             h.newID(),
@@ -153,7 +155,7 @@
 		return
 	}
 	e.BodyHash = sha256.Sum256(body)
-	s := &sink{w: w, id: e.ID, created: e.Received.Unix(), request: d}
+	s := &sink{w: w, clock: h.clock, id: e.ID, created: e.Received.Unix(), request: d}
 	e.Sink = s
 	ctx, cancel := context.WithDeadline(r.Context(), e.Deadline)
 	defer cancel()
--- a/peer/caller/sink.go
+++ b/peer/caller/sink.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"quincewinch/models"
+	"quincewinch/peer"
 )
 
 const (
@@ -16,9 +18,13 @@
 	roleAssistant    = "assistant"
 )
 
+// failTimeout bounds the write of an error to a caller.
+const failTimeout = 5 * time.Second
+
 // sink writes an answer to the caller, whole or as server-sent events.
 type sink struct {
 	w       http.ResponseWriter
+	clock   peer.Clock
 	id      models.RequestID
 	created int64
 	request decoded
@@ -27,7 +33,8 @@
 }
 
 // Piece implements request.Sink.
-func (s *sink) Piece(_ context.Context, piece models.Piece) error {
+func (s *sink) Piece(ctx context.Context, piece models.Piece) error {
+	s.bound(ctx)
 	if s.request.stream {
 		return s.streamPiece(piece)
 	}
@@ -43,8 +50,17 @@
 	return json.NewEncoder(s.w).Encode(form)
 }
 
+// bound keeps a caller who takes nothing from holding a write past ctx's
+// deadline. A writer without deadlines stays as it is.
+func (s *sink) bound(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = http.NewResponseController(s.w).SetWriteDeadline(deadline)
+	}
+}
+
 // Answer implements request.Sink: a plain service's answer goes as it came.
-func (s *sink) Answer(_ context.Context, answer models.ServiceAnswer) error {
+func (s *sink) Answer(ctx context.Context, answer models.ServiceAnswer) error {
+	s.bound(ctx)
 	s.begun = true
 	copyHeader(s.w.Header(), answer.Header)
 	s.w.WriteHeader(answer.Status)
@@ -54,6 +70,8 @@
 
 // fail ends the answer with a refusal.
 func (s *sink) fail(refusal *models.Refusal) {
+	// The deadline of the last piece may be over.
+	_ = http.NewResponseController(s.w).SetWriteDeadline(s.clock.Now().Add(failTimeout))
 	if !s.begun {
 		refuse(s.w, refusal)
 		return
--- a/request/authenticate.go
+++ b/request/authenticate.go
@@ -38,7 +38,8 @@
 }
 
 func admit(config *models.Config, e *Exchange, key string) error {
-	found, ok := config.Keys[sha256.Sum256([]byte(key))]
+	hash := sha256.Sum256([]byte(key))
+	found, ok := config.Keys[hash]
 	if !ok || key == "" {
 		return &models.Refusal{Code: models.RefusalNoKey, Message: "the key is not valid", NotRun: true}
 	}
@@ -50,6 +51,7 @@
 		return &models.Refusal{Code: models.RefusalNoKey, Message: "the key's workspace does not exist", NotRun: true}
 	}
 	e.KeyID = found.ID
+	e.KeyHash = hash
 	e.Workspace = workspace
 	return nil
 }
--- /dev/null
+++ b/request/call.go
@@ -0,0 +1,102 @@
+package request
+
+import (
+	"context"
+	"slices"
+
+	"quincewinch/models"
+)
+
+// call carries a call of a plain service.
+func (s *Sender) call(ctx context.Context, e *Exchange) error {
+	backends := s.addresses(e.Call.Service)
+	if len(backends) == 0 {
+		return noBackend("the service has no address")
+	}
+	backends = backends[:min(len(backends), callAttempts)]
+	for i, backend := range backends {
+		if i > 0 && !s.retries.Take() {
+			break
+		}
+		s.recordCall(e, backend, i)
+		done, err := s.callOnce(ctx, e, backend, i == len(backends)-1)
+		if done || err != nil {
+			return err
+		}
+	}
+	if !e.Started {
+		return noBackend("the service cannot be reached")
+	}
+	return &models.Refusal{
+		Code:       models.RefusalBackendFailed,
+		Message:    "the service failed, and its answer was lost",
+		RetryAfter: busyRetryAfter,
+	}
+}
+
+// callOnce calls one address. Neither done nor an error means that another
+// address may be tried.
+func (s *Sender) callOnce(ctx context.Context, e *Exchange, backend models.ServiceBackend, last bool) (bool, error) {
+	calling, cancel := s.calling(ctx, e, last)
+	defer cancel()
+	started := e.Started
+	e.Started = true
+	answer, err := s.services.Service(backend).Call(calling, *e.Call)
+	if err == nil {
+		s.outliers.succeeded(backend.URL)
+		e.Usage = models.Usage{Requests: 1, ServiceCalls: 1}
+		return true, delivered(e.Sink.Answer(ctx, answer))
+	}
+	if noEffect(err) {
+		e.Started = started
+	}
+	if refusal := gone(ctx, e); refusal != nil && e.Repeatable() {
+		return false, refusal
+	}
+	s.outliers.failed(backend.URL)
+	if noEffect(err) || e.Repeatable() {
+		return false, gone(ctx, e)
+	}
+	return false, unknownOutcome("the call was sent to " + backend.URL + ", and its answer was lost")
+}
+
+// calling bounds one attempt so that another address can still be tried.
+func (s *Sender) calling(ctx context.Context, e *Exchange, last bool) (context.Context, context.CancelFunc) {
+	if last || !e.Repeatable() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, e.Deadline.Sub(s.clock.Now())/2)
+}
+
+// addresses returns a service's addresses: those that did not fail lately
+// first, of these the ones in this zone first.
+func (s *Sender) addresses(service models.ServiceName) []models.ServiceBackend {
+	backends := slices.Clone(s.configuration.Config().Services[service])
+	rank := func(backend models.ServiceBackend) int {
+		rank := 0
+		if s.outliers.out(backend.URL) {
+			rank += 2
+		}
+		if backend.Zone != s.settings.Zone {
+			rank++
+		}
+		return rank
+	}
+	slices.SortStableFunc(backends, func(a, b models.ServiceBackend) int { return rank(a) - rank(b) })
+	return backends
+}
+
+func (s *Sender) recordCall(e *Exchange, backend models.ServiceBackend, earlier int) {
+	event := models.Event{
+		Kind:      models.EventPlacement,
+		Request:   e.ID,
+		Workspace: e.Workspace.Name,
+		What:      "call of service " + string(backend.Service) + " at " + backend.URL,
+		Why:       "the nearest address that did not fail lately",
+	}
+	if earlier > 0 {
+		event.Kind = models.EventRetry
+		event.Why = "the address before it failed, and the retry budget allows it"
+	}
+	s.timeline.Record(event)
+}
--- a/request/claim_test.go
+++ b/request/claim_test.go
@@ -67,10 +67,10 @@
 	}
 	var text strings.Builder
 	for i, piece := range s.pieces {
+		text.WriteString(piece.Text)
 		if piece.Index != i || piece.Done != (i == len(s.pieces)-1) {
 			return text.String(), false
 		}
-		text.WriteString(piece.Text)
 	}
 	return text.String(), len(s.pieces) > 0
 }
--- a/request/exchange.go
+++ b/request/exchange.go
@@ -18,6 +18,7 @@
 	Deadline       time.Time
 	Key            string // the bearer's secret; authenticate clears it
 	KeyID          models.KeyID
+	KeyHash        [32]byte // finds the key again
 	RouteName      string
 	Route          models.Route
 	Workspace      models.WorkspaceSettings // the zero one on an open route
--- /dev/null
+++ b/request/fleet_test.go
@@ -0,0 +1,303 @@
+package request_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"quincewinch/invariant"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+	"quincewinch/request"
+	"quincewinch/standin/engine"
+	"quincewinch/standin/platform"
+)
+
+const (
+	stall   = 2 * time.Second
+	timeout = 30 * time.Second
+	prompt  = "user: Which oak flitches are left?\n"
+)
+
+// fleet is some daemons before in-memory engines and one plain service, with
+// one workspace and its key.
+type fleet struct {
+	clock   system.Clock
+	store   *platform.Store
+	history *invariant.History
+	engines map[models.EngineID]*tapped
+	order   []models.EngineID
+	service *booker
+	gates   []*request.Gate
+	links   []*link
+	lines   []request.Handler
+
+	mu      sync.Mutex
+	config  *models.Config
+	changed chan struct{}
+	usage   models.Usage
+}
+
+func newFleet(daemons, engines int) *fleet {
+	clock := system.NewClock()
+	f := &fleet{
+		clock:   clock,
+		store:   platform.NewStore(clock),
+		history: &invariant.History{},
+		engines: map[models.EngineID]*tapped{},
+		changed: make(chan struct{}),
+		config: &models.Config{
+			Workspaces: map[models.Workspace]models.WorkspaceSettings{"sales": {Name: "sales", KeyFreshness: time.Hour}},
+			Keys:       map[[32]byte]models.Key{keyHash: {ID: "k1", Workspace: "sales", Hash: keyHash}},
+			Routes: map[string]models.Route{
+				"catalogue":    {Name: "catalogue", Kind: models.RouteModel, Repeatable: true},
+				"reservations": {Name: "reservations", Kind: models.RouteService},
+				"flitches":     {Name: "flitches", Kind: models.RouteService, Repeatable: true},
+			},
+			Backends: map[models.EngineID]models.BackendServer{},
+			Services: map[models.ServiceName][]models.ServiceBackend{},
+		},
+	}
+	f.service = &booker{fleet: f}
+	for _, name := range []models.ServiceName{"reservations", "flitches"} {
+		f.config.Services[name] = []models.ServiceBackend{{Service: name, Zone: "far", URL: "b"}, {Service: name, Zone: "near", URL: "a"}}
+	}
+	for i := range engines {
+		id := models.EngineID(string(rune('a' + i)))
+		e := engine.New(clock, engine.Settings{ID: id, Role: models.RoleBoth, Models: []models.Model{"catalogue"}, Cost: engine.DefaultCost()})
+		f.engines[id] = &tapped{Engine: e, fleet: f, id: id}
+		f.order = append(f.order, id)
+		f.config.Backends[id] = models.BackendServer{Engine: id}
+	}
+	for i := range daemons {
+		f.addDaemon(models.DaemonID(string(rune('a' + i))))
+	}
+	return f
+}
+
+func (f *fleet) addDaemon(id models.DaemonID) {
+	way := &link{Store: f.store}
+	gate := request.NewGate()
+	part := request.NewClaims(way, f.store, f.clock, quiet{}, id, time.Second)
+	sender := request.NewSender(f, f, f, request.NewTurnPlacer(f, f), f, quiet{}, f.clock, request.SenderSettings{Zone: "near", Stall: stall})
+	f.links = append(f.links, way)
+	f.gates = append(f.gates, gate)
+	f.lines = append(f.lines, request.Chain(sender, gate.Filter(), request.Authenticate(f, f.clock), request.Metered(f, f.clock), part.Filter()))
+}
+
+func (f *fleet) Engine(server models.BackendServer) peer.Engine { return f.engines[server.Engine] }
+
+func (f *fleet) Service(backend models.ServiceBackend) peer.Service {
+	return boundBooker{f.service, backend}
+}
+
+func (f *fleet) Config() *models.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+func (f *fleet) Evidence() models.Evidence {
+	return models.Evidence{At: f.clock.Now(), Source: models.EvidenceOwn}
+}
+
+func (f *fleet) Watch() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// edit puts a changed copy of the configuration in force.
+func (f *fleet) edit(change func(config *models.Config)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	config := *f.config
+	change(&config)
+	f.config = &config
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fleet) State(id models.EngineID) (models.EngineState, bool) {
+	state, err := f.engines[id].State(context.Background())
+	return state, err == nil
+}
+
+func (f *fleet) States() map[models.EngineID]models.EngineState {
+	states := map[models.EngineID]models.EngineState{}
+	for id := range f.engines {
+		if state, ok := f.State(id); ok {
+			states[id] = state
+		}
+	}
+	return states
+}
+
+func (f *fleet) Count(_ models.Workspace, _ time.Time, usage models.Usage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.usage = f.usage.Add(usage)
+}
+
+var keyHash = [32]byte{0xe2, 0xef, 0x41, 0x3d} // replaced in init
+
+// ask sends a request and records its end. A body is a prompt or a booking.
+func (f *fleet) ask(ctx context.Context, daemon int, id, route, key, body string, sink *answerSink) *models.Refusal {
+	now := f.clock.Now()
+	e := &request.Exchange{
+		ID:             models.RequestID(id),
+		Received:       now,
+		Deadline:       now.Add(timeout),
+		Key:            secret,
+		RouteName:      route,
+		IdempotencyKey: key,
+		BodyHash:       hashOf(body),
+		Sink:           sink,
+	}
+	want := "booked " + body
+	if route == "catalogue" {
+		e.Generation = &models.Generation{Model: "catalogue", Prompt: body}
+		want = engine.Answer("catalogue", body, 0)
+	} else {
+		e.Call = &models.ServiceCall{ID: e.ID, Service: models.ServiceName(route), Method: "POST", Path: "/", Body: []byte(body)}
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.Deadline)
+	defer cancel()
+	err := f.lines[daemon].Handle(ctx, e)
+	answer := invariant.Answer{Request: e.ID, Claim: key, Want: want}
+	var whole bool
+	answer.Text, whole = sink.text()
+	if !errors.As(err, &answer.Refusal) && !whole && !sink.gone {
+		answer.SilentCut = true
+	}
+	if !sink.gone {
+		f.history.Answer(answer)
+	}
+	return answer.Refusal
+}
+
+// tapped is an engine whose requests are recorded, with faults of the way to
+// it.
+type tapped struct {
+	*engine.Engine
+	fleet *fleet
+	id    models.EngineID
+
+	mu      sync.Mutex
+	lost    bool // Generate takes effect, its answer is lost
+	crossed bool // streams bring pieces of other requests and repeats
+	cancels []models.RequestID
+	wrong   int // pieces so far
+}
+
+func (t *tapped) set(lost, crossed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lost, t.crossed = lost, crossed
+}
+
+func (t *tapped) Generate(ctx context.Context, generation models.Generation) (peer.TokenStream, error) {
+	stream, err := t.Engine.Generate(ctx, generation)
+	if err != nil {
+		return nil, err
+	}
+	id, _, _ := cutAttempt(generation.ID)
+	t.fleet.history.Run(invariant.Run{
+		At: t.fleet.clock.Now(), Request: id, Claim: claimOf(id), Workspace: "sales", Key: "k1",
+		Backend: string(t.id), SeenByPeer: generation.Prompt,
+	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lost {
+		return nil, peer.NewFailure(peer.OutcomeUnknown, "answer lost", nil)
+	}
+	return &crossing{TokenStream: stream, engine: t}, nil
+}
+
+func (t *tapped) Resume(ctx context.Context, id models.RequestID, from int) (peer.TokenStream, error) {
+	stream, err := t.Engine.Resume(ctx, id, from)
+	return &crossing{TokenStream: stream, engine: t}, err
+}
+
+func (t *tapped) Cancel(ctx context.Context, id models.RequestID) error {
+	t.mu.Lock()
+	t.cancels = append(t.cancels, id)
+	t.mu.Unlock()
+	return t.Engine.Cancel(ctx, id)
+}
+
+func (t *tapped) cancelled() []models.RequestID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]models.RequestID(nil), t.cancels...)
+}
+
+// crossing brings, while its engine's answers are crossed, a wrong piece in
+// place of every third.
+type crossing struct {
+	peer.TokenStream
+	engine *tapped
+	count  int
+}
+
+func (c *crossing) Next(ctx context.Context) (models.Piece, error) {
+	piece, err := c.TokenStream.Next(ctx)
+	c.engine.mu.Lock()
+	defer c.engine.mu.Unlock()
+	c.count++
+	if err != nil || !c.engine.crossed || c.count%3 != 0 {
+		return piece, err
+	}
+	c.engine.wrong++
+	if c.engine.wrong%2 == 0 {
+		return models.Piece{Request: "another", Index: piece.Index, Text: " wrong"}, nil
+	}
+	return models.Piece{Request: piece.Request, Index: piece.Index - 1, Text: " late"}, nil
+}
+
+// booker is a plain service that books each call it gets.
+type booker struct {
+	fleet *fleet
+
+	mu    sync.Mutex
+	fault func(url string) (reach, answer bool) // whether a call and its answer get through
+	takes time.Duration
+	calls []string // addresses
+}
+
+func (b *booker) set(fault func(url string) (reach, answer bool)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault = fault
+}
+
+type boundBooker struct {
+	*booker
+	backend models.ServiceBackend
+}
+
+// Call implements peer.Service.
+func (b boundBooker) Call(ctx context.Context, call models.ServiceCall) (models.ServiceAnswer, error) {
+	b.mu.Lock()
+	fault, takes := b.fault, b.takes
+	b.calls = append(b.calls, b.backend.URL)
+	b.mu.Unlock()
+	reach, answer := true, true
+	if fault != nil {
+		reach, answer = fault(b.backend.URL)
+	}
+	if !reach {
+		return models.ServiceAnswer{}, peer.NewFailure(peer.OutcomeNotDone, "connection refused", nil)
+	}
+	claim := ""
+	if b.backend.Service == "reservations" {
+		claim = claimOf(call.ID)
+	}
+	b.fleet.history.Run(invariant.Run{At: b.fleet.clock.Now(), Request: call.ID, Claim: claim, Workspace: "sales", Key: "k1", Backend: b.backend.URL})
+	if err := b.fleet.clock.Sleep(ctx, takes); err != nil || !answer {
+		return models.ServiceAnswer{}, peer.NewFailure(peer.OutcomeUnknown, "answer lost", err)
+	}
+	return models.ServiceAnswer{Status: 201, Body: append([]byte("booked "), call.Body...)}, nil
+}
--- a/request/send.go
+++ b/request/send.go
@@ -2,11 +2,24 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"quincewinch/models"
 	"quincewinch/peer"
 )
 
+// EngineStates gives the latest state of an engine, false if it is unknown.
+type EngineStates interface {
+	State(id models.EngineID) (models.EngineState, bool)
+}
+
+// SenderSettings are what a sender needs to know of its daemon.
+type SenderSettings struct {
+	Zone  models.Zone
+	Stall time.Duration // longest wait for the next piece of a stream
+}
+
 // Sender is the last handler of the line: it sends requests to backend
 // servers and carries the answers back.
 type Sender struct {
@@ -14,170 +27,74 @@
 	services      peer.Services
 	configuration peer.Configuration
 	placer        Placer
+	states        EngineStates
 	timeline      peer.Timeline
 	clock         peer.Clock
+	settings      SenderSettings
+	retries       *RetryBudget
+	outliers      *outliers
 }
 
 // NewSender returns the line's last handler.
-func NewSender(engines peer.Engines, services peer.Services, configuration peer.Configuration, placer Placer, timeline peer.Timeline, clock peer.Clock) *Sender {
+func NewSender(engines peer.Engines, services peer.Services, configuration peer.Configuration, placer Placer, states EngineStates, timeline peer.Timeline, clock peer.Clock, settings SenderSettings) *Sender {
 	return &Sender{
 		engines:       engines,
 		services:      services,
 		configuration: configuration,
 		placer:        placer,
+		states:        states,
 		timeline:      timeline,
 		clock:         clock,
+		settings:      settings,
+		retries:       NewRetryBudget(),
+		outliers:      newOutliers(clock),
 	}
 }
 
 // Handle implements Handler.
 func (s *Sender) Handle(ctx context.Context, e *Exchange) error {
+	if err := readmit(s.configuration, s.clock, e); err != nil {
+		return err
+	}
+	s.retries.Earn()
 	if e.Call != nil {
 		return s.call(ctx, e)
 	}
 	return s.generate(ctx, e)
 }
 
-func (s *Sender) call(ctx context.Context, e *Exchange) error {
-	backends := s.configuration.Config().Services[e.Call.Service]
-	if len(backends) == 0 {
-		return noBackend("the service has no address")
-	}
-	backend := backends[0]
-	s.timeline.Record(models.Event{
-		Kind:      models.EventPlacement,
-		Request:   e.ID,
-		Workspace: e.Workspace.Name,
-		What:      "call of service " + string(backend.Service) + " at " + backend.URL,
-		Why:       "the first address of the service's rows",
-	})
-	e.Started = true
-	answer, err := s.services.Service(backend).Call(ctx, *e.Call)
-	if err != nil {
-		return s.callFailed(e, err)
-	}
-	e.Usage = models.Usage{Requests: 1, ServiceCalls: 1}
-	return delivered(e.Sink.Answer(ctx, answer))
-}
-
-func (s *Sender) callFailed(e *Exchange, err error) error {
-	if peer.OutcomeOf(err) == peer.OutcomeNotDone {
-		e.Started = false
-		return noBackend("the service cannot be reached")
-	}
-	return &models.Refusal{Code: models.RefusalBackendFailed, Message: "the service failed: its answer was lost"}
-}
-
+// generate carries a generation through one engine, or several.
 func (s *Sender) generate(ctx context.Context, e *Exchange) error {
-	var excluded []models.EngineID
-	var given []string
-	for range generateAttempts {
-		placement, err := s.placer.Place(ctx, e, excluded)
-		if err != nil {
-			return s.placeFailed(e, given, err)
-		}
-		s.recordPlacement(e, placement)
-		result, done, err := s.stream(ctx, e, placement.Server, &given)
-		placement.Release(result)
-		if done || err != nil {
-			return err
-		}
-		excluded = append(excluded, placement.Server.Engine)
+	ctx, cut := context.WithCancelCause(ctx)
+	defer cut(nil)
+	if e.KeyID != "" {
+		go watchKey(ctx, s.configuration, e.KeyHash, cut)
 	}
-	return s.placeFailed(e, given, noBackend("each engine tried has failed"))
+	g := &generating{sender: s, exchange: e}
+	defer g.count()
+	return g.run(ctx)
 }
 
-func (s *Sender) recordPlacement(e *Exchange, placement Placement) {
-	s.timeline.Record(models.Event{
-		Kind:      models.EventPlacement,
-		Request:   e.ID,
-		Engine:    placement.Server.Engine,
-		Workspace: e.Workspace.Name,
-		What:      "placed on engine " + string(placement.Server.Engine),
-		Why:       placement.Why,
-	})
-}
-
-func (s *Sender) placeFailed(e *Exchange, given []string, err error) error {
-	if !e.Started && len(given) == 0 {
-		return err
-	}
-	return &models.Refusal{Code: models.RefusalBackendFailed, Message: "the engines failed before the answer was whole"}
-}
-
-// stream carries one engine's answer. It returns done when the answer is
-// whole, an error when the request must end, neither when another engine may
-// go on.
-func (s *Sender) stream(ctx context.Context, e *Exchange, server models.BackendServer, given *[]string) (Result, bool, error) {
-	engine := s.engines.Engine(server)
-	generation := *e.Generation
-	generation.ID = e.ID
-	generation.Prior = *given
-	generation.Priority = e.Workspace.Priority
-	generation.Deadline = e.Deadline
-	e.Started = true
-	tokens, err := engine.Generate(ctx, generation)
-	if err != nil {
-		return Result{Failed: true}, false, s.gone(ctx)
-	}
-	for attempt := 0; ; attempt++ {
-		finish, done, err := s.pump(ctx, e, tokens, given)
-		_ = tokens.Close()
-		if err != nil || done {
-			return s.ended(ctx, e, engine, finish, done, err)
-		}
-		if attempt >= resumeAttempts {
-			return Result{Failed: true}, false, nil
-		}
-		tokens, err = engine.Resume(ctx, e.ID, len(*given))
-		if err != nil {
-			return Result{Failed: true}, false, s.gone(ctx)
-		}
-	}
-}
-
-func (s *Sender) ended(ctx context.Context, e *Exchange, engine peer.Engine, finish models.Finish, done bool, err error) (Result, bool, error) {
-	if err != nil {
-		_ = engine.Cancel(context.WithoutCancel(ctx), e.ID)
-		return Result{}, false, err
-	}
-	e.Usage = models.Usage{
-		Requests: 1,
-		Prompt:   int64(finish.Usage.Prompt),
-		Cached:   int64(finish.Usage.Cached),
-		Output:   int64(finish.Usage.Output),
-	}
-	return Result{FirstToken: true, Usage: finish.Usage}, done, nil
-}
-
-// pump hands pieces to the caller. Each piece must be the next of this
-// request's answer; anything else breaks the stream.
-func (s *Sender) pump(ctx context.Context, e *Exchange, tokens peer.TokenStream, given *[]string) (models.Finish, bool, error) {
-	for {
-		piece, err := tokens.Next(ctx)
-		if err != nil {
-			return models.Finish{}, false, s.gone(ctx)
-		}
-		if piece.Request != e.ID || piece.Index != len(*given) {
-			return models.Finish{}, false, nil
-		}
-		if err := delivered(e.Sink.Piece(ctx, piece)); err != nil {
-			return models.Finish{}, false, err
-		}
-		if piece.Done {
-			return piece.Finish, true, nil
-		}
-		*given = append(*given, piece.Text)
-	}
-}
-
-// gone returns the refusal of a request whose caller or time is gone.
-func (s *Sender) gone(ctx context.Context) error {
+// gone returns the refusal of a request whose caller, key or time is gone, nil
+// if none is.
+func gone(ctx context.Context, e *Exchange) error {
 	if ctx.Err() == nil {
 		return nil
 	}
+	refusal := models.Refusal{Code: models.RefusalCancelled, Message: "the caller has gone"}
 	if ctx.Err() == context.DeadlineExceeded {
-		return &models.Refusal{Code: models.RefusalDeadline, Message: "the request's time is up"}
+		refusal = models.Refusal{Code: models.RefusalDeadline, Message: "the request's time is up"}
+	}
+	var cause *models.Refusal
+	if errors.As(context.Cause(ctx), &cause) {
+		refusal = *cause
 	}
-	return &models.Refusal{Code: models.RefusalCancelled, Message: "the caller has gone"}
+	refusal.NotRun = !e.Started
+	return &refusal
+}
+
+// noEffect reports whether a failed call is certain to have had no effect.
+func noEffect(err error) bool {
+	outcome := peer.OutcomeOf(err)
+	return outcome != peer.OutcomeUnknown && outcome != peer.OutcomeRefused
 }
