--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -11,7 +11,6 @@
 
 	"quincewinch/control"
 	"quincewinch/models"
-	"quincewinch/peer"
 	peerdaemon "quincewinch/peer/daemon"
 	"quincewinch/table"
 )
@@ -33,7 +32,7 @@
 }
 
 // startExchange listens for the other daemons and builds what speaks with them.
-func (d *Daemon) startExchange(t peer.Table, vms peer.VMs, credentials credentials.TransportCredentials) error {
+func (d *Daemon) startExchange(credentials credentials.TransportCredentials) error {
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.settings.Daemons.Address))
 	if err != nil {
 		return errors.Annotate(err, "cannot listen for the other daemons")
@@ -43,7 +42,7 @@
 	e := &d.exchange
 	e.client = peerdaemon.NewClient(credentials, exchangeTimeout)
 	e.editing = control.NewEditing(d.id)
-	e.membership = control.NewMembership(self, t, vms, d.clock, d.ring, d.configuration, e.editing)
+	e.membership = control.NewMembership(self, d.platform.table, d.platform.vms, d.clock, d.ring, d.configuration, e.editing)
 	e.gossip = control.NewGossip(self, e.client, d.clock, d.ring, d.configuration, e.membership, e.editing)
 	e.spread = control.NewSpread(e.gossip)
 	e.server = peerdaemon.NewServer(receiver{d}, credentials)
