request: place by load and cache, queue by weighted shares

Cause: requests went to engines in turn and at once, whatever their load.

Change: policy/placement chooses from lagging reports corrected by what this daemon has sent since and others probably have, with prefix-cache credit from cache events (gaps lower it); a sample that shrinks as reports grow stale keeps daemons from herding. policy/outlier takes out engines that fail or are slow and probes them, never more than 40% at once. policy/fair orders the queue by work done over weight and refuses at once what cannot be on time. Engines are asked independently, so that one that hangs holds up no state. A refusal before the claim is looked up says not run only without an idempotency key: a repeat by its key may have run before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,12 +114,13 @@
 
 // line returns the filters in the order a request meets them.
 func (d *Daemon) line(table peer.Table, engines peer.Engines, services peer.Services) request.Handler {
-	placer := request.NewTurnPlacer(d.configuration, d.engines)
+	placer := d.newPlacer(engines)
 	sender := request.NewSender(engines, services, d.configuration, placer, d.ring, d.clock)
 	return request.Chain(
 		sender,
 		request.Authenticate(d.configuration, d.clock),
 		request.Metered(control.NewMeter(), d.clock),
+		d.newQueue(placer).Filter(),
 		request.Claim(table),
 	)
 }
--- /dev/null
+++ b/request/loadplacer.go
@@ -0,0 +1,305 @@
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quincewinch/lib/prefix"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/policy/demand"
+	"quincewinch/policy/outlier"
+	"quincewinch/policy/placement"
+)
+
+const (
+	// rebuildAfter is how old a snapshot may be though no load has changed.
+	rebuildAfter = time.Second
+	// freshReport is how old another daemon's report may be to say what waits
+	// there.
+	freshReport = 3 * time.Second
+	// cheapBonus favours cheap backend servers for work that may be repeated,
+	// which leaves the others to work that may not.
+	cheapBonus = -20 * time.Millisecond
+	// cheapPenalty keeps work off cheap backend servers once their share of it
+	// is as great as the table allows.
+	cheapPenalty = 2 * time.Second
+	// cheapNewness is the weight of the latest request in the share of work on
+	// cheap backend servers.
+	cheapNewness = 0.01
+)
+
+// Loads gives the latest load of each engine that answers, read-only, and a
+// number that grows with each change.
+type Loads interface {
+	Loads() (uint64, map[models.EngineID]placement.Load)
+}
+
+// LoadPlacer places requests by the load of the engines, their prefix caches
+// and their record.
+type LoadPlacer struct {
+	configuration peer.Configuration
+	loads         Loads
+	reports       peer.Reports
+	timeline      peer.Timeline
+	clock         peer.Clock
+	zone          models.Zone
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	book      *placement.Book
+	cache     *placement.Cache
+	lengths   *placement.Lengths
+	detector  *outlier.Detector
+	others    *demand.Tracker[models.Model]
+	snapshots map[models.Model]*snapshot
+	cheap     float64 // share of the latest work on cheap backend servers
+}
+
+// snapshot is a model's snapshot and what it was built from.
+type snapshot struct {
+	*placement.Snapshot
+	config   *models.Config
+	version  uint64
+	ejection uint64
+	builtAt  time.Time
+	probes   []models.EngineID
+}
+
+// NewLoadPlacer returns a placer of a daemon in a zone. Seed sets its choices
+// apart from those of the other daemons.
+func NewLoadPlacer(configuration peer.Configuration, loads Loads, reports peer.Reports, timeline peer.Timeline, clock peer.Clock, zone models.Zone, seed uint64) *LoadPlacer {
+	return &LoadPlacer{
+		configuration: configuration,
+		loads:         loads,
+		reports:       reports,
+		timeline:      timeline,
+		clock:         clock,
+		zone:          zone,
+		random:        rand.New(rand.NewPCG(seed, seed)),
+		book:          placement.NewBook(),
+		cache:         placement.NewCache(),
+		lengths:       placement.NewLengths(),
+		detector:      outlier.NewDetector(),
+		others:        demand.NewTracker[models.Model](),
+		snapshots:     map[models.Model]*snapshot{},
+	}
+}
+
+// Place implements Placer.
+func (p *LoadPlacer) Place(ctx context.Context, e *Exchange, excluded []models.EngineID) (Placement, error) {
+	d := p.demand(e, excluded)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	d.Output = p.lengths.Expect(e.Workspace.Name, d.Model, e.Generation.MaxTokens)
+	d.CheapBias = p.cheapBias()
+	s := p.snapshot(d.Model, now)
+	if choice, ok := p.probe(s, &d, now); ok {
+		return p.placed(ctx, e, &d, choice, "a probe of an engine that was taken out", now), nil
+	}
+	choice, ok := s.Choose(&d, p.cache, p.random, now)
+	if !ok {
+		return Placement{}, noBackend("no engine can run " + string(d.Model) + " now")
+	}
+	return p.placed(ctx, e, &d, choice, choice.Why(), now), nil
+}
+
+// Forecast returns where a request would go if it were placed now, and how it
+// would fare; false if no engine can run it.
+func (p *LoadPlacer) Forecast(e *Exchange) (placement.Choice, bool) {
+	d := p.demand(e, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	d.Output = p.lengths.Expect(e.Workspace.Name, d.Model, e.Generation.MaxTokens)
+	return p.snapshot(d.Model, now).Choose(&d, p.cache, p.random, now)
+}
+
+// Expect returns the output expected of a request, in tokens.
+func (p *LoadPlacer) Expect(e *Exchange) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lengths.Expect(e.Workspace.Name, e.Generation.Model, e.Generation.MaxTokens)
+}
+
+// Fill implements peer.ReportSource.
+func (p *LoadPlacer) Fill(report *models.DaemonReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	report.Inflight = p.book.All()
+	report.Ejected = p.detector.Ejected(p.clock.Now())
+}
+
+// CacheSequence implements control.CacheIndex.
+func (p *LoadPlacer) CacheSequence(engine models.EngineID) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cache.Sequence(engine)
+}
+
+// ApplyCacheEvents implements control.CacheIndex.
+func (p *LoadPlacer) ApplyCacheEvents(engine models.EngineID, events []models.CacheEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cache.Apply(engine, events)
+}
+
+// ResetCache implements control.CacheIndex.
+func (p *LoadPlacer) ResetCache(engine models.EngineID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cache.Reset(engine, 0)
+}
+
+// ExpireCache implements control.CacheIndex. It also forgets engines that
+// have left the configuration.
+func (p *LoadPlacer) ExpireCache() {
+	config := p.configuration.Config()
+	keep := func(engine models.EngineID) bool {
+		_, ok := config.Backends[engine]
+		return ok
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cache.Expire(p.clock.Now())
+	p.cache.Keep(keep)
+	p.detector.Keep(keep)
+	p.book.Keep(keep)
+}
+
+func (p *LoadPlacer) demand(e *Exchange, excluded []models.EngineID) placement.Demand {
+	return placement.Demand{
+		Model:      e.Generation.Model,
+		Prompt:     prefix.Tokens(e.Generation.Prompt),
+		Hashes:     prefix.Hashes(e.Generation.Prompt),
+		Repeatable: e.Route.Repeatable && e.IdempotencyKey == "",
+		Excluded:   excluded,
+	}
+}
+
+func (p *LoadPlacer) cheapBias() time.Duration {
+	if p.cheap > p.configuration.Config().Fleet.CheapShare {
+		return cheapPenalty
+	}
+	return cheapBonus
+}
+
+// probe chooses an engine on trial for a request that may be repeated. The
+// lock is held.
+func (p *LoadPlacer) probe(s *snapshot, d *placement.Demand, now time.Time) (placement.Choice, bool) {
+	if len(s.probes) == 0 || !d.Repeatable || len(d.Excluded) > 0 {
+		return placement.Choice{}, false
+	}
+	engine := s.probes[0]
+	s.probes = s.probes[1:]
+	server, ok := s.config.Backends[engine]
+	if !ok {
+		return placement.Choice{}, false
+	}
+	p.detector.Probing(engine, now)
+	return placement.Choice{Server: server}, true
+}
+
+// placed notes a request at its engine. The lock is held.
+func (p *LoadPlacer) placed(ctx context.Context, e *Exchange, d *placement.Demand, choice placement.Choice, why string, now time.Time) Placement {
+	engine := choice.Server.Engine
+	work := models.InflightWork{Requests: 1, PromptTokens: max(d.Prompt-choice.Cached, 0), OutputTokens: d.Output}
+	p.add(d.Model, engine, work, now)
+	p.cache.Expect(engine, d.Hashes, now)
+	p.countCheap(choice.Server.Cheap)
+	sent := sending{
+		ctx:       ctx,
+		engine:    engine,
+		workspace: e.Workspace.Name,
+		demand:    *d,
+		work:      work,
+		choice:    choice,
+		at:        now,
+	}
+	return Placement{Server: choice.Server, Why: why, Release: func(result Result) { p.release(&sent, result) }}
+}
+
+// sending is a request at an engine.
+type sending struct {
+	ctx       context.Context
+	engine    models.EngineID
+	workspace models.Workspace
+	demand    placement.Demand
+	work      models.InflightWork
+	choice    placement.Choice
+	at        time.Time
+}
+
+func (p *LoadPlacer) release(sent *sending, result Result) {
+	p.mu.Lock()
+	now := p.clock.Now()
+	p.add(sent.demand.Model, sent.engine, placement.Negative(sent.work), now)
+	whole := !result.Failed && result.Usage.Output > 0
+	if whole {
+		p.lengths.Learn(sent.workspace, sent.demand.Model, result.Usage.Output)
+		p.cache.Correct(sent.engine, sent.demand.Hashes, result.Usage.Cached)
+	}
+	changed := p.observe(sent, result, whole, now)
+	standing := p.detector.Ejected(now)[sent.engine]
+	p.mu.Unlock()
+	if changed {
+		p.recordStanding(sent, standing)
+	}
+}
+
+// observe judges the engine by a request's result. A request that its caller
+// ended says nothing of the engine. The lock is held.
+func (p *LoadPlacer) observe(sent *sending, result Result, whole bool, now time.Time) bool {
+	cancelled := sent.ctx.Err() == context.Canceled
+	if cancelled || !whole && !result.Failed {
+		return false
+	}
+	taken := result.Waited
+	if taken == 0 {
+		taken = now.Sub(sent.at)
+	}
+	predicted := sent.choice.FirstToken + time.Duration(result.Usage.Output)*sent.choice.Step
+	if sent.choice.Step == 0 {
+		predicted = taken // a probe has no forecast: an answer is enough
+	}
+	return p.detector.Observe(sent.engine, outlier.Observation{
+		Failed:    result.Failed,
+		Predicted: predicted,
+		Taken:     taken,
+	}, now)
+}
+
+func (p *LoadPlacer) recordStanding(sent *sending, out time.Duration) {
+	what, why := "engine let in again", "it answered a probe"
+	if out > 0 {
+		what = "engine taken out for " + out.Round(time.Second).String()
+		why = "its requests failed, or took much longer than predicted"
+	}
+	p.timeline.Record(models.Event{
+		Kind:   models.EventPlacement,
+		Engine: sent.engine,
+		What:   what,
+		Why:    why,
+	})
+}
+
+// add counts work at an engine. The lock is held.
+func (p *LoadPlacer) add(model models.Model, engine models.EngineID, work models.InflightWork, now time.Time) {
+	p.book.Add(engine, work, now)
+	if s, ok := p.snapshots[model]; ok {
+		if c := s.Candidate(engine); c != nil {
+			c.Add(work)
+		}
+	}
+}
+
+func (p *LoadPlacer) countCheap(cheap bool) {
+	var used float64
+	if cheap {
+		used = 1
+	}
+	p.cheap += cheapNewness * (used - p.cheap)
+}
--- a/request/place.go
+++ b/request/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"quincewinch/models"
 )
@@ -26,4 +27,5 @@
 	Failed     bool
 	FirstToken bool // a token arrived
 	Usage      models.TokenUsage
+	Waited     time.Duration // time spent on waiting for the engine; 0: not measured
 }
