--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -97,10 +97,10 @@
 	engines := engine.NewClients(client)
 	d.configuration = control.NewConfiguration(d.platform.table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
-	line := d.line(engines, service.NewClients(client))
 	if err := d.startExchange(insecure.NewCredentials()); err != nil {
 		return err
 	}
+	line := d.line(engines, service.NewClients(client))
 	editor := control.NewEditor(d.id, d.platform.table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
 	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
--- a/request/outliers.go
+++ b/request/outliers.go
@@ -19,16 +19,16 @@
 	clock peer.Clock
 
 	mu        sync.Mutex
-	addresses map[string]outlier
+	addresses map[string]failedAddress
 }
 
-type outlier struct {
+type failedAddress struct {
 	failures int
 	until    time.Time
 }
 
 func newOutliers(clock peer.Clock) *outliers {
-	return &outliers{clock: clock, addresses: map[string]outlier{}}
+	return &outliers{clock: clock, addresses: map[string]failedAddress{}}
 }
 
 func (o *outliers) failed(address string) {
@@ -36,7 +36,7 @@
 	defer o.mu.Unlock()
 	known := o.addresses[address]
 	wait := min(outlierBase<<min(known.failures, 8), outlierMost)
-	o.addresses[address] = outlier{failures: known.failures + 1, until: o.clock.Now().Add(wait)}
+	o.addresses[address] = failedAddress{failures: known.failures + 1, until: o.clock.Now().Add(wait)}
 }
 
 func (o *outliers) succeeded(address string) {
