--- a/commands/commands.go
+++ b/commands/commands.go
@@ -38,7 +38,7 @@
 	app.ErrorWriter(stderr)
 	commands := map[string]command{}
 	for _, register := range []func(*kingpin.Application) (string, command){
-		registerServe, registerDemo, registerCheckSettings, registerSettings,
+		registerServe, registerDemo, registerCheckSettings, registerSettings, registerCompare,
 	} {
 		name, c := register(app)
 		commands[name] = c
--- /dev/null
+++ b/policy/fleet/trace/replay.go
@@ -0,0 +1,232 @@
+package trace
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/policy/fleet"
+)
+
+// Cost of a change of role in the cost model.
+var Cost = fleet.ChangeCost{Away: 6 * time.Second, Cache: 2 * time.Second}
+
+const (
+	lag         = 2 // ticks until a strategy sees the work offered
+	away        = 8 // ticks that a change takes from an engine
+	groupName   = "catalogue"
+	allTogether = -1
+)
+
+// View is what a strategy sees on one side of a partition.
+type View struct {
+	At      time.Time
+	Zones   []int        // those in reach
+	Offered []fleet.Work // of each of them, a moment ago
+	Engines []fleet.Engine
+}
+
+// Strategy chooses changes of role.
+type Strategy interface {
+	Choose(view View) []fleet.RoleChange
+}
+
+// Result is how a strategy fared on a trace.
+type Result struct {
+	Goodput float64 // engine-seconds of work served
+	Offered float64
+	Changes int
+	Worst   float64 // share of its work that the worst-served workspace got
+}
+
+// engine is one engine of the replay.
+type engine struct {
+	fleet.Engine
+	zone  int
+	cheap bool
+	until int // away until this tick
+}
+
+// replay is a run of one trace.
+type replay struct {
+	trace   Trace
+	engines []*engine
+	result  Result
+	served  []float64 // by workspace
+	asked   []float64
+	crashed bool
+}
+
+// Replay runs a trace with one strategy per side of a partition; each sees
+// what its side can reach. Strategies has one entry for each zone.
+func Replay(trace Trace, strategies [zones]Strategy) Result {
+	r := newReplay(trace)
+	for t := range trace.Work {
+		r.faults(t)
+		r.serve(t)
+		r.decide(t, strategies)
+	}
+	r.result.Worst = math.Inf(1)
+	for i := range Workspaces {
+		r.result.Worst = min(r.result.Worst, r.served[i]/r.asked[i])
+	}
+	return r.result
+}
+
+func newReplay(trace Trace) *replay {
+	r := &replay{
+		trace:  trace,
+		served: make([]float64, len(Workspaces)),
+		asked:  make([]float64, len(Workspaces)),
+	}
+	prefill := yesterdaySplit(trace).Prefill
+	for i := range zones * enginesPerZone {
+		zone := i % zones
+		role := models.RoleDecode
+		if i < prefill {
+			role = models.RolePrefill
+		}
+		r.engines = append(r.engines, &engine{
+			Engine: fleet.Engine{
+				ID:    models.EngineID("engine-" + strconv.Itoa(100+i)),
+				Zone:  zoneName(zone),
+				Group: groupName,
+				Role:  role,
+			},
+			zone:  zone,
+			cheap: i/zones >= enginesPerZone-cheapPerZone,
+		})
+	}
+	return r
+}
+
+// yesterdaySplit returns the fixed split that fits yesterday's mix.
+func yesterdaySplit(trace Trace) fleet.Split {
+	all := zones * enginesPerZone
+	prefill := int(math.Round(trace.Yesterday * float64(all)))
+	return fleet.Split{Prefill: prefill, Decode: all - prefill}
+}
+
+func zoneName(zone int) models.Zone {
+	return models.Zone("zone-" + strconv.Itoa(zone))
+}
+
+// faults takes away the engines that a fault hits at a tick.
+func (r *replay) faults(t int) {
+	for _, o := range r.trace.Outages {
+		if t < o.From || t >= o.Until {
+			continue
+		}
+		if o.Crash {
+			r.crash(t, o)
+			continue
+		}
+		for _, e := range r.engines {
+			if e.zone == o.Zone && e.cheap {
+				e.until = max(e.until, o.Until)
+			}
+		}
+	}
+}
+
+// crash hits an engine in the middle of its change, once; the first engine
+// where none changes.
+func (r *replay) crash(t int, o Outage) {
+	if r.crashed {
+		return
+	}
+	r.crashed = true
+	hit := r.engines[0]
+	for _, e := range r.engines {
+		if e.until > t {
+			hit = e
+			break
+		}
+	}
+	hit.until = o.Until
+}
+
+// serve counts what the engines get done in a tick.
+func (r *replay) serve(t int) {
+	if r.trace.cutAt(t) {
+		for zone := range zones {
+			r.serveSide(r.split(t, zone), r.trace.Work[t][zone])
+		}
+		return
+	}
+	r.serveSide(r.split(t, allTogether), together(r.trace.Work[t]))
+}
+
+func (r *replay) serveSide(split fleet.Split, work fleet.Work) {
+	share := split.ServedShare(work)
+	r.result.Goodput += share * work.Total()
+	r.result.Offered += work.Total()
+	for i, w := range Workspaces {
+		asked := w.Share * (w.Prompt*work.Prefill + work.Decode)
+		r.asked[i] += asked
+		r.served[i] += share * asked
+	}
+}
+
+// split counts the engines of a zone that take work.
+func (r *replay) split(t, zone int) fleet.Split {
+	var split fleet.Split
+	for _, e := range r.engines {
+		if (zone == allTogether || e.zone == zone) && e.until <= t {
+			split = split.With(e.Role, 1)
+		}
+	}
+	return split
+}
+
+// decide lets each side choose changes, and begins them.
+func (r *replay) decide(t int, strategies [zones]Strategy) {
+	for zone, strategy := range strategies {
+		view := r.view(t, zone)
+		for _, change := range strategy.Choose(view) {
+			if r.trace.cutAt(t) || change.Zone == zoneName(zone) {
+				r.begin(t, change)
+			}
+		}
+	}
+}
+
+func (r *replay) view(t, zone int) View {
+	view := View{At: time.Unix(0, 0).Add(time.Duration(t) * Tick)}
+	seen := r.trace.Work[max(t-lag, 0)]
+	for other := range zones {
+		if other != zone && r.trace.cutAt(t) {
+			continue
+		}
+		view.Zones = append(view.Zones, other)
+		view.Offered = append(view.Offered, seen[other])
+	}
+	for _, e := range r.engines {
+		if e.zone != zone && r.trace.cutAt(t) {
+			continue
+		}
+		seen := e.Engine
+		seen.Away = e.until > t
+		view.Engines = append(view.Engines, seen)
+	}
+	return view
+}
+
+func (r *replay) begin(t int, change fleet.RoleChange) {
+	for _, e := range r.engines {
+		if e.ID == change.Engine && e.until <= t && e.Role != change.To {
+			e.Role = change.To
+			e.until = t + 1 + away
+			r.result.Changes++
+		}
+	}
+}
+
+func together(work [zones]fleet.Work) fleet.Work {
+	var sum fleet.Work
+	for _, w := range work {
+		sum = sum.Add(w)
+	}
+	return sum
+}
--- /dev/null
+++ b/policy/fleet/trace/strategies.go
@@ -0,0 +1,80 @@
+package trace
+
+import (
+	"quincewinch/models"
+	"quincewinch/policy/fleet"
+	"quincewinch/policy/naive"
+)
+
+// horizon is how far ahead the forecast looks: until a change has taken effect.
+const horizon = lag*Tick + away*Tick
+
+// Planned is the strategy of package fleet.
+type Planned struct {
+	estimators map[int]*fleet.Estimator // by zone
+}
+
+// NewPlanned returns a strategy that has seen nothing.
+func NewPlanned() *Planned {
+	return &Planned{estimators: map[int]*fleet.Estimator{}}
+}
+
+// Choose implements Strategy.
+func (p *Planned) Choose(view View) []fleet.RoleChange {
+	var forecast fleet.Forecast
+	for i, zone := range view.Zones {
+		e, ok := p.estimators[zone]
+		if !ok {
+			e = fleet.NewEstimator()
+			p.estimators[zone] = e
+		}
+		e.Observe(view.At, view.Offered[i])
+		if i == 0 {
+			forecast = e.Forecast(horizon)
+			continue
+		}
+		forecast = forecast.Add(e.Forecast(horizon))
+	}
+	return fleet.PlanRoles(fleet.RoleSnapshot{
+		Engines:    view.Engines,
+		Forecasts:  map[string]fleet.Forecast{groupName: forecast},
+		Cost:       Cost,
+		MinPerRole: 1,
+	})
+}
+
+// Fixed keeps the split of yesterday's mix.
+type Fixed struct{}
+
+// Choose implements Strategy.
+func (Fixed) Choose(View) []fleet.RoleChange {
+	return nil
+}
+
+// Greedy changes a role whenever the ratio of the queues crosses a line.
+type Greedy struct{}
+
+// Choose implements Strategy.
+func (Greedy) Choose(view View) []fleet.RoleChange {
+	var work fleet.Work
+	for _, offered := range view.Offered {
+		work = work.Add(offered)
+	}
+	from, to := naive.ChangeByQueues(queues(view, work))
+	for _, e := range view.Engines {
+		if from != "" && e.Role == from && !e.Away {
+			return []fleet.RoleChange{{Engine: e.ID, Zone: e.Zone, From: from, To: to}}
+		}
+	}
+	return nil
+}
+
+// queues returns the load of each role's engines; one that changes counts in
+// its new role.
+func queues(view View, work fleet.Work) (prefill, decode float64) {
+	engines := map[models.Role]float64{}
+	for _, e := range view.Engines {
+		engines[e.Role]++
+	}
+	return work.Prefill / max(engines[models.RolePrefill], 0.5), work.Decode / max(engines[models.RoleDecode], 0.5)
+}
--- /dev/null
+++ b/policy/fleet/trace/table.go
@@ -0,0 +1,57 @@
+package trace
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Row compares the strategies on one trace.
+type Row struct {
+	Trace     string
+	Fixed     Result
+	Greedy    Result
+	Planned   Result
+	Hindsight Result
+}
+
+// Share returns the goodput of a result over the best known in hindsight.
+func (r Row) Share(result Result) float64 {
+	return result.Goodput / r.Hindsight.Goodput
+}
+
+// Compare replays the traces of a seed with each strategy.
+func Compare(seed uint64) []Row {
+	var rows []Row
+	for _, trace := range Traces(seed) {
+		rows = append(rows, Row{
+			Trace:     trace.Name,
+			Fixed:     Replay(trace, [zones]Strategy{Fixed{}, Fixed{}}),
+			Greedy:    Replay(trace, [zones]Strategy{Greedy{}, Greedy{}}),
+			Planned:   Replay(trace, [zones]Strategy{NewPlanned(), NewPlanned()}),
+			Hindsight: Hindsight(trace),
+		})
+	}
+	return rows
+}
+
+// Write prints a table of rows.
+func Write(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	lines := []string{
+		"trace\tgoodput over the hindsight best\t\t\trole changes\t\t\t\tworst workspace\t\t",
+		"\tfixed\tgreedy\tours\tfixed\tgreedy\tours\tbest\tfixed\tgreedy\tours",
+	}
+	for _, r := range rows {
+		lines = append(lines, fmt.Sprintf("%s\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f", r.Trace,
+			r.Share(r.Fixed), r.Share(r.Greedy), r.Share(r.Planned),
+			r.Fixed.Changes, r.Greedy.Changes, r.Planned.Changes, r.Hindsight.Changes,
+			r.Fixed.Worst, r.Greedy.Worst, r.Planned.Worst))
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(t, line); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/policy/fleet/trace/trace.go
@@ -0,0 +1,144 @@
+// Package trace replays seeded traces of offered work in virtual time against
+// ways of choosing roles, and finds the best split known in hindsight. The
+// engines are the small cost model of docs/design/cost-model.md.
+package trace
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/policy/fleet"
+)
+
+// Tick is the step of virtual time.
+const Tick = time.Second
+
+const (
+	zones          = 2
+	enginesPerZone = 6
+	cheapPerZone   = 2
+	length         = 900 // ticks
+	swingAt        = 300 // ticks
+	offeredWork    = 10.8
+	shareBefore    = 0.35 // of prefill
+	shareAfter     = 0.35 * 1.5
+	noise          = 0.05 // standard deviation of one tick's work, relative
+)
+
+// Workspace is a customer with a mix of its own.
+type Workspace struct {
+	Name   models.Workspace
+	Share  float64 // of all work
+	Prompt float64 // tilt towards prefill: its prefill over the mix's
+}
+
+// Workspaces share the work of each trace.
+var Workspaces = []Workspace{
+	{"sales", 0.4, 0.8}, {"stock", 0.3, 1.0}, {"suppliers", 0.2, 1.3}, {"trial", 0.1, 1.2},
+}
+
+// Outage takes engines away for a span of ticks.
+type Outage struct {
+	From, Until int
+	Zone        int // whose cheap engines vanish; -1: none
+	Crash       bool
+}
+
+// Trace is the work offered in each tick by zone, and the faults.
+type Trace struct {
+	Name      string
+	Work      [][zones]fleet.Work
+	Outages   []Outage
+	CutFrom   int // ticks in which the zones cannot reach each other
+	CutUntil  int
+	Yesterday float64 // share of prefill, of yesterday's mix
+}
+
+// Traces returns all traces made with a seed.
+func Traces(seed uint64) []Trace {
+	step := func(t int) float64 { return between(t >= swingAt) }
+	return []Trace{
+		build("step swing", seed, step, flat),
+		build("ramp", seed, func(t int) float64 {
+			part := float64(t-swingAt) / swingAt
+			return shareBefore + (shareAfter-shareBefore)*min(max(part, 0), 1)
+		}, flat),
+		build("daily wave", seed, func(t int) float64 {
+			return shareBefore * (1 + 0.5*math.Sin(2*math.Pi*float64(t)/length))
+		}, flat),
+		noisy(build("noise around the line", seed, func(int) float64 { return shareBefore }, flat), seed),
+		build("flash crowd", seed, func(t int) float64 { return between(t >= swingAt && t < swingAt+60) },
+			func(t int) float64 {
+				if t >= swingAt && t < swingAt+60 {
+					return 1.3
+				}
+				return 1
+			}),
+		faulty(build("crash during a change", seed, step, flat), Outage{From: swingAt + 6, Until: swingAt + 126, Zone: -1, Crash: true}),
+		faulty(build("eviction at the swing", seed, step, flat), Outage{From: swingAt, Until: swingAt + 120, Zone: 0}),
+		cut(build("partition at the swing", seed, step, flat)),
+	}
+}
+
+func flat(int) float64 { return 1 }
+
+func between(after bool) float64 {
+	if after {
+		return shareAfter
+	}
+	return shareBefore
+}
+
+// build makes a trace of a share of prefill and a level of all work.
+func build(name string, seed uint64, share, level func(int) float64) Trace {
+	random := rand.New(rand.NewPCG(seed, 1))
+	trace := Trace{Name: name, Yesterday: shareBefore}
+	for t := range length {
+		var tick [zones]fleet.Work
+		for zone := range tick {
+			total := offeredWork * level(t) / zones
+			tick[zone] = fleet.Work{
+				Prefill: total * share(t) * jitter(random),
+				Decode:  total * (1 - share(t)) * jitter(random),
+			}
+		}
+		trace.Work = append(trace.Work, tick)
+	}
+	return trace
+}
+
+func jitter(random *rand.Rand) float64 {
+	return max(0, 1+noise*random.NormFloat64())
+}
+
+// noisy adds swings of a few seconds to both sides of the line.
+func noisy(trace Trace, seed uint64) Trace {
+	random := rand.New(rand.NewPCG(seed, 2))
+	tilt := 1.0
+	for t := range trace.Work {
+		if t%5 == 0 {
+			tilt = 1 + 0.15*random.NormFloat64()
+		}
+		for zone := range trace.Work[t] {
+			trace.Work[t][zone].Prefill *= max(tilt, 0)
+		}
+	}
+	return trace
+}
+
+func faulty(trace Trace, outage Outage) Trace {
+	trace.Outages = append(trace.Outages, outage)
+	return trace
+}
+
+func cut(trace Trace) Trace {
+	trace.CutFrom, trace.CutUntil = swingAt, swingAt+200
+	return trace
+}
+
+// cutAt reports whether the zones are cut off from each other.
+func (t Trace) cutAt(tick int) bool {
+	return tick >= t.CutFrom && tick < t.CutUntil
+}
