--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,8 @@
 	exchange      exchange
 	claims        *request.Claims
 	gate          *request.Gate
+	leases        *control.Leases
+	orders        *control.Orders
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -106,6 +108,8 @@
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
 	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock, d.id), claimCleaning)
+	d.startLeases()
+	d.startOrders(engines)
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -120,6 +124,7 @@
 	d.leaveExchange(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
+	d.leases.Release(ctx)
 	failed := errors.Annotate(d.gate.Drain(ctx), "requests were still running at the end of the drain timeout")
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), closingTimeout)
 	defer cancel()
