--- a/control/roster.go
+++ b/control/roster.go
@@ -66,7 +66,7 @@
 	}
 	ranks := make(map[models.DaemonID]uint64, len(members))
 	for _, member := range members {
-		ranks[member.ID] = rank(member.ID, subject)
+		ranks[member.ID] = rendezvous(member.ID, subject)
 	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b table.Member) int {
@@ -75,6 +75,6 @@
 	return ranked[:n]
 }
 
-func rank(id models.DaemonID, subject string) uint64 {
+func rendezvous(id models.DaemonID, subject string) uint64 {
 	return xxhash.Sum64String(string(id) + "\x00" + subject)
 }
--- /dev/null
+++ b/daemon/requests.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"quincewinch/control"
+	"quincewinch/peer"
+	"quincewinch/request"
+)
+
+// line returns the filters in the order a request meets them.
+func (d *Daemon) line(engines peer.Engines, services peer.Services) request.Handler {
+	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
+	placer := d.newPlacer(engines)
+	sender := request.NewSender(engines, services, d.configuration, placer, d.engines, d.ring, d.clock, request.SenderSettings{
+		Zone:  d.settings.Zone,
+		Stall: d.settings.Engines.Timeout,
+	})
+	return request.Chain(
+		sender,
+		d.gate.Filter(),
+		request.Authenticate(d.configuration, d.clock),
+		request.Metered(control.NewMeter(), d.clock),
+		d.newQueue(placer).Filter(),
+		d.claims.Filter(),
+	)
+}
