--- a/control/editing_test.go
+++ b/control/editing_test.go
@@ -79,6 +79,51 @@
 	})
 }
 
+// TestIncompleteRoster starts a daemon whose reads lag behind the registration
+// of the one that accepts a withdrawal.
+func TestIncompleteRoster(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	early := &node{world: w}
+	early.freeze()
+	other := w.start("a", netip.AddrPort{})
+	w.run(settled)
+	n := w.start("b", netip.AddrPort{})
+	n.lag = early.lag
+	w.cut(n, other, true)
+	w.run(settled)
+	is.True(n.admits("k0"))
+	_, err := other.withdraw("k1")
+	is.NoErr(err)
+	w.run(2 * keyFreshness)
+	holds(t, w)
+}
+
+// TestEditOfRemovedDaemon removes a daemon's registration while its edit is
+// under way.
+func TestEditOfRemovedDaemon(t *testing.T) {
+	is := is.New(t)
+	w := ready(t)
+	listAll(w)
+	n := w.nodes[0]
+	passed := 0
+	w.boundary = func(at *node) {
+		if at != n || n.busy {
+			return
+		}
+		if passed++; passed == 3 { // the read is done, the transaction is next
+			n.busy = true
+			w.isolate(true, n)
+			w.run(time.Minute)
+			n.storeCut = false
+			n.busy = false
+		}
+	}
+	_, err := n.withdraw("k1")
+	is.Equal(peer.OutcomeOf(err), peer.OutcomeConflict)
+	recovers(t, w)
+}
+
 // TestWithdrawalAtEachBoundary pauses a daemon at each boundary of its step,
 // withdraws a key meanwhile, and cuts it off from then on.
 func TestWithdrawalAtEachBoundary(t *testing.T) {
@@ -155,6 +200,21 @@
 			is.Equal(ok, c.proven)
 		})
 	}
+	t.Run("an edit under way here", func(t *testing.T) {
+		is := is.New(t)
+		e := NewEditing("self")
+		e.Want(true, NewRoster())
+		is.NoErr(e.Begin())
+		is.True(!e.Statement("other", 3).Settled)
+		_, ok := e.Proven(at, NewRoster())
+		is.True(!ok)
+		e.Want(false, NewRoster())
+		is.True(e.Statement("other", 3).Open)                    // it closes when all is settled
+		is.Equal(peer.OutcomeOf(e.Begin()), peer.OutcomeNotDone) // and takes no more
+		e.Settle()
+		e.Want(false, NewRoster())
+		is.True(!e.Statement("other", 3).Open)
+	})
 	t.Run("a late closing", func(t *testing.T) {
 		is := is.New(t)
 		e := NewEditing("self")
