control: one flag for the schedules of all property tests

Change: one definition, which both read.

Measured: go test -race ./control passes where it panicked before.

Conclusion: both property tests run in one binary.

--- a/control/authority_test.go
+++ b/control/authority_test.go
@@ -1,7 +1,6 @@
 package control_test
 
 import (
-	"flag"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -11,12 +10,11 @@
 
 	"github.com/matryer/is"
 
+	"quincewinch/control"
 	"quincewinch/invariant"
 	"quincewinch/models"
 )
 
-var schedules = flag.Int("schedules", 10_000, "seeded schedules of each property test")
-
 const (
 	settleTime   = 3 * time.Second  // before trouble begins, at the most
 	runTime      = 12 * time.Second // of one schedule
@@ -133,7 +131,7 @@
 	for worker := range workers {
 		t.Run(strconv.Itoa(worker), func(t *testing.T) {
 			t.Parallel()
-			for seed := worker; seed < *schedules; seed += workers {
+			for seed := worker; seed < control.Schedules(); seed += workers {
 				synctest.Test(t, func(t *testing.T) { schedule(t, uint64(seed), steps) })
 				if t.Failed() {
 					t.Fatalf("seed %d", seed)
