--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"quincewinch/config"
 	"quincewinch/control"
@@ -23,6 +24,7 @@
 	"quincewinch/peer/caller"
 	"quincewinch/peer/engine"
 	"quincewinch/peer/operator"
+	"quincewinch/peer/platform"
 	"quincewinch/peer/service"
 	"quincewinch/request"
 	"quincewinch/timeline"
@@ -43,6 +45,7 @@
 	engines       *control.Engines
 	leases        *control.Leases
 	orders        *control.Orders
+	exchange      exchange
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -53,6 +56,7 @@
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Metrics   netip.AddrPort
+	Daemons   netip.AddrPort
 }
 
 // Addresses returns where the daemon listens.
@@ -82,16 +86,21 @@
 // Start binds the listeners and starts the control tasks.
 func (d *Daemon) Start() error {
 	client := &http.Client{}
-	table := d.store(client)
+	attempts := platform.NewClient(d.settings.Platform.URL.String(), client)
+	table := d.store(attempts)
 	engines := engine.NewClients(client)
 	d.configuration = control.NewConfiguration(table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
 	line := d.line(table, engines, service.NewClients(client))
-	editor := control.NewEditor(table, d.configuration, d.ring)
+	if err := d.startExchange(table, attempts, insecure.NewCredentials()); err != nil {
+		return err
+	}
+	editor := control.NewEditor(d.id, table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
+	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
-	d.startLeases(table, nil)
-	d.startOrders(table, engines, client)
+	d.startLeases(table, d.exchange.gossip)
+	d.startOrders(table, engines, attempts)
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -103,6 +112,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.ring.Record(models.Event{Kind: models.EventProcess, What: "daemon stops", Why: "a planned stop"})
 	d.ready.drain()
+	d.leaveExchange(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
 	d.leases.Release(ctx)
@@ -113,6 +123,7 @@
 		}
 	}
 	d.system.Stop()
+	d.stopExchange(context.WithoutCancel(ctx))
 	return failed
 }
 
--- a/daemon/leases.go
+++ b/daemon/leases.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"net/http"
 	"time"
 
 	"quincewinch/control"
@@ -25,9 +24,8 @@
 }
 
 // startOrders makes the sender of orders.
-func (d *Daemon) startOrders(table peer.Table, engines peer.Engines, client *http.Client) {
-	servers := platform.NewServers(platform.NewClient(d.settings.Platform.URL.String(), client))
-	d.orders = control.NewOrders(table, engines, servers, d.clock, d.ring, control.DefaultOrderSettings())
+func (d *Daemon) startOrders(table peer.Table, engines peer.Engines, client *platform.Client) {
+	d.orders = control.NewOrders(table, engines, platform.NewServers(client), d.clock, d.ring, control.DefaultOrderSettings())
 }
 
 // leaseNames lists the leases: one for the engines of each zone, and those
