--- a/control/roster.go
+++ b/control/roster.go
@@ -66,11 +66,11 @@
 	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b table.Member) int {
-		return cmp.Or(cmp.Compare(rank(b.ID, subject), rank(a.ID, subject)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(rendezvous(b.ID, subject), rendezvous(a.ID, subject)), cmp.Compare(a.ID, b.ID))
 	})
 	return ranked[:n]
 }
 
-func rank(id models.DaemonID, subject string) uint64 {
+func rendezvous(id models.DaemonID, subject string) uint64 {
 	return xxhash.Sum64String(string(id) + "\x00" + subject)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,13 +25,17 @@
 	"quincewinch/peer/caller"
 	"quincewinch/peer/engine"
 	"quincewinch/peer/operator"
-	"quincewinch/peer/platform"
 	"quincewinch/peer/service"
 	"quincewinch/request"
 	"quincewinch/timeline"
 )
 
-const timelineCapacity = 4096
+const (
+	timelineCapacity = 4096
+	claimCleaning    = 5 * time.Minute
+	// closingTimeout is for closing connections once nothing runs any more.
+	closingTimeout = 5 * time.Second
+)
 
 // Daemon is one process of the system.
 type Daemon struct {
@@ -41,11 +46,14 @@
 	ring          *timeline.Ring
 	registry      *prometheus.Registry
 	system        *control.System
+	platform      platformServices
 	configuration *control.Configuration
 	engines       *control.Engines
+	exchange      exchange
+	claims        *request.Claims
+	gate          *request.Gate
 	leases        *control.Leases
 	orders        *control.Orders
-	exchange      exchange
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -77,6 +85,7 @@
 		clock:    clock,
 		id:       models.DaemonID(settings.Name + "-" + randomText()),
 		registry: prometheus.NewRegistry(),
+		gate:     request.NewGate(),
 		system:   control.NewSystem(clock, logfmt.Standard(logger)),
 	}
 	d.ring = timeline.NewRing(clock, d.id, settings.Zone, timelineCapacity, d.log)
@@ -86,21 +95,21 @@
 // Start binds the listeners and starts the control tasks.
 func (d *Daemon) Start() error {
 	client := &http.Client{}
-	attempts := platform.NewClient(d.settings.Platform.URL.String(), client)
-	table := d.store(attempts)
+	d.platform = d.platformServices(client)
 	engines := engine.NewClients(client)
-	d.configuration = control.NewConfiguration(table, d.clock, d.ring)
+	d.configuration = control.NewConfiguration(d.platform.table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
-	line := d.line(table, engines, service.NewClients(client))
-	if err := d.startExchange(table, attempts, insecure.NewCredentials()); err != nil {
+	if err := d.startExchange(insecure.NewCredentials()); err != nil {
 		return err
 	}
-	editor := control.NewEditor(d.id, table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
+	line := d.line(engines, service.NewClients(client))
+	editor := control.NewEditor(d.id, d.platform.table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
 	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
-	d.startLeases(table, d.exchange.gossip)
-	d.startOrders(table, engines, attempts)
+	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock, d.id), claimCleaning)
+	d.startLeases()
+	d.startOrders(engines)
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -116,29 +125,22 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
 	d.leases.Release(ctx)
-	var failed error
+	failed := errors.Annotate(d.gate.Drain(ctx), "requests were still running at the end of the drain timeout")
+	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), closingTimeout)
+	defer cancel()
 	for _, server := range d.servers {
 		if err := server.Shutdown(ctx); err != nil {
-			failed = errors.Annotate(err, "requests were still running at the end of the drain timeout")
+			failed = errors.Annotate(err, "connections were still open at the end of the drain")
 		}
 	}
+	if err := d.claims.Flush(ctx); err != nil {
+		failed = errors.Annotate(err, "outcomes of claimed requests were not stored")
+	}
 	d.system.Stop()
 	d.stopExchange(context.WithoutCancel(ctx))
 	return failed
 }
 
-// line returns the filters in the order a request meets them.
-func (d *Daemon) line(table peer.Table, engines peer.Engines, services peer.Services) request.Handler {
-	placer := request.NewTurnPlacer(d.configuration, d.engines)
-	sender := request.NewSender(engines, services, d.configuration, placer, d.ring, d.clock)
-	return request.Chain(
-		sender,
-		request.Authenticate(d.configuration, d.clock),
-		request.Metered(control.NewMeter(), d.clock),
-		request.Claim(table),
-	)
-}
-
 func (d *Daemon) listen(line request.Handler, editor peer.Editor) error {
 	callers := caller.NewHandler(line, d.configuration, d.clock, newRequestID, caller.Settings{
 		MaxBodyBytes: d.settings.Callers.MaxBodyBytes,
--- a/daemon/leases.go
+++ b/daemon/leases.go
@@ -6,7 +6,6 @@
 	"quincewinch/control"
 	"quincewinch/models"
 	"quincewinch/peer"
-	"quincewinch/peer/platform"
 )
 
 const (
@@ -14,18 +13,17 @@
 	markerStep = 30 * time.Second
 )
 
-// startLeases takes part in the leases. Reports, where not nil, tells of the
-// other candidates.
-func (d *Daemon) startLeases(table peer.Table, reports peer.Reports) {
+// startLeases takes part in the leases.
+func (d *Daemon) startLeases() {
 	self := control.Candidate{Daemon: d.id, Zone: d.settings.Zone}
-	d.leases = control.NewLeases(self, table, d.clock, d.ring, reports, d.leaseNames, control.DefaultLeaseSettings())
+	d.leases = control.NewLeases(self, d.platform.table, d.clock, d.ring, d.exchange.gossip, d.leaseNames, control.DefaultLeaseSettings())
 	d.system.Spawn(d.leases, leaseStep)
-	d.system.Spawn(control.NewMarkers(table, d.leases, d.clock, control.DefaultMarkerSettings()), markerStep)
+	d.system.Spawn(control.NewMarkers(d.platform.table, d.leases, d.clock, control.DefaultMarkerSettings()), markerStep)
 }
 
 // startOrders makes the sender of orders.
-func (d *Daemon) startOrders(table peer.Table, engines peer.Engines, client *platform.Client) {
-	d.orders = control.NewOrders(table, engines, platform.NewServers(client), d.clock, d.ring, control.DefaultOrderSettings())
+func (d *Daemon) startOrders(engines peer.Engines) {
+	d.orders = control.NewOrders(d.platform.table, engines, d.platform.servers, d.clock, d.ring, control.DefaultOrderSettings())
 }
 
 // leaseNames lists the leases: one for the engines of each zone, and those
