--- a/control/lease_rank.go
+++ b/control/lease_rank.go
@@ -35,9 +35,9 @@
 	return candidates
 }
 
-// rank returns how many candidates come before one for a lease: by rendezvous
+// leaseRank returns how many candidates come before one for a lease: by rendezvous
 // hashing, those in the lease's own zone first.
-func rank(name models.LeaseName, self Candidate, candidates []Candidate) int {
+func leaseRank(name models.LeaseName, self Candidate, candidates []Candidate) int {
 	before := 0
 	for _, c := range candidates {
 		if c != self && precedes(name, c, self) {
