--- a/control/outage_test.go
+++ b/control/outage_test.go
@@ -216,6 +216,23 @@
 	recovers(t, w)
 }
 
+// TestUnknownWithdrawalInOutage loses the answer of a withdrawal to an outage
+// that goes on: whether it took effect can't be known.
+func TestUnknownWithdrawalInOutage(t *testing.T) {
+	is := is.New(t)
+	w := ready(t)
+	w.store.SetFaults(platform.Faults{LoseAnswer: func(models.Transaction) bool { return true }})
+	_, err := w.nodes[0].withdraw("k1")
+	is.Equal(peer.OutcomeOf(err), peer.OutcomeUnknown)
+	w.store.SetFaults(platform.Faults{Down: true})
+	w.run(keyFreshness + 2*time.Second)
+	serves(t, w, time.Minute, false, w.nodes...)
+	recovers(t, w)
+	for _, n := range w.nodes {
+		is.True(!n.admits("k1"))
+	}
+}
+
 func TestWithdrawnKeyIsNotRevivedByAnEdit(t *testing.T) {
 	is := is.New(t)
 	w := ready(t)
--- a/daemon/overview.go
+++ b/daemon/overview.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/table"
 	"quincewinch/timeline"
 )
 
@@ -23,24 +26,33 @@
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
 	defer cancel()
 	d := o.daemon
-	lists := [][]models.Event{d.ring.Events(filter)}
+	events, silent := gather(ctx, d.exchange.client, d.exchange.membership.Others(), filter)
+	merged := timeline.Merge(filter.Limit, d.ring.Events(filter), events)
+	for _, id := range silent {
+		merged = append(merged, d.silence(id))
+	}
+	return merged, nil
+}
+
+// gather asks members for their events, and returns who did not answer.
+func gather(ctx context.Context, daemons peer.Daemons, members []table.Member, filter models.EventFilter) (events []models.Event, silent []models.DaemonID) {
 	var mu sync.Mutex
-	var silent []models.Event
 	var group sync.WaitGroup
-	for _, member := range d.exchange.membership.Others() {
+	for _, member := range members {
 		group.Go(func() {
 			vm := models.VM{Daemon: string(member.ID), Zone: member.Zone, Address: member.Address}
-			events, err := d.exchange.client.Events(ctx, vm, filter)
+			answer, err := daemons.Events(ctx, vm, filter)
 			mu.Lock()
 			defer mu.Unlock()
-			lists = append(lists, events)
+			events = append(events, answer...)
 			if err != nil {
-				silent = append(silent, d.silence(member.ID))
+				silent = append(silent, member.ID)
 			}
 		})
 	}
 	group.Wait()
-	return append(timeline.Merge(filter.Limit, lists...), silent...), nil
+	slices.Sort(silent)
+	return events, silent
 }
 
 // silence is an event that is shown but not kept.
--- /dev/null
+++ b/daemon/overview_test.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+	"quincewinch/table"
+	"quincewinch/timeline"
+)
+
+// rings answer for daemons by name; others never answer.
+type rings map[string]*timeline.Ring
+
+func (rings) Exchange(context.Context, models.VM, models.Gossip) (models.Gossip, error) {
+	return models.Gossip{}, nil
+}
+
+func (r rings) Events(ctx context.Context, to models.VM, filter models.EventFilter) ([]models.Event, error) {
+	if ring, ok := r[to.Daemon]; ok {
+		return ring.Events(filter), nil
+	}
+	<-ctx.Done()
+	return nil, peer.NewFailure(peer.OutcomeUnknown, "no answer", ctx.Err())
+}
+
+func TestGatherMergesAndNamesTheSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := system.NewClock()
+		a := timeline.NewRing(clock, "a", "zone", 8, nil)
+		b := timeline.NewRing(clock, "b", "zone", 8, nil)
+		a.Record(models.Event{What: "cause"})
+		b.Observe(a.Stamp())
+		b.Record(models.Event{What: "effect"})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		members := []table.Member{{ID: "b"}, {ID: "paused"}, {ID: "a"}}
+		events, silent := gather(ctx, rings{"a": a, "b": b}, members, models.EventFilter{})
+		merged := timeline.Merge(0, events)
+		is.Equal(len(merged), 2)
+		is.Equal(merged[0].What, "cause") // in causal order
+		is.Equal(merged[1].What, "effect")
+		is.Equal(silent, []models.DaemonID{"paused"})
+	})
+}
