control: leases keep to their zones, and leave a table in trouble alone

Cause: tests of the spread, of a planned stop and of an hour's outage failed. After an outage each daemon found every lease free at once and took what was another zone's. A lease released to a better daemon was taken back before that one had read of it. In an outage three daemons tried 173,249 writes in an hour, five takeovers at each step. A takeover under way at a planned stop was kept. Change: turns count from when the table can be read again; a candidate waits longer for each one before it than a reading takes; nobody contends, and readings and renewals keep their intervals, while readings fail; a takeover that comes in after the stop is released.

--- a/control/lease.go
+++ b/control/lease.go
@@ -20,7 +20,7 @@
 	Renew     time.Duration // between two renewals
 	Read      time.Duration // between two readings of the leases
 	Timeout   time.Duration // of one call of the table
-	RankDelay time.Duration // a candidate lets each one before it go first
+	RankDelay time.Duration // a candidate lets each one before it go first; longer than Read
 	Rebalance time.Duration // until a lease moves to a better holder
 }
 
@@ -33,7 +33,7 @@
 		Renew:     time.Second,
 		Read:      time.Second,
 		Timeout:   2 * time.Second,
-		RankDelay: 500 * time.Millisecond,
+		RankDelay: 1250 * time.Millisecond,
 		Rebalance: 15 * time.Second,
 	}
 }
@@ -64,6 +64,8 @@
 	doubt   bool                     // the answer to the latest renewal was lost
 	through models.Revision
 	readAt  time.Time // of the latest reading; zero: read at once
+	reached time.Time // since when readings succeed; zero: the latest failed
+	tried   time.Time // when the latest renewal was sent
 	renewed time.Time // when the latest renewal that succeeded was sent
 }
 
@@ -164,6 +166,7 @@
 
 func (l *Leases) renewTogether(ctx context.Context, leases []heldLease) error {
 	started := l.clock.Now()
+	l.try(started)
 	var transaction models.Transaction
 	for _, h := range leases {
 		state := h.state
@@ -184,6 +187,13 @@
 	return nil
 }
 
+// try notes when a renewal was sent.
+func (l *Leases) try(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tried = at
+}
+
 // extend moves the deadlines of renewed leases on.
 func (l *Leases) extend(leases []heldLease, started time.Time) {
 	l.mu.Lock()
@@ -212,12 +222,19 @@
 	if l.doubt {
 		return false
 	}
+	if now.Sub(l.renewed) < l.settings.Renew && allValid(leases, now) {
+		return false
+	}
+	return now.Sub(l.tried) >= l.settings.Renew/2
+}
+
+func allValid(leases []heldLease, now time.Time) bool {
 	for _, h := range leases {
 		if !h.authority.Valid(now) {
-			return true
+			return false
 		}
 	}
-	return now.Sub(l.renewed) >= l.settings.Renew
+	return true
 }
 
 // noteLapses puts authorities that ran out on the time line, once each.
@@ -270,12 +287,10 @@
 	l.record(h.state, what, why)
 }
 
-// keep starts a lease of this daemon. Without a deadline it has to be renewed
-// before it gives any authority.
-func (l *Leases) keep(state models.LeaseState, revision models.Revision, deadline time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.held[state.Name] = &heldLease{
+// keep starts a lease of this daemon, unless it is leaving. Without a deadline
+// the lease has to be renewed before it gives any authority.
+func (l *Leases) keep(state models.LeaseState, revision models.Revision, deadline time.Time) (heldLease, bool) {
+	h := heldLease{
 		state: state,
 		authority: models.Authority{
 			Lease:    state.Name,
@@ -285,6 +300,13 @@
 		},
 		lapsed: deadline.IsZero(),
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leaving {
+		return h, false
+	}
+	l.held[state.Name] = &h
+	return h, true
 }
 
 func (l *Leases) snapshot() []heldLease {
--- a/control/lease_watch.go
+++ b/control/lease_watch.go
@@ -61,16 +61,20 @@
 	ctx, cancel := context.WithTimeout(ctx, l.settings.Timeout)
 	defer cancel()
 	changes, err := l.table.Changes(ctx, models.PartitionLeases, through)
-	if err != nil {
-		return known
-	}
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.readAt = now
+	if err != nil {
+		l.reached = time.Time{}
+		return known
+	}
+	if l.reached.IsZero() {
+		l.reached = now
+	}
 	for _, row := range changes.Rows {
 		l.take(row, now)
 	}
-	l.readAt = now
 	l.known = true
 	l.doubt = false
 	l.through = max(l.through, changes.Through)
@@ -142,7 +146,15 @@
 
 // contend takes a lease over when it is free and this daemon's turn.
 func (l *Leases) contend(ctx context.Context, w watchedLease, candidates []Candidate) {
+	reached := l.reachedSince()
+	if reached.IsZero() {
+		return
+	}
 	free, why := l.free(w)
+	// After an outage everybody finds everything free at once.
+	if free.Before(reached) {
+		free = reached
+	}
 	turn := free.Add(time.Duration(leaseRank(w.state.Name, l.self, candidates)) * l.settings.RankDelay)
 	if l.clock.Now().Before(turn) {
 		return
@@ -160,8 +172,10 @@
 		l.readSoon()
 		return
 	}
-	l.keep(state, revision, l.deadline(started))
 	l.record(state, "taken over", why)
+	if h, kept := l.keep(state, revision, l.deadline(started)); !kept {
+		l.release(ctx, h, "a planned stop")
+	}
 }
 
 // takeOver writes both rows, where neither has changed since it was watched.
@@ -243,6 +257,13 @@
 	}
 }
 
+// reachedSince returns since when readings of the table have succeeded.
+func (l *Leases) reachedSince() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reached
+}
+
 func (l *Leases) readSoon() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
