--- a/control/outage_test.go
+++ b/control/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -215,6 +216,23 @@
 	recovers(t, w)
 }
 
+// TestUnknownWithdrawalInOutage loses the answer of a withdrawal to an outage
+// that goes on: whether it took effect can't be known.
+func TestUnknownWithdrawalInOutage(t *testing.T) {
+	is := is.New(t)
+	w := ready(t)
+	w.store.SetFaults(platform.Faults{LoseAnswer: func(models.Transaction) bool { return true }})
+	_, err := w.nodes[0].withdraw("k1")
+	is.Equal(peer.OutcomeOf(err), peer.OutcomeUnknown)
+	w.store.SetFaults(platform.Faults{Down: true})
+	w.run(keyFreshness + 2*time.Second)
+	serves(t, w, time.Minute, false, w.nodes...)
+	recovers(t, w)
+	for _, n := range w.nodes {
+		is.True(!n.admits("k1"))
+	}
+}
+
 func TestWithdrawnKeyIsNotRevivedByAnEdit(t *testing.T) {
 	is := is.New(t)
 	w := ready(t)
@@ -245,3 +263,19 @@
 	is.Equal(len(part), 6)
 	is.Equal(through, models.Revision(5))
 }
+
+func TestPartOfADeltaIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	w := newWorld("a")
+	n := w.nodes[0]
+	w.run(settled)
+	_, _, evidence := n.configuration.Delta(0)
+	is.Equal(evidence.Source, models.EvidenceOwn)
+	var rows []models.Row
+	for i := range deltaRows + 1 {
+		rows = append(rows, models.Row{Key: table.Key(table.KindRoute, strconv.Itoa(i)), Revision: models.Revision(1000 + i), Value: []byte(`{"kind": "model"}`)})
+	}
+	n.configuration.Learn(rows)
+	_, _, evidence = n.configuration.Delta(0)
+	is.Equal(evidence.Source, models.EvidenceNone)
+}
