--- a/request/commit.go
+++ b/request/commit.go
@@ -16,8 +16,10 @@
 	commitWindow = 10 * time.Millisecond
 	// commitBatch is the greatest number of rows in a transaction.
 	commitBatch = 64
-	// commitBackoff is the wait after a transaction that met no store.
-	commitBackoff = 250 * time.Millisecond
+	// commitBackoff is the wait after a transaction that met no store; it
+	// doubles up to commitBackoffMax while outcomes alone wait.
+	commitBackoff    = 250 * time.Millisecond
+	commitBackoffMax = time.Second
 	// commitPending is how many outcomes wait for the store at the most.
 	commitPending = 4096
 	// commitKeep is how long an outcome waits for the store.
@@ -65,12 +67,14 @@
 	running bool
 	idle    chan struct{} // closed while nothing is pending
 	number  uint64
+
+	hurry chan struct{} // a request waits for its claim
 }
 
 func newCommitter(table peer.Table, clock peer.Clock, name string, timeout time.Duration) *committer {
 	idle := make(chan struct{})
 	close(idle)
-	return &committer{table: table, clock: clock, name: name, timeout: timeout, idle: idle}
+	return &committer{table: table, clock: clock, name: name, timeout: timeout, idle: idle, hurry: make(chan struct{}, 1)}
 }
 
 // submit hands over a write; it is settled when its done is closed.
@@ -81,6 +85,12 @@
 	defer c.mu.Unlock()
 	c.pending = append(c.pending, w)
 	c.shed()
+	if !w.lasting {
+		select {
+		case c.hurry <- struct{}{}:
+		default:
+		}
+	}
 	if c.running {
 		return
 	}
@@ -136,16 +146,29 @@
 }
 
 func (c *committer) run() {
+	backoff := commitBackoff
 	for {
 		batch, id := c.take()
 		if len(batch) == 0 {
 			return
 		}
-		wait := commitWindow
-		if !c.settle(batch, id) {
-			wait = commitBackoff
+		if c.settle(batch, id) {
+			backoff = commitBackoff
+		} else {
+			c.rest(backoff)
+			backoff = min(2*backoff, commitBackoffMax)
 		}
-		_ = c.clock.Sleep(context.Background(), wait)
+		_ = c.clock.Sleep(context.Background(), commitWindow)
+	}
+}
+
+// rest waits for d, or until a request waits for its claim.
+func (c *committer) rest(d time.Duration) {
+	timer := c.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-c.hurry:
 	}
 }
 
