--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"quincewinch/config"
 	"quincewinch/control"
@@ -24,7 +25,6 @@
 	"quincewinch/peer/caller"
 	"quincewinch/peer/engine"
 	"quincewinch/peer/operator"
-	"quincewinch/peer/platform"
 	"quincewinch/peer/service"
 	"quincewinch/request"
 	"quincewinch/timeline"
@@ -46,10 +46,14 @@
 	ring          *timeline.Ring
 	registry      *prometheus.Registry
 	system        *control.System
+	platform      platformServices
 	configuration *control.Configuration
 	engines       *control.Engines
+	exchange      exchange
 	claims        *request.Claims
 	gate          *request.Gate
+	leases        *control.Leases
+	orders        *control.Orders
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -60,6 +64,7 @@
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Metrics   netip.AddrPort
+	Daemons   netip.AddrPort
 }
 
 // Addresses returns where the daemon listens.
@@ -90,15 +95,21 @@
 // Start binds the listeners and starts the control tasks.
 func (d *Daemon) Start() error {
 	client := &http.Client{}
-	table := platform.NewClient(d.settings.Platform.URL.String(), client)
+	d.platform = d.platformServices(client)
 	engines := engine.NewClients(client)
-	d.configuration = control.NewConfiguration(table, d.clock, d.ring)
+	d.configuration = control.NewConfiguration(d.platform.table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
-	line := d.line(table, engines, service.NewClients(client))
-	editor := control.NewEditor(table, d.configuration, d.ring)
+	if err := d.startExchange(insecure.NewCredentials()); err != nil {
+		return err
+	}
+	line := d.line(engines, service.NewClients(client))
+	editor := control.NewEditor(d.id, d.platform.table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
+	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
-	d.system.Spawn(request.NewClaimCleaner(table, table, d.clock, d.id), claimCleaning)
+	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock, d.id), claimCleaning)
+	d.startLeases()
+	d.startOrders(engines)
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -110,8 +121,10 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.ring.Record(models.Event{Kind: models.EventProcess, What: "daemon stops", Why: "a planned stop"})
 	d.ready.drain()
+	d.leaveExchange(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
+	d.leases.Release(ctx)
 	failed := errors.Annotate(d.gate.Drain(ctx), "requests were still running at the end of the drain timeout")
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), closingTimeout)
 	defer cancel()
@@ -124,6 +137,7 @@
 		failed = errors.Annotate(err, "outcomes of claimed requests were not stored")
 	}
 	d.system.Stop()
+	d.stopExchange(context.WithoutCancel(ctx))
 	return failed
 }
 
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -3,14 +3,13 @@
 import (
 	"quincewinch/control"
 	"quincewinch/peer"
-	"quincewinch/peer/platform"
 	"quincewinch/request"
 )
 
 // line returns the filters in the order a request meets them.
-func (d *Daemon) line(store *platform.Client, engines peer.Engines, services peer.Services) request.Handler {
-	d.claims = request.NewClaims(store, store, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
-	placer := request.NewTurnPlacer(d.configuration, d.engines)
+func (d *Daemon) line(engines peer.Engines, services peer.Services) request.Handler {
+	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
+	placer := d.newPlacer(engines)
 	sender := request.NewSender(engines, services, d.configuration, placer, d.engines, d.ring, d.clock, request.SenderSettings{
 		Zone:  d.settings.Zone,
 		Stall: d.settings.Engines.Timeout,
@@ -20,6 +19,7 @@
 		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
 		request.Metered(control.NewMeter(), d.clock),
+		d.newQueue(placer).Filter(),
 		d.claims.Filter(),
 	)
 }
