request: say not run of a repeat only where the first attempt has not run either

Cause: a refusal before the claim is read (stopping daemon, key not confirmed, store out of reach) said not run of a request with an idempotency key, of which an earlier attempt may have run at another daemon. The queue already held back there; now every filter before the claim does. Such a refusal with Retry-After still tells clients to try again, which the key makes safe.

The invariant check of not-run refusals now also looks at earlier runs under the same claim; the test of an unsettled claim expects the stricter answer.

Claims' transactions carry no identity any more: their rows settle them, and the retrying table would write a marker row for each.

Seen to fail when broken: the store's refusal saying not run again (TestSchedules).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -107,7 +107,7 @@
 	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
-	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock, d.id), claimCleaning)
+	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock), claimCleaning)
 	d.startLeases()
 	d.startOrders(engines)
 	if err := d.listen(line, editor); err != nil {
--- a/invariant/check.go
+++ b/invariant/check.go
@@ -179,7 +179,8 @@
 			continue
 		}
 		for _, r := range h.runs {
-			if r.Request == a.Request {
+			repeated := a.Claim != "" && r.Claim == a.Claim && !r.At.After(a.At)
+			if r.Request == a.Request || repeated {
 				found = append(found, "request "+string(a.Request)+" ran at "+r.Backend)
 			}
 		}
--- a/invariant/check_test.go
+++ b/invariant/check_test.go
@@ -82,6 +82,12 @@
 			h.Answer(invariant.Answer{Request: "r", Refusal: &models.Refusal{NotRun: true}})
 		})
 	})
+	t.Run("false not run of a repeat", func(t *testing.T) {
+		expect(t, "a refusal that says not run is true", func(h *invariant.History) {
+			h.Run(invariant.Run{At: start, Request: "r", Claim: "c"})
+			h.Answer(invariant.Answer{At: start.Add(time.Second), Request: "s", Claim: "c", Refusal: &models.Refusal{NotRun: true}})
+		})
+	})
 	t.Run("ran twice", func(t *testing.T) {
 		expect(t, "a request that may not be repeated runs at most once", func(h *invariant.History) {
 			h.Run(invariant.Run{Claim: "c"})
--- a/invariant/history.go
+++ b/invariant/history.go
@@ -58,6 +58,7 @@
 
 // Answer is the end of a request as its caller saw it.
 type Answer struct {
+	At      time.Time
 	Request models.RequestID
 	Claim   string
 	Text    string // of a whole answer
--- a/peer/caller/handler.go
+++ b/peer/caller/handler.go
@@ -155,7 +155,7 @@
 		return
 	}
 	e.BodyHash = sha256.Sum256(body)
-	s := &sink{w: w, clock: h.clock, id: e.ID, created: e.Received.Unix(), request: d}
+	s := &sink{w: w, clock: h.clock, id: e.ID, created: e.Received.Unix(), request: d, keyed: e.IdempotencyKey != ""}
 	e.Sink = s
 	ctx, cancel := context.WithDeadline(r.Context(), e.Deadline)
 	defer cancel()
--- a/peer/caller/refuse.go
+++ b/peer/caller/refuse.go
@@ -35,8 +35,14 @@
 const shouldRetryHeader = "X-Should-Retry"
 
 func refuse(w http.ResponseWriter, refusal *models.Refusal) {
+	refuseAttempt(w, refusal, refusal.NotRun)
+}
+
+// refuseAttempt refuses one attempt at a request. Repeated tells that a further
+// attempt does no harm.
+func refuseAttempt(w http.ResponseWriter, refusal *models.Refusal, repeated bool) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(shouldRetryHeader, strconv.FormatBool(refusal.NotRun && refusal.RetryAfter > 0))
+	w.Header().Set(shouldRetryHeader, strconv.FormatBool(repeated && refusal.RetryAfter > 0))
 	if refusal.RetryAfter > 0 {
 		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
--- a/peer/caller/sink.go
+++ b/peer/caller/sink.go
@@ -30,6 +30,7 @@
 	request decoded
 	text    strings.Builder
 	begun   bool // the status line is out
+	keyed   bool // an idempotency key makes a further attempt safe
 }
 
 // Piece implements request.Sink.
@@ -73,7 +74,7 @@
 	// The deadline of the last piece may be over.
 	_ = http.NewResponseController(s.w).SetWriteDeadline(s.clock.Now().Add(failTimeout))
 	if !s.begun {
-		refuse(s.w, refusal)
+		refuseAttempt(s.w, refusal, refusal.NotRun || s.keyed)
 		return
 	}
 	if s.request.stream {
--- a/request/authenticate.go
+++ b/request/authenticate.go
@@ -20,7 +20,7 @@
 			config := configuration.Config()
 			route, ok := config.Routes[e.RouteName]
 			if !ok {
-				return &models.Refusal{Code: models.RefusalUnknownRoute, Message: "no route " + e.RouteName, NotRun: true}
+				return &models.Refusal{Code: models.RefusalUnknownRoute, Message: "no route " + e.RouteName, NotRun: neverRun(e)}
 			}
 			e.Route = route
 			if route.Open && key == "" {
@@ -41,14 +41,14 @@
 	hash := sha256.Sum256([]byte(key))
 	found, ok := config.Keys[hash]
 	if !ok || key == "" {
-		return &models.Refusal{Code: models.RefusalNoKey, Message: "the key is not valid", NotRun: true}
+		return &models.Refusal{Code: models.RefusalNoKey, Message: "the key is not valid", NotRun: neverRun(e)}
 	}
 	if found.Withdrawn {
-		return &models.Refusal{Code: models.RefusalKeyWithdrawn, Message: "the key has been withdrawn", NotRun: true}
+		return &models.Refusal{Code: models.RefusalKeyWithdrawn, Message: "the key has been withdrawn", NotRun: neverRun(e)}
 	}
 	workspace, ok := config.Workspaces[found.Workspace]
 	if !ok {
-		return &models.Refusal{Code: models.RefusalNoKey, Message: "the key's workspace does not exist", NotRun: true}
+		return &models.Refusal{Code: models.RefusalNoKey, Message: "the key's workspace does not exist", NotRun: neverRun(e)}
 	}
 	e.KeyID = found.ID
 	e.KeyHash = hash
@@ -65,7 +65,7 @@
 	return &models.Refusal{
 		Code:       models.RefusalKeyStale,
 		Message:    "it cannot be confirmed here that the key is still valid",
-		NotRun:     true,
+		NotRun:     neverRun(e),
 		RetryAfter: staleRetryAfter,
 	}
 }
--- a/request/claim.go
+++ b/request/claim.go
@@ -62,7 +62,7 @@
 		clock:    clock,
 		timeline: timeline,
 		daemon:   daemon,
-		commits:  newCommitter(table, clock, string(daemon), timeout),
+		commits:  newCommitter(table, clock, timeout),
 		local:    map[models.RowKey]*localClaim{},
 	}
 }
@@ -171,7 +171,7 @@
 			return write, claimRow{}, nil
 		}
 		if result != settlementLost {
-			return nil, claimRow{}, storeUnreachable()
+			return nil, claimRow{}, storeUnreachable(e)
 		}
 		row, standing, err := c.watch(ctx, e, write.row)
 		if err != nil {
--- a/request/claim_test.go
+++ b/request/claim_test.go
@@ -329,7 +329,8 @@
 			}})
 			_, refusal := c.book(t.Context(), 0, "r1", "k", "x")
 			is.Equal(refusal.Code, models.RefusalStore)
-			is.True(refusal.NotRun)
+			is.True(!refusal.NotRun) // an earlier attempt under the key may have run
+			is.True(refusal.RetryAfter > 0)
 			is.Equal(c.ledger.count(), 0)
 			c.store.SetFaults(platform.Faults{})
 			c.links[0].cut.Store(false)
@@ -395,7 +396,7 @@
 			is.Equal(refusal, nil)
 		}
 		is.NoErr(c.parts[0].Flush(t.Context()))
-		cleaner := request.NewClaimCleaner(c.store, c.store, system.NewClock(), "a")
+		cleaner := request.NewClaimCleaner(c.store, c.store, system.NewClock())
 		live := func() int {
 			changes, err := c.store.Changes(t.Context(), models.PartitionClaims, 0)
 			is.NoErr(err)
--- a/request/clean.go
+++ b/request/clean.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"quincewinch/models"
@@ -18,13 +17,12 @@
 	table   peer.Table
 	objects peer.Objects
 	clock   peer.Clock
-	daemon  models.DaemonID
 	after   models.Revision // nothing to delete up to here
 }
 
 // NewClaimCleaner returns a cleaner that has seen no claim.
-func NewClaimCleaner(table peer.Table, objects peer.Objects, clock peer.Clock, daemon models.DaemonID) *ClaimCleaner {
-	return &ClaimCleaner{table: table, objects: objects, clock: clock, daemon: daemon}
+func NewClaimCleaner(table peer.Table, objects peer.Objects, clock peer.Clock) *ClaimCleaner {
+	return &ClaimCleaner{table: table, objects: objects, clock: clock}
 }
 
 // Step implements control.Task.
@@ -63,7 +61,7 @@
 	if len(rows) == 0 {
 		return
 	}
-	transaction := models.Transaction{ID: string(c.daemon) + "-clean-" + strconv.FormatUint(uint64(rows[0].Revision), 10) + "-" + rows[0].Key.Name}
+	transaction := models.Transaction{}
 	for _, row := range rows {
 		claim, err := decodeClaim(row.Value)
 		if err == nil && claim.object != "" && c.objects.Delete(ctx, claim.object) != nil {
--- a/request/commit.go
+++ b/request/commit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -59,22 +58,19 @@
 type committer struct {
 	table   peer.Table
 	clock   peer.Clock
-	name    string
 	timeout time.Duration // of one call of the table
 
 	mu      sync.Mutex
 	pending []*commit
 	running bool
 	idle    chan struct{} // closed while nothing is pending
-	number  uint64
-
-	hurry chan struct{} // a request waits for its claim
+	hurry   chan struct{} // a request waits for its claim
 }
 
-func newCommitter(table peer.Table, clock peer.Clock, name string, timeout time.Duration) *committer {
+func newCommitter(table peer.Table, clock peer.Clock, timeout time.Duration) *committer {
 	idle := make(chan struct{})
 	close(idle)
-	return &committer{table: table, clock: clock, name: name, timeout: timeout, idle: idle, hurry: make(chan struct{}, 1)}
+	return &committer{table: table, clock: clock, timeout: timeout, idle: idle, hurry: make(chan struct{}, 1)}
 }
 
 // submit hands over a write; it is settled when its done is closed.
@@ -148,11 +144,11 @@
 func (c *committer) run() {
 	backoff := commitBackoff
 	for {
-		batch, id := c.take()
+		batch := c.take()
 		if len(batch) == 0 {
 			return
 		}
-		if c.settle(batch, id) {
+		if c.settle(batch) {
 			backoff = commitBackoff
 		} else {
 			c.rest(backoff)
@@ -174,14 +170,14 @@
 
 // take chooses the writes of the next transaction: those that a request waits
 // for first, and at most one of a row.
-func (c *committer) take() ([]*commit, string) {
+func (c *committer) take() []*commit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expire()
 	if len(c.pending) == 0 {
 		c.running = false
 		close(c.idle)
-		return nil, ""
+		return nil
 	}
 	var batch []*commit
 	keys := map[models.RowKey]bool{}
@@ -194,8 +190,7 @@
 			}
 		}
 	}
-	c.number++
-	return batch, c.name + "-claims-" + strconv.FormatUint(c.number, 10)
+	return batch
 }
 
 // expire drops lasting writes that have waited too long. The lock is held.
@@ -211,8 +206,8 @@
 }
 
 // settle commits a batch and reports whether the store answered.
-func (c *committer) settle(batch []*commit, id string) bool {
-	batch, transaction := c.transaction(batch, id)
+func (c *committer) settle(batch []*commit) bool {
+	batch, transaction := c.transaction(batch)
 	if len(batch) == 0 {
 		return true
 	}
@@ -235,9 +230,11 @@
 	return true
 }
 
-// transaction returns the transaction of a batch, and the writes in it.
-func (c *committer) transaction(batch []*commit, id string) ([]*commit, models.Transaction) {
-	transaction := models.Transaction{ID: id}
+// transaction returns the transaction of a batch, and the writes in it. It has
+// no identity: the rows themselves show whether it was committed, and a marker
+// would be one more row to write.
+func (c *committer) transaction(batch []*commit) ([]*commit, models.Transaction) {
+	var transaction models.Transaction
 	var kept []*commit
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/request/fleet_test.go
+++ b/request/fleet_test.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithDeadline(ctx, e.Deadline)
 	defer cancel()
 	err := f.lines[daemon].Handle(ctx, e)
-	answer := invariant.Answer{Request: e.ID, Claim: key, Want: want}
+	answer := invariant.Answer{At: f.clock.Now(), Request: e.ID, Claim: key, Want: want}
 	var whole bool
 	answer.Text, whole = sink.text()
 	if !errors.As(err, &answer.Refusal) && !whole && !sink.gone {
--- a/request/gate.go
+++ b/request/gate.go
@@ -31,7 +31,7 @@
 				return &models.Refusal{
 					Code:       models.RefusalDraining,
 					Message:    "this daemon is about to stop",
-					NotRun:     true,
+					NotRun:     neverRun(e),
 					RetryAfter: busyRetryAfter,
 				}
 			}
--- a/request/refuse.go
+++ b/request/refuse.go
@@ -19,11 +19,11 @@
 	return &models.Refusal{Code: models.RefusalNoBackend, Message: message, NotRun: true, RetryAfter: busyRetryAfter}
 }
 
-func storeUnreachable() *models.Refusal {
+func storeUnreachable(e *Exchange) *models.Refusal {
 	return &models.Refusal{
 		Code:       models.RefusalStore,
-		Message:    "the request may not be repeated, and its claim could not be written",
-		NotRun:     true,
+		Message:    "this attempt did not run: the request may not be repeated, and its claim could not be written",
+		NotRun:     neverRun(e),
 		RetryAfter: staleRetryAfter,
 	}
 }
