control: keep engines as they ought to be

Cause: nothing gave engines orders; a crashed, stuck or misplaced one stayed so. Change: the holder of a zone's lease writes the desired state of each engine under the lease's guard, compares it with what is observed and mends the difference one step at a time: drain, wait for running requests, order, check, resume. The decision is a pure function of row and observation, so that a new holder goes on where the last one stopped. Plans come from policy/fleet; every daemon follows the work offered. Fleet tests in virtual time with invariant.Check: swing, crash, loss, lost answers, stuck change, wrong answers, lease moved, paused holder, zone cut off and healed.

--- /dev/null
+++ b/control/fleet_demand.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/policy/fleet"
+)
+
+// shortestCount is the least time between two reports that give a rate.
+const shortestCount = 500 * time.Millisecond
+
+// tokenRates are tokens offered in a second.
+type tokenRates struct {
+	prompt float64
+	output float64
+}
+
+// demand turns the counts that daemons report into the work offered for each
+// model and zone, and follows that.
+type demand struct {
+	reportAge time.Duration
+	counts    map[models.DaemonID]*offeredCounts
+	offered   map[models.Zone]map[models.Model]tokenRates
+
+	estimators map[estimatorKey]*fleet.Estimator
+}
+
+// offeredCounts are one daemon's totals, and their growth.
+type offeredCounts struct {
+	zone   models.Zone
+	at     time.Time
+	number uint64
+	totals map[models.Model]models.OfferedWork
+	rates  map[models.Model]tokenRates
+}
+
+func newDemand(settings FleetSettings) *demand {
+	return &demand{
+		reportAge:  settings.ReportAge,
+		counts:     map[models.DaemonID]*offeredCounts{},
+		estimators: map[estimatorKey]*fleet.Estimator{},
+	}
+}
+
+// estimator returns the estimator of a group in a zone.
+func (d *demand) estimator(key estimatorKey) *fleet.Estimator {
+	e, ok := d.estimators[key]
+	if !ok {
+		e = fleet.NewEstimator()
+		d.estimators[key] = e
+	}
+	return e
+}
+
+// observe takes in the latest reports. A daemon that falls silent counts with
+// its last rates until its report is too old.
+func (d *demand) observe(now time.Time, reports []models.PeerReport) {
+	for _, report := range reports {
+		d.count(report)
+	}
+	d.offered = map[models.Zone]map[models.Model]tokenRates{}
+	for daemon, counts := range d.counts {
+		if now.Sub(counts.at) > d.reportAge {
+			delete(d.counts, daemon)
+			continue
+		}
+		zone, ok := d.offered[counts.zone]
+		if !ok {
+			zone = map[models.Model]tokenRates{}
+			d.offered[counts.zone] = zone
+		}
+		for model, rates := range counts.rates {
+			sum := zone[model]
+			zone[model] = tokenRates{prompt: sum.prompt + rates.prompt, output: sum.output + rates.output}
+		}
+	}
+}
+
+// count takes in one daemon's totals. The first ones only set the mark.
+func (d *demand) count(report models.PeerReport) {
+	last, ok := d.counts[report.Report.Daemon]
+	if !ok {
+		d.counts[report.Report.Daemon] = &offeredCounts{
+			zone:   report.Report.Zone,
+			at:     report.ReceivedAt,
+			number: report.Report.Sequence,
+			totals: report.Report.Offered,
+		}
+		return
+	}
+	passed := report.ReceivedAt.Sub(last.at)
+	if passed < shortestCount || report.Report.Sequence < last.number {
+		return
+	}
+	last.rates = map[models.Model]tokenRates{}
+	for model, total := range report.Report.Offered {
+		before := last.totals[model]
+		last.rates[model] = tokenRates{
+			prompt: float64(total.PromptTokens-before.PromptTokens) / passed.Seconds(),
+			output: float64(total.OutputTokens-before.OutputTokens) / passed.Seconds(),
+		}
+	}
+	last.at = report.ReceivedAt
+	last.number = report.Report.Sequence
+	last.totals = report.Report.Offered
+}
+
+// work returns the work offered in a zone for some models, in engines of
+// given rates kept busy.
+func (d *demand) work(zone models.Zone, group []models.Model, rates engineRates) fleet.Work {
+	var work fleet.Work
+	for _, model := range group {
+		offered := d.offered[zone][model]
+		work.Prefill += offered.prompt / rates.prefill
+		work.Decode += offered.output / rates.decode
+	}
+	return work
+}
--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,246 @@
+package control_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/standin/engine"
+)
+
+const engineCount = 12
+
+// swing lets the mix move from a third of prefill to more than half.
+func swing(w *world) {
+	w.offer(5.7, 5.1)
+}
+
+func TestFleetFollowsASwing(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 60, fleet)
+		is.Equal(w.roles()[models.RolePrefill], 4) // nothing to change before the swing
+		swing(w)
+		w.run(t, 90, fleet)
+		is.True(w.roles()[models.RolePrefill]+w.roles()[models.RoleBoth] >= 6)
+		assertWorking(t, w)
+		assertExplained(t, w)
+	})
+}
+
+// assertExplained fails unless each change of role tells its figures.
+func assertExplained(t *testing.T, w *world) {
+	t.Helper()
+	is := is.New(t)
+	events := w.ring.Events(models.EventFilter{Kind: models.EventRole})
+	is.True(len(events) > 0)
+	for _, event := range events {
+		is.True(strings.Contains(event.Why, "engine-seconds over that time and costs"))
+	}
+}
+
+func TestExplainTellsFiguresAndState(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 10, fleet)
+		text := strings.Join(fleet.Explain("engine-100"), " ")
+		is.True(strings.Contains(text, "reports role prefill"))
+		is.True(strings.Contains(text, "4 for prefill, 8 for decode"))
+		is.True(strings.Contains(text, "the step is steady"))
+	})
+}
+
+// changing runs until an engine is in the midst of its change, and returns it.
+func changing(t *testing.T, w *world, run func()) models.EngineID {
+	t.Helper()
+	swing(w)
+	for range 60 {
+		run()
+		for id, state := range (seen{world: w}).States() {
+			if state.Changing {
+				return id
+			}
+		}
+	}
+	is.New(t).Fail() // no change began
+	return ""
+}
+
+func TestCrashDuringAChange(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 60, fleet)
+		id := changing(t, w, func() { w.run(t, 1, fleet) })
+		w.engines[id].Crash()
+		w.run(t, 10, fleet)
+		w.engines[id].Restart()
+		w.run(t, 90, fleet)
+		assertWorking(t, w)
+		is.True(w.roles()[models.RolePrefill]+w.roles()[models.RoleBoth] >= 6) // its change was made up for
+	})
+}
+
+func TestEngineThatStaysAwayIsBroken(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 60, fleet)
+		id := changing(t, w, func() { w.run(t, 1, fleet) })
+		w.engines[id].Crash()
+		w.run(t, 120, fleet)
+		is.True(strings.Contains(strings.Join(fleet.Explain(id), " "), "the step is broken"))
+		assertWorking(t, w, id)
+		w.engines[id].Restart()
+		w.run(t, 60, fleet)
+		assertWorking(t, w) // it came back by itself
+	})
+}
+
+func TestLostOrderAnswers(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 60, fleet)
+		for _, e := range w.engines {
+			e.SetFaults(engine.Faults{LoseOrderAnswer: true})
+		}
+		swing(w)
+		w.run(t, 90, fleet)
+		is.True(w.roles()[models.RolePrefill]+w.roles()[models.RoleBoth] >= 6)
+		assertWorking(t, w)
+	})
+}
+
+func TestLongRequestsAreNotCut(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		for _, e := range w.engines {
+			e.SetFaults(engine.Faults{Slow: time.Second})
+		}
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 60, fleet)
+		swing(w)
+		w.run(t, 180, fleet)
+		is.True(w.roles()[models.RolePrefill]+w.roles()[models.RoleBoth] >= 6)
+	})
+}
+
+func TestStuckChange(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.cost.RoleTime = time.Hour
+		for i := range engineCount {
+			w.add(engineName(i), w.config.Backends[engineName(i)].Zone, startRole(i, engineCount))
+		}
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 60, fleet)
+		id := changing(t, w, func() { w.run(t, 1, fleet) })
+		w.run(t, 120, fleet)
+		is.True(strings.Contains(strings.Join(fleet.Explain(id), " "), "over the limit of 1m0s"))
+		states := seen{world: w}.States()
+		able := map[models.Role]int{}
+		for _, state := range states {
+			if !state.Changing && !state.Draining {
+				able[state.Role]++
+			}
+		}
+		is.True(able[models.RolePrefill]+able[models.RoleBoth] > 0) // neither role was emptied
+		is.True(able[models.RoleDecode]+able[models.RoleBoth] > 0)
+	})
+}
+
+// crossed gives answers that belong to another request.
+type crossed struct {
+	peer.Engine
+}
+
+// Generate implements peer.Engine.
+func (c crossed) Generate(ctx context.Context, generation models.Generation) (peer.TokenStream, error) {
+	stream, err := c.Engine.Generate(ctx, generation)
+	return crossedStream{stream}, err
+}
+
+type crossedStream struct {
+	peer.TokenStream
+}
+
+// Next implements peer.TokenStream.
+func (c crossedStream) Next(ctx context.Context) (models.Piece, error) {
+	piece, err := c.TokenStream.Next(ctx)
+	piece.Request = "another"
+	return piece, err
+}
+
+func TestEngineThatAnswersWronglyGetsNoWork(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.faulty["engine-100"] = crossed{w.engines["engine-100"]}
+		fleet := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 75, fleet)
+		is.True(seen{world: w}.States()["engine-100"].Draining)
+		is.True(strings.Contains(strings.Join(fleet.Explain("engine-100"), " "), "the step is broken"))
+	})
+}
+
+func TestLeaseMovesDuringAChange(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		old := w.holder("entry-1", w.leases.current(), nil)
+		w.run(t, 60, old)
+		changing(t, w, func() { w.run(t, 1, old) })
+		w.leases.move()
+		successor := w.holder("entry-2", w.leases.current(), nil)
+		w.run(t, 90, successor)
+		is.True(w.roles()[models.RolePrefill]+w.roles()[models.RoleBoth] >= 6)
+		assertWorking(t, w)
+	})
+}
+
+func TestPausedHolderHasNoEffect(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		belief := w.leases.current()
+		belief.paused = true
+		old := w.holder("entry-1", belief, nil)
+		w.run(t, 60, old)
+		w.leases.move()
+		belief.authority.Deadline = time.Time{} // it still believes in its lease for a while
+		successor := w.holder("entry-2", w.leases.current(), nil)
+		swing(w)
+		w.run(t, 90, old, successor)
+		assertWorking(t, w)
+		is.New(t).True(w.roles()[models.RolePrefill]+w.roles()[models.RoleBoth] >= 6)
+	})
+}
+
+func TestZoneCutOffAndHealed(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		isCut := false
+		cut := func(zone models.Zone) bool { return isCut && zone == "zone-1" }
+		fleet := w.holder("entry-1", w.leases.current(), cut)
+		w.run(t, 60, fleet)
+		isCut = true
+		w.offer(2.7, 2.5) // one side's share of the work
+		w.run(t, 120, fleet)
+		changes := w.ring.Events(models.EventFilter{Kind: models.EventRole})
+		is.True(len(changes) > 0) // the side planned for what it reached
+		for _, change := range changes {
+			is.Equal(w.config.Backends[change.Engine].Zone, models.Zone("zone-0"))
+		}
+		isCut = false
+		w.offer(5.4, 5)
+		w.run(t, 120, fleet)
+		settled := len(w.ring.Events(models.EventFilter{Kind: models.EventRole}))
+		w.run(t, 120, fleet)
+		is.Equal(len(w.ring.Events(models.EventFilter{Kind: models.EventRole})), settled) // no thrash
+		assertWorking(t, w)
+	})
+}
--- /dev/null
+++ b/control/fleet_world_test.go
@@ -0,0 +1,363 @@
+package control_test
+
+import (
+	"context"
+	"maps"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/control"
+	"quincewinch/invariant"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+	"quincewinch/standin/engine"
+	"quincewinch/standin/platform"
+	"quincewinch/timeline"
+)
+
+const (
+	zoneCount  = 2
+	model      = models.Model("catalogue")
+	leaseTime  = 10 * time.Second
+	firstFence = 1
+)
+
+// world is a fleet of stand-ins in virtual time.
+type world struct {
+	clock   system.Clock
+	store   *platform.Store
+	engines map[models.EngineID]*engine.Engine
+	faulty  map[models.EngineID]peer.Engine // takes the place of an engine
+	config  *models.Config
+	history *invariant.History
+	ring    *timeline.Ring
+	leases  *leaseTable
+	cost    engine.Cost
+
+	mu      sync.Mutex
+	offered models.OfferedWork
+	load    models.OfferedWork // offered in each second, in both zones
+	answers int
+}
+
+// newWorld returns engines in turn over two zones, a third of them for
+// prefill.
+func newWorld(t *testing.T, count int) *world {
+	t.Helper()
+	clock := system.NewClock()
+	w := &world{
+		clock:   clock,
+		store:   platform.NewStore(clock),
+		engines: map[models.EngineID]*engine.Engine{},
+		faulty:  map[models.EngineID]peer.Engine{},
+		config:  &models.Config{Through: 1, Backends: map[models.EngineID]models.BackendServer{}},
+		history: &invariant.History{},
+		ring:    timeline.NewRing(clock, "entry-1", "zone-0", 4096, nil),
+		cost:    engine.DefaultCost(),
+	}
+	w.leases = newLeaseTable(t, w.store, clock)
+	for i := range count {
+		w.add(engineName(i), models.Zone("zone-"+strconv.Itoa(i%zoneCount)), startRole(i, count))
+	}
+	return w
+}
+
+func engineName(i int) models.EngineID {
+	return models.EngineID("engine-" + strconv.Itoa(100+i))
+}
+
+func startRole(i, count int) models.Role {
+	if i < count/3 {
+		return models.RolePrefill
+	}
+	return models.RoleDecode
+}
+
+func (w *world) add(id models.EngineID, zone models.Zone, role models.Role) {
+	w.engines[id] = engine.New(w.clock, engine.Settings{
+		ID:          id,
+		Role:        role,
+		Models:      []models.Model{model},
+		ChecksFence: true,
+		Cost:        w.cost,
+	})
+	w.config.Backends[id] = models.BackendServer{Engine: id, Zone: zone, ChecksFence: true}
+}
+
+// offer sets the work offered, in engines kept busy by prefill and by decode.
+func (w *world) offer(prefill, decode float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.load = models.OfferedWork{
+		PromptTokens: int64(prefill * w.cost.PrefillRate),
+		OutputTokens: int64(decode * float64(time.Second) / float64(w.cost.StepTime) * 24),
+	}
+}
+
+// Fill implements peer.ReportSource.
+func (w *world) Fill(report *models.DaemonReport) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	report.Offered = map[models.Model]models.OfferedWork{model: w.offered}
+}
+
+// Reports implements peer.Reports: there are no other daemons.
+func (w *world) Reports() []models.PeerReport { return nil }
+
+// Config implements peer.Configuration.
+func (w *world) Config() *models.Config { return w.config }
+
+// Evidence implements peer.Configuration.
+func (w *world) Evidence() models.Evidence { return models.Evidence{} }
+
+// Watch implements peer.Configuration.
+func (w *world) Watch() <-chan struct{} { return nil }
+
+// Engine implements peer.Engines.
+func (w *world) Engine(server models.BackendServer) peer.Engine {
+	if faulty, ok := w.faulty[server.Engine]; ok {
+		return faulty
+	}
+	return w.engines[server.Engine]
+}
+
+// seen gives the states of the engines that a side of a partition reaches.
+type seen struct {
+	world *world
+	cut   func(zone models.Zone) bool
+}
+
+// States implements peer.EngineStates.
+func (s seen) States() map[models.EngineID]models.EngineState {
+	states := map[models.EngineID]models.EngineState{}
+	for id, e := range s.world.engines {
+		if s.cut != nil && s.cut(s.world.config.Backends[id].Zone) {
+			continue
+		}
+		if state, err := e.State(context.Background()); err == nil {
+			states[id] = state
+		}
+	}
+	return states
+}
+
+// holder returns the fleet's control of a daemon, with the leases it believes
+// to hold.
+func (w *world) holder(daemon models.DaemonID, leases peer.Leases, cut func(models.Zone) bool) *control.Fleet {
+	return control.NewFleet(control.FleetPeers{
+		Table:         w.store,
+		Engines:       w,
+		Orders:        &orders{world: w, daemon: daemon},
+		Leases:        leases,
+		Configuration: w,
+		States:        seen{w, cut},
+		Reports:       w,
+		Own:           w,
+		Clock:         w.clock,
+		Timeline:      w.ring,
+	}, control.DefaultFleetSettings(daemon, "zone-0"))
+}
+
+// run steps holders once a second, while work is offered and requests run.
+func (w *world) run(t *testing.T, seconds int, holders ...*control.Fleet) {
+	t.Helper()
+	for range seconds {
+		w.mu.Lock()
+		w.offered.PromptTokens += w.load.PromptTokens
+		w.offered.OutputTokens += w.load.OutputTokens
+		w.mu.Unlock()
+		w.ask(t)
+		for _, h := range holders {
+			h.Step(t.Context())
+		}
+		is.New(t).NoErr(w.clock.Sleep(t.Context(), time.Second))
+	}
+}
+
+// ask sends a request to each engine that takes one.
+func (w *world) ask(t *testing.T) {
+	t.Helper()
+	for id, e := range w.engines {
+		w.answers++
+		request := models.RequestID("req-" + strconv.Itoa(w.answers))
+		generation := models.Generation{ID: request, Model: model, Prompt: "Which oak?"}
+		stream, err := e.Generate(t.Context(), generation)
+		if err != nil {
+			continue
+		}
+		go w.read(t.Context(), id, stream, generation)
+	}
+}
+
+// read reads an answer to its end. A break without a crash is a cut by a
+// planned change.
+func (w *world) read(ctx context.Context, id models.EngineID, stream peer.TokenStream, generation models.Generation) {
+	text := ""
+	for {
+		piece, err := stream.Next(ctx)
+		if err != nil {
+			_, crashed := w.engines[id].State(ctx)
+			cut := crashed == nil && ctx.Err() == nil
+			w.history.Answer(invariant.Answer{Request: generation.ID, Refusal: &models.Refusal{}, PlannedCut: cut})
+			return
+		}
+		if piece.Done {
+			w.history.Answer(invariant.Answer{Request: generation.ID, Text: text, Want: engine.Answer(model, generation.Prompt, 0)})
+			return
+		}
+		text += piece.Text
+	}
+}
+
+// roles counts the engines by role.
+func (w *world) roles() map[models.Role]int {
+	roles := map[models.Role]int{}
+	for _, state := range (seen{world: w}).States() {
+		roles[state.Role]++
+	}
+	return roles
+}
+
+// leaseTable is who holds the leases on engines, with a guard row in the
+// platform's table.
+type leaseTable struct {
+	t     *testing.T
+	store *platform.Store
+	clock peer.Clock
+	mu    sync.Mutex
+	fence uint64
+	guard models.Condition
+}
+
+func newLeaseTable(t *testing.T, store *platform.Store, clock peer.Clock) *leaseTable {
+	t.Helper()
+	l := &leaseTable{t: t, store: store, clock: clock}
+	l.move()
+	return l
+}
+
+// move gives the leases to a new holder.
+func (l *leaseTable) move() {
+	key := models.RowKey{Partition: models.PartitionLeases, Name: "engines"}
+	revision, err := l.store.Transact(context.Background(), models.Transaction{Writes: []models.Write{{Key: key}}})
+	is.New(l.t).NoErr(err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fence++
+	l.guard = models.Condition{Key: key, Revision: revision}
+}
+
+func (l *leaseTable) holds(fence uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence == fence
+}
+
+// current returns what the present holder sees, now and until it has lost the
+// lease and its deadline has passed.
+func (l *leaseTable) current() *belief {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &belief{table: l, authority: models.Authority{Fence: l.fence, Guard: l.guard}}
+}
+
+// belief is a holder's own view of its leases; a paused one keeps it.
+type belief struct {
+	table  *leaseTable
+	paused bool
+
+	authority models.Authority
+}
+
+// Authority implements peer.Leases.
+func (b *belief) Authority(name models.LeaseName) models.Authority {
+	if b.table.holds(b.authority.Fence) || b.paused && b.authority.Deadline.IsZero() {
+		b.authority.Deadline = b.table.clock.Now().Add(leaseTime)
+	}
+	authority := b.authority
+	authority.Lease = name
+	return authority
+}
+
+// orders is a small fake of the sender of orders.
+type orders struct {
+	world  *world
+	daemon models.DaemonID
+}
+
+// Send implements peer.Orders.
+func (o *orders) Send(ctx context.Context, authority models.Authority, server models.BackendServer, order models.Order) error {
+	now := o.world.clock.Now()
+	if !authority.Valid(now) {
+		return peer.NewFailure(peer.OutcomeNotDone, "the authority has ended", nil)
+	}
+	e := o.world.engines[server.Engine]
+	state, err := e.State(ctx)
+	if err != nil {
+		return err
+	}
+	if state.LastOrder == order.ID {
+		return nil
+	}
+	if order.Kind == models.OrderRole && state.Running+state.Queued > 0 {
+		o.world.history.Answer(invariant.Answer{Request: "running at " + models.RequestID(server.Engine), Refusal: &models.Refusal{}, PlannedCut: true})
+	}
+	before := len(e.Orders())
+	err = e.Order(ctx, order)
+	if len(e.Orders()) > before {
+		finished := now
+		if order.Kind == models.OrderRole {
+			finished = now.Add(o.world.cost.RoleTime)
+		}
+		o.world.history.EngineOrder(invariant.EngineOrder{
+			At:         now,
+			Order:      order,
+			Daemon:     o.daemon,
+			Authorised: o.world.leases.holds(authority.Fence),
+			Finished:   finished,
+		})
+	}
+	return err
+}
+
+// SendServers implements peer.Orders.
+func (o *orders) SendServers(ctx context.Context, _ models.Authority, order models.ServerOrder) error {
+	return platform.NewServers(o.world.store).Order(ctx, order)
+}
+
+// inBubble runs a test in virtual time and checks every promise at its end.
+func inBubble(t *testing.T, count int, test func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, count)
+		w.offer(2, 4)
+		test(t, w)
+		is := is.New(t)
+		is.NoErr(w.clock.Sleep(t.Context(), time.Minute)) // running requests end
+		is.Equal(len(invariant.Check(w.history)), 0)
+		for _, e := range w.engines {
+			e.Crash()
+		}
+		is.NoErr(w.clock.Sleep(t.Context(), 2*time.Hour)) // so do changes under way
+	})
+}
+
+// assertWorking fails unless every engine but some takes work.
+func assertWorking(t *testing.T, w *world, but ...models.EngineID) {
+	t.Helper()
+	is := is.New(t)
+	states := seen{world: w}.States()
+	for _, id := range but {
+		delete(states, id)
+	}
+	is.Equal(len(states), len(maps.Clone(w.engines))-len(but))
+	for _, state := range states {
+		is.True(!state.Draining && !state.Changing)
+	}
+}
--- /dev/null
+++ b/policy/fleet/groups.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"quincewinch/models"
+)
+
+// Groups returns the models of each group and the group of each engine. The
+// engines that share a model, directly or through others, form one group.
+func Groups(loaded map[models.EngineID][]models.Model) (map[string][]models.Model, map[models.EngineID]string) {
+	parent := map[models.Model]models.Model{}
+	for _, id := range slices.Sorted(maps.Keys(loaded)) {
+		for _, model := range loaded[id] {
+			first, other := root(parent, loaded[id][0]), root(parent, model)
+			parent[max(first, other)] = min(first, other)
+		}
+	}
+	members := map[models.Model][]models.Model{}
+	for _, model := range slices.Sorted(maps.Keys(parent)) {
+		members[root(parent, model)] = append(members[root(parent, model)], model)
+	}
+	groups := map[string][]models.Model{}
+	for _, group := range members {
+		groups[groupName(group)] = group
+	}
+	engines := map[models.EngineID]string{}
+	for id, list := range loaded {
+		if len(list) > 0 {
+			engines[id] = groupName(members[root(parent, list[0])])
+		}
+	}
+	return groups, engines
+}
+
+func root(parent map[models.Model]models.Model, model models.Model) models.Model {
+	next, ok := parent[model]
+	if !ok || next == model {
+		return model
+	}
+	return root(parent, next)
+}
+
+func groupName(group []models.Model) string {
+	names := make([]string, 0, len(group))
+	for _, model := range group {
+		names = append(names, string(model))
+	}
+	return strings.Join(names, "+")
+}
