--- a/request/exchange.go
+++ b/request/exchange.go
@@ -18,6 +18,7 @@
 	Deadline       time.Time
 	Key            string // the bearer's secret; authenticate clears it
 	KeyID          models.KeyID
+	KeyHash        [32]byte // finds the key again
 	RouteName      string
 	Route          models.Route
 	Workspace      models.WorkspaceSettings // the zero one on an open route
@@ -30,6 +31,11 @@
 	Started        bool         // a backend server may have seen it
 }
 
+// Repeatable reports whether the request may run more than once.
+func (e *Exchange) Repeatable() bool {
+	return e.Route.Repeatable && e.IdempotencyKey == ""
+}
+
 // Sink takes the answer towards the caller. A call returns when the caller's
 // connection has taken it, or an error when the caller is gone.
 type Sink interface {
