daemon: run the fleet's control

Change: each daemon steps the fleet's control once a second with the leases, the sender of orders and the states of the engines; the fleet's tests now run over the real control.Orders. An explanation reads the table, so that any daemon tells it. A test flag that two packages' tests had both registered is renamed, since no test of control could start.

--- a/control/authority_test.go
+++ b/control/authority_test.go
@@ -15,7 +15,7 @@
 	"quincewinch/models"
 )
 
-var schedules = flag.Int("schedules", 10_000, "seeded schedules of each property test")
+var schedules = flag.Int("authority-schedules", 10_000, "seeded schedules of the property test on authority")
 
 const (
 	settleTime   = 3 * time.Second  // before trouble begins, at the most
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -88,7 +88,7 @@
 // Step observes, plans, and takes each engine in charge one action further.
 func (f *Fleet) Step(ctx context.Context) {
 	now := f.peers.Clock.Now()
-	states := f.states(now)
+	states := f.peers.States.States()
 	f.observe(now, states)
 	f.demand.observe(now, f.reports(now))
 	authorities := f.authorities(now)
@@ -121,22 +121,6 @@
 	return servers
 }
 
-// states merges the states that this daemon and others polled.
-func (f *Fleet) states(now time.Time) map[models.EngineID]models.EngineState {
-	states := f.peers.States.States()
-	for _, report := range f.peers.Reports.Reports() {
-		if now.Sub(report.ReceivedAt) > f.settings.ReportAge {
-			continue
-		}
-		for id, state := range report.Report.States {
-			if own, ok := states[id]; !ok || own.MeasuredAt.Before(state.MeasuredAt) {
-				states[id] = state
-			}
-		}
-	}
-	return states
-}
-
 // reports lists the others' reports that are fresh, and this daemon's own.
 func (f *Fleet) reports(now time.Time) []models.PeerReport {
 	own := models.DaemonReport{Daemon: f.settings.Daemon, Zone: f.settings.Zone}
--- a/control/fleet_explain.go
+++ b/control/fleet_explain.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -9,17 +10,21 @@
 
 // Explain tells in sentences what an engine does and why, with the figures
 // that the decision used.
-func (f *Fleet) Explain(engine models.EngineID) []string {
+// It reads the engine's desired state from the table, since another daemon may
+// hold the lease; where that fails, it tells what was known last.
+func (f *Fleet) Explain(ctx context.Context, engine models.EngineID) []string {
 	server, ok := f.peers.Configuration.Config().Backends[engine]
 	if !ok {
 		return []string{"No engine " + string(engine) + " is in the table."}
 	}
 	now := f.peers.Clock.Now()
 	sentences := []string{f.explainState(now, server)}
+	if err := f.rows.refresh(ctx); err != nil {
+		sentences = append(sentences, "The table cannot be read now ("+err.Error()+"), so what follows is what was known last.")
+	}
 	desired, known := f.rows.get(engine)
 	if !known {
-		return append(sentences, "Its desired state is not known here: another daemon holds the lease "+
-			string(models.LeaseEngines(server.Zone))+", or the engine has not answered yet.")
+		return append(sentences, "It has no desired state yet.")
 	}
 	sentences = append(sentences, fmt.Sprintf("It ought to be in role %s with %v loaded; the step is %s, for %s: %s.",
 		desired.Role, desired.Models, desired.Step, now.Sub(desired.Since).Round(time.Second), desired.Why))
--- a/control/fleet_rows.go
+++ b/control/fleet_rows.go
@@ -121,21 +121,21 @@
 
 // desiredForm is the form of a row in the table.
 type desiredForm struct {
-	Engine  string    `json:"engine"`
-	Zone    string    `json:"zone"`
-	Role    string    `json:"role"`
-	Former  string    `json:"former-role"`
-	Models  []string  `json:"models"`
-	Step    string    `json:"step"`
-	Since   time.Time `json:"since"`
-	Pending orderForm `json:"pending-order"`
-	Orders  int       `json:"orders"`
-	Tries   int       `json:"tries"`
-	Wrong   bool      `json:"wrong-answers"`
-	Why     string    `json:"why"`
+	Engine  string      `json:"engine"`
+	Zone    string      `json:"zone"`
+	Role    string      `json:"role"`
+	Former  string      `json:"former-role"`
+	Models  []string    `json:"models"`
+	Step    string      `json:"step"`
+	Since   time.Time   `json:"since"`
+	Pending pendingForm `json:"pending-order"`
+	Orders  int         `json:"orders"`
+	Tries   int         `json:"tries"`
+	Wrong   bool        `json:"wrong-answers"`
+	Why     string      `json:"why"`
 }
 
-type orderForm struct {
+type pendingForm struct {
 	ID    string `json:"id"`
 	Kind  string `json:"kind"`
 	Role  string `json:"role"`
@@ -150,7 +150,7 @@
 		Former: string(d.Former),
 		Step:   string(d.Step),
 		Since:  d.Since,
-		Pending: orderForm{
+		Pending: pendingForm{
 			ID:    d.Pending.ID,
 			Kind:  string(d.Pending.Kind),
 			Role:  string(d.Pending.Role),
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -50,7 +50,7 @@
 		is := is.New(t)
 		fleet := w.holder("entry-1", w.leases.current(), nil)
 		w.run(t, 10, fleet)
-		text := strings.Join(fleet.Explain("engine-100"), " ")
+		text := strings.Join(fleet.Explain(t.Context(), "engine-100"), " ")
 		is.True(strings.Contains(text, "reports role prefill"))
 		is.True(strings.Contains(text, "4 for prefill, 8 for decode"))
 		is.True(strings.Contains(text, "the step is steady"))
@@ -96,7 +96,7 @@
 		id := changing(t, w, func() { w.run(t, 1, fleet) })
 		w.engines[id].Crash()
 		w.run(t, 120, fleet)
-		is.True(strings.Contains(strings.Join(fleet.Explain(id), " "), "the step is broken"))
+		is.True(strings.Contains(strings.Join(fleet.Explain(t.Context(), id), " "), "the step is broken"))
 		assertWorking(t, w, id)
 		w.engines[id].Restart()
 		w.run(t, 60, fleet)
@@ -144,7 +144,7 @@
 		w.run(t, 60, fleet)
 		id := changing(t, w, func() { w.run(t, 1, fleet) })
 		w.run(t, 120, fleet)
-		is.True(strings.Contains(strings.Join(fleet.Explain(id), " "), "over the limit of 1m0s"))
+		is.True(strings.Contains(strings.Join(fleet.Explain(t.Context(), id), " "), "over the limit of 1m0s"))
 		states := seen{world: w}.States()
 		able := map[models.Role]int{}
 		for _, state := range states {
@@ -186,7 +186,7 @@
 		fleet := w.holder("entry-1", w.leases.current(), nil)
 		w.run(t, 75, fleet)
 		is.True(seen{world: w}.States()["engine-100"].Draining)
-		is.True(strings.Contains(strings.Join(fleet.Explain("engine-100"), " "), "the step is broken"))
+		is.True(strings.Contains(strings.Join(fleet.Explain(t.Context(), "engine-100"), " "), "the step is broken"))
 	})
 }
 
--- a/control/fleet_world_test.go
+++ b/control/fleet_world_test.go
@@ -22,10 +22,9 @@
 )
 
 const (
-	zoneCount  = 2
-	model      = models.Model("catalogue")
-	leaseTime  = 10 * time.Second
-	firstFence = 1
+	zoneCount = 2
+	model     = models.Model("catalogue")
+	leaseTime = 10 * time.Second
 )
 
 // world is a fleet of stand-ins in virtual time.
@@ -119,14 +118,6 @@
 // Watch implements peer.Configuration.
 func (w *world) Watch() <-chan struct{} { return nil }
 
-// Engine implements peer.Engines.
-func (w *world) Engine(server models.BackendServer) peer.Engine {
-	if faulty, ok := w.faulty[server.Engine]; ok {
-		return faulty
-	}
-	return w.engines[server.Engine]
-}
-
 // seen gives the states of the engines that a side of a partition reaches.
 type seen struct {
 	world *world
@@ -150,10 +141,11 @@
 // holder returns the fleet's control of a daemon, with the leases it believes
 // to hold.
 func (w *world) holder(daemon models.DaemonID, leases peer.Leases, cut func(models.Zone) bool) *control.Fleet {
+	engines := reach{world: w, daemon: daemon}
 	return control.NewFleet(control.FleetPeers{
 		Table:         w.store,
-		Engines:       w,
-		Orders:        &orders{world: w, daemon: daemon},
+		Engines:       engines,
+		Orders:        control.NewOrders(w.store, engines, platform.NewServers(w.store), w.clock, w.ring, control.DefaultOrderSettings()),
 		Leases:        leases,
 		Configuration: w,
 		States:        seen{w, cut},
@@ -285,50 +277,53 @@
 	return authority
 }
 
-// orders is a small fake of the sender of orders.
-type orders struct {
+// recorded records the orders that take effect at an engine.
+type recorded struct {
+	peer.Engine
 	world  *world
+	engine *engine.Engine
 	daemon models.DaemonID
 }
 
-// Send implements peer.Orders.
-func (o *orders) Send(ctx context.Context, authority models.Authority, server models.BackendServer, order models.Order) error {
-	now := o.world.clock.Now()
-	if !authority.Valid(now) {
-		return peer.NewFailure(peer.OutcomeNotDone, "the authority has ended", nil)
-	}
-	e := o.world.engines[server.Engine]
-	state, err := e.State(ctx)
-	if err != nil {
+// Order implements peer.Engine.
+func (r recorded) Order(ctx context.Context, order models.Order) error {
+	now := r.world.clock.Now()
+	state, _ := r.engine.State(ctx)
+	before := len(r.engine.Orders())
+	err := r.engine.Order(ctx, order)
+	if len(r.engine.Orders()) == before {
 		return err
 	}
-	if state.LastOrder == order.ID {
-		return nil
-	}
-	if order.Kind == models.OrderRole && state.Running+state.Queued > 0 {
-		o.world.history.Answer(invariant.Answer{Request: "running at " + models.RequestID(server.Engine), Refusal: &models.Refusal{}, PlannedCut: true})
-	}
-	before := len(e.Orders())
-	err = e.Order(ctx, order)
-	if len(e.Orders()) > before {
-		finished := now
-		if order.Kind == models.OrderRole {
-			finished = now.Add(o.world.cost.RoleTime)
+	finished := now
+	if order.Kind == models.OrderRole {
+		finished = now.Add(r.world.cost.RoleTime)
+		if state.Running+state.Queued > 0 {
+			r.world.history.Answer(invariant.Answer{Request: "running at " + models.RequestID(order.Engine), Refusal: &models.Refusal{}, PlannedCut: true})
 		}
-		o.world.history.EngineOrder(invariant.EngineOrder{
-			At:         now,
-			Order:      order,
-			Daemon:     o.daemon,
-			Authorised: o.world.leases.holds(authority.Fence),
-			Finished:   finished,
-		})
 	}
+	r.world.history.EngineOrder(invariant.EngineOrder{
+		At:         now,
+		Order:      order,
+		Daemon:     r.daemon,
+		Authorised: r.world.leases.holds(order.Fence),
+		Finished:   finished,
+	})
 	return err
 }
 
-// SendServers implements peer.Orders.
-func (o *orders) SendServers(ctx context.Context, _ models.Authority, order models.ServerOrder) error {
-	return platform.NewServers(o.world.store).Order(ctx, order)
+// reach is how a daemon reaches the engines.
+type reach struct {
+	world  *world
+	daemon models.DaemonID
+}
+
+// Engine implements peer.Engines.
+func (r reach) Engine(server models.BackendServer) peer.Engine {
+	e := r.world.engines[server.Engine]
+	if faulty, ok := r.world.faulty[server.Engine]; ok {
+		return recorded{faulty, r.world, e, r.daemon}
+	}
+	return recorded{e, r.world, e, r.daemon}
 }
 
 // inBubble runs a test in virtual time and checks every promise at its end.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,8 @@
 	gate          *request.Gate
 	leases        *control.Leases
 	orders        *control.Orders
+	work          *request.Work
+	fleet         *control.Fleet
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -110,6 +112,7 @@
 	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock, d.id), claimCleaning)
 	d.startLeases()
 	d.startOrders(engines)
+	d.startFleet(engines)
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -137,6 +140,7 @@
 		failed = errors.Annotate(err, "outcomes of claimed requests were not stored")
 	}
 	d.system.Stop()
+	d.fleet.Wait()
 	d.stopExchange(context.WithoutCancel(ctx))
 	return failed
 }
--- /dev/null
+++ b/daemon/fleet.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"quincewinch/control"
+	"quincewinch/models"
+	"quincewinch/peer"
+)
+
+const fleetStep = time.Second
+
+// startFleet keeps the engines as they ought to be, where this daemon holds
+// their leases.
+func (d *Daemon) startFleet(engines peer.Engines) {
+	d.fleet = control.NewFleet(control.FleetPeers{
+		Table:         d.platform.table,
+		Engines:       engines,
+		Orders:        d.orders,
+		Leases:        d.leases,
+		Configuration: d.configuration,
+		States:        d.engines,
+		Reports:       d.exchange.gossip,
+		Own:           d.work,
+		Clock:         d.clock,
+		Timeline:      d.ring,
+	}, control.DefaultFleetSettings(d.id, d.settings.Zone))
+	d.system.Spawn(d.fleet, fleetStep)
+}
+
+// ExplainEngine tells in sentences what an engine does and why.
+func (d *Daemon) ExplainEngine(ctx context.Context, engine models.EngineID) []string {
+	return d.fleet.Explain(ctx, engine)
+}
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -28,9 +28,9 @@
 
 // newQueue returns the queue before the placer, and starts its task.
 func (d *Daemon) newQueue(placer *request.LoadPlacer) *request.Queue {
-	work := request.NewWork()
-	d.exchange.gossip.RegisterReportSource(work)
-	queue := request.NewQueue(d.configuration, placer, d.exchange.gossip, d.clock, work)
+	d.work = request.NewWork()
+	d.exchange.gossip.RegisterReportSource(d.work)
+	queue := request.NewQueue(d.configuration, placer, d.exchange.gossip, d.clock, d.work)
 	d.system.Spawn(queue, queueInterval)
 	return queue
 }
