--- a/commands/compare.go
+++ b/commands/compare.go
@@ -22,5 +22,9 @@
 
 func (c *compareCommand) run(env environment) error {
 	_, _ = fmt.Fprintf(env.stdout, "seed %d\n", c.seed)
-	return trace.Write(env.stdout, trace.Compare(c.seed))
+	if err := trace.Write(env.stdout, trace.Compare(c.seed)); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(env.stdout)
+	return trace.WriteSpending(env.stdout, c.seed)
 }
--- /dev/null
+++ b/policy/fleet/recent.go
@@ -0,0 +1,31 @@
+package fleet
+
+import "time"
+
+// Peak keeps the greatest figure of a span of time.
+type Peak struct {
+	span    time.Duration
+	figures []dated // falling
+}
+
+type dated struct {
+	at    time.Time
+	value float64
+}
+
+// NewPeak returns the peak over a span that has seen nothing.
+func NewPeak(span time.Duration) *Peak {
+	return &Peak{span: span}
+}
+
+// Observe takes in a figure and returns the greatest of the span.
+func (p *Peak) Observe(at time.Time, value float64) float64 {
+	for len(p.figures) > 0 && p.figures[len(p.figures)-1].value <= value {
+		p.figures = p.figures[:len(p.figures)-1]
+	}
+	p.figures = append(p.figures, dated{at: at, value: value})
+	for at.Sub(p.figures[0].at) > p.span {
+		p.figures = p.figures[1:]
+	}
+	return p.figures[0].value
+}
--- a/policy/fleet/trace/compare_test.go
+++ b/policy/fleet/trace/compare_test.go
@@ -55,3 +55,17 @@
 		}
 	}
 }
+
+const aimSpending = 0.8 // of all on demand, for the cells that weigh cost
+
+func TestSpending(t *testing.T) {
+	is := is.New(t)
+	cells := trace.Deployments[0]
+	ours := trace.Spend(2, cells.Limits)
+	dear := cells.Limits
+	dear.CheapShare = 0
+	onDemand := trace.Spend(2, dear)
+	is.True(ours.PerGood() <= aimSpending*onDemand.PerGood())
+	is.Equal(ours.Harmed, 0.0)
+	is.True(ours.OnCheap > 0)
+}
--- /dev/null
+++ b/policy/fleet/trace/spending.go
@@ -0,0 +1,215 @@
+package trace
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/policy/fleet"
+)
+
+const (
+	dayStep      = 10 * time.Second
+	daySteps     = int(24 * time.Hour / dayStep)
+	spendZones   = 4
+	peakWork     = 12.0
+	orderDelay   = 90 * time.Second
+	priceReserve = 1.0
+	priceCheap   = 0.35
+	repeatable   = 0.9 // share of work that may run again
+	evictionsDay = 3   // of a zone's cheap servers, in a day
+	evictionSeen = 24 * time.Hour
+)
+
+// Cells are the cells of the table in which the users differ.
+type Cells struct {
+	Name   string
+	Limits models.FleetLimits
+}
+
+// Deployments are the cells of each user, as the demo has them.
+var Deployments = []Cells{
+	{"tamarind", models.FleetLimits{SpendPerHour: 60, MaxPerZone: 6, CostWeight: 3, WorstWeight: 1, CheapShare: 0.6}},
+	{"zarqa", models.FleetLimits{SpendPerHour: 80, MaxPerZone: 6, CostWeight: 1, WorstWeight: 3, CheapShare: 0.3}},
+}
+
+// Spending is how a day of ordering backend servers went.
+type Spending struct {
+	Spent   float64 // currency
+	Good    float64 // engine-seconds of work served
+	Offered float64
+	OnCheap float64 // engine-seconds served on cheap servers
+	Harmed  float64 // engine-seconds not served for want of evicted servers
+	Orders  int
+}
+
+// PerGood returns the spending per engine-hour of work served.
+func (s Spending) PerGood() float64 {
+	return s.Spent / (s.Good / time.Hour.Seconds())
+}
+
+// day is a replay of a daily wave with evictions.
+type day struct {
+	limits    models.FleetLimits
+	zones     []models.Zone
+	servers   map[models.EngineID]*dayServer
+	next      int
+	estimator *fleet.Estimator
+	recent    *fleet.Peak
+	evicted   map[models.Zone][]time.Duration // when a zone's cheap servers vanished
+	result    Spending
+}
+
+type dayServer struct {
+	fleet.Server
+	readyAt time.Duration
+	// insteadOf counts against evictions until it is ready.
+	insteadOf bool
+}
+
+// Spend replays a seeded day with the cells of a user.
+func Spend(seed uint64, limits models.FleetLimits) Spending {
+	d := &day{
+		limits:    limits,
+		servers:   map[models.EngineID]*dayServer{},
+		estimator: fleet.NewEstimator(),
+		recent:    fleet.NewPeak(30 * time.Minute),
+		evicted:   map[models.Zone][]time.Duration{},
+	}
+	for zone := range spendZones {
+		d.zones = append(d.zones, zoneName(zone))
+	}
+	random := rand.New(rand.NewPCG(seed, 7))
+	evictions := drawEvictions(random, d.zones)
+	for step := range daySteps {
+		now := time.Duration(step) * dayStep
+		work := dayWork(now, random)
+		for _, zone := range evictions[step] {
+			d.evict(now, zone)
+		}
+		if step > 0 {
+			d.serve(now, work)
+		}
+		d.plan(now, work)
+	}
+	return d.result
+}
+
+// dayWork returns the work of an instant: quiet at night, most at noon.
+func dayWork(now time.Duration, random *rand.Rand) float64 {
+	wave := 0.55 - 0.45*math.Cos(2*math.Pi*now.Hours()/24)
+	return peakWork * wave * jitter(random)
+}
+
+// drawEvictions returns the zones that lose their cheap servers, by step.
+func drawEvictions(random *rand.Rand, zones []models.Zone) map[int][]models.Zone {
+	evictions := map[int][]models.Zone{}
+	for _, zone := range zones {
+		for range evictionsDay {
+			step := 1 + random.IntN(daySteps-1)
+			evictions[step] = append(evictions[step], zone)
+		}
+	}
+	return evictions
+}
+
+func (d *day) evict(now time.Duration, zone models.Zone) {
+	d.evicted[zone] = append(d.evicted[zone], now)
+	for id, server := range d.servers {
+		if server.Zone == zone && server.Cheap {
+			delete(d.servers, id)
+		}
+	}
+}
+
+// serve counts a step's work, spread evenly; what may not run again stays on
+// reserved servers.
+func (d *day) serve(now time.Duration, work float64) {
+	reserved, cheap := d.ready(now)
+	seconds := dayStep.Seconds()
+	served := min(work, reserved+cheap)
+	onCheap := min(served*cheap/max(reserved+cheap, 1), work*repeatable)
+	onReserved := min(reserved, served-onCheap)
+	d.result.Offered += work * seconds
+	d.result.Good += (onCheap + onReserved) * seconds
+	d.result.OnCheap += onCheap * seconds
+	d.result.Harmed += min(work-onCheap-onReserved, d.missing(now)) * seconds
+	for _, server := range d.servers {
+		price := priceReserve
+		if server.Cheap {
+			price = priceCheap
+		}
+		d.result.Spent += price * dayStep.Hours()
+	}
+}
+
+// ready counts the servers of each kind that have started.
+func (d *day) ready(now time.Duration) (reserved, cheap float64) {
+	for _, server := range d.servers {
+		switch {
+		case server.readyAt > now:
+		case server.Cheap:
+			cheap++
+		default:
+			reserved++
+		}
+	}
+	return reserved, cheap
+}
+
+// missing counts the servers that start in the place of evicted ones.
+func (d *day) missing(now time.Duration) float64 {
+	missing := 0.0
+	for _, server := range d.servers {
+		if server.insteadOf && server.readyAt > now {
+			missing++
+		}
+	}
+	return missing
+}
+
+func (d *day) plan(now time.Duration, work float64) {
+	d.estimator.Observe(time.Unix(0, 0).Add(now), fleet.Work{Decode: work})
+	snapshot := fleet.ServerSnapshot{
+		Zones:      d.zones,
+		Work:       d.estimator.Forecast(orderDelay),
+		Repeatable: repeatable,
+		Evictions:  map[models.Zone]float64{},
+		Limits:     d.limits,
+		Prices:     fleet.Prices{Reserved: priceReserve, Cheap: priceCheap},
+	}
+	snapshot.Recent = d.recent.Observe(time.Unix(0, 0).Add(now), snapshot.Need())
+	for _, zone := range d.zones {
+		snapshot.Evictions[zone] = float64(len(d.evicted[zone])) / max(now, evictionSeen).Hours()
+	}
+	for _, server := range d.servers {
+		snapshot.Servers = append(snapshot.Servers, server.Server)
+	}
+	for _, order := range fleet.PlanServers(snapshot) {
+		d.carryOut(now, order)
+	}
+}
+
+func (d *day) carryOut(now time.Duration, order fleet.ServerOrder) {
+	d.result.Orders++
+	for _, id := range order.GiveBack {
+		delete(d.servers, id)
+	}
+	readyAt := now + orderDelay
+	if now == 0 {
+		readyAt = 0
+	}
+	losses := d.evicted[order.Zone]
+	insteadOf := order.Cheap && len(losses) > 0 && losses[len(losses)-1] == now
+	for range order.Count {
+		d.next++
+		id := models.EngineID("server-" + strconv.Itoa(d.next))
+		d.servers[id] = &dayServer{
+			Server:    fleet.Server{ID: id, Zone: order.Zone, Cheap: order.Cheap},
+			readyAt:   readyAt,
+			insteadOf: insteadOf,
+		}
+	}
+}
--- a/policy/fleet/trace/table.go
+++ b/policy/fleet/trace/table.go
@@ -55,3 +55,25 @@
 	}
 	return t.Flush()
 }
+
+// WriteSpending prints how a seeded day goes with each user's cells, beside
+// the same cells without cheap servers.
+func WriteSpending(w io.Writer, seed uint64) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	lines := []string{"cells\tspending per good engine-hour\tover all-on-demand\tserved\twork on cheap servers\tharmed by evictions\torders"}
+	for _, cells := range Deployments {
+		ours := Spend(seed, cells.Limits)
+		dear := cells.Limits
+		dear.CheapShare = 0
+		onDemand := Spend(seed, dear)
+		lines = append(lines, fmt.Sprintf("%s\t%.3f\t%.3f\t%.4f\t%.3f\t%.6f\t%d", cells.Name,
+			ours.PerGood(), ours.PerGood()/onDemand.PerGood(), ours.Good/ours.Offered,
+			ours.OnCheap/ours.Good, ours.Harmed/ours.Offered, ours.Orders))
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(t, line); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
