control: load models within the weight store's budget

Cause: a model that no engine had loaded stayed cold, and an engine without a model idle. Change: PlanModels keeps min-hot engines for each model, popular before rare, within the pieces of memory and a quarter of them for caches, and never takes the last engine of a model away. Each holder spends its zones' part of loads-per-minute; a load that waits is told on the time line with the wait. A load whose check fails goes back to the models before. Left: versions; the request path does not know them yet.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -59,7 +59,9 @@
 	settings FleetSettings
 	rows     *desiredRows
 	demand   *demand
-	work     sync.WaitGroup // orders and checks under way
+	budget   loadBudget
+	waits    map[models.Model]bool // loads that were said to wait
+	work     sync.WaitGroup        // orders and checks under way
 
 	mu      sync.Mutex
 	watched map[models.EngineID]*watchedEngine
@@ -81,6 +83,7 @@
 		settings: settings,
 		rows:     newDesiredRows(peers.Table),
 		demand:   newDemand(settings),
+		waits:    map[models.Model]bool{},
 		watched:  map[models.EngineID]*watchedEngine{},
 	}
 }
@@ -99,6 +102,7 @@
 	}
 	f.adopt(ctx, now, states, authorities)
 	f.planRoles(ctx, now, view, authorities)
+	f.planModels(ctx, now, view, authorities)
 	for _, server := range f.servers() {
 		if authority, ok := authorities[server.Zone]; ok && view.reached[server.Zone] {
 			f.mend(ctx, now, authority, server)
--- a/control/fleet_plan.go
+++ b/control/fleet_plan.go
@@ -33,6 +33,8 @@
 	groups   map[models.EngineID]string
 	splits   map[string]fleet.Split
 	reached  map[models.Zone]bool
+	states   map[models.EngineID]models.EngineState
+	rates    engineRates // mean of all engines
 }
 
 // planRoles plans for all engines in reach, and begins the changes of those in
@@ -70,7 +72,7 @@
 		}
 	}
 	members, groups := fleet.Groups(loaded)
-	view := roleView{groups: groups, splits: map[string]fleet.Split{}, reached: reached}
+	view := roleView{groups: groups, splits: map[string]fleet.Split{}, reached: reached, states: states, rates: groupRates(nil, states)[""]}
 	for _, server := range f.servers() {
 		row, known := desired[server.Engine]
 		if !reached[server.Zone] || groups[server.Engine] == "" || known && row.Step == models.StepBroken || server.Leaving {
--- a/control/fleet_rows.go
+++ b/control/fleet_rows.go
@@ -121,18 +121,19 @@
 
 // desiredForm is the form of a row in the table.
 type desiredForm struct {
-	Engine  string      `json:"engine"`
-	Zone    string      `json:"zone"`
-	Role    string      `json:"role"`
-	Former  string      `json:"former-role"`
-	Models  []string    `json:"models"`
-	Step    string      `json:"step"`
-	Since   time.Time   `json:"since"`
-	Pending pendingForm `json:"pending-order"`
-	Orders  int         `json:"orders"`
-	Tries   int         `json:"tries"`
-	Wrong   bool        `json:"wrong-answers"`
-	Why     string      `json:"why"`
+	Engine       string      `json:"engine"`
+	Zone         string      `json:"zone"`
+	Role         string      `json:"role"`
+	Former       string      `json:"former-role"`
+	Models       []string    `json:"models"`
+	FormerModels []string    `json:"former-models"`
+	Step         string      `json:"step"`
+	Since        time.Time   `json:"since"`
+	Pending      pendingForm `json:"pending-order"`
+	Orders       int         `json:"orders"`
+	Tries        int         `json:"tries"`
+	Wrong        bool        `json:"wrong-answers"`
+	Why          string      `json:"why"`
 }
 
 type pendingForm struct {
@@ -164,6 +165,9 @@
 	for _, model := range d.Models {
 		form.Models = append(form.Models, string(model))
 	}
+	for _, model := range d.FormerModels {
+		form.FormerModels = append(form.FormerModels, string(model))
+	}
 	raw, err := json.Marshal(form)
 	return raw, errors.Annotate(err, "cannot encode the desired state of an engine")
 }
@@ -197,5 +201,8 @@
 	for _, model := range form.Models {
 		desired.Models = append(desired.Models, models.Model(model))
 	}
+	for _, model := range form.FormerModels {
+		desired.FormerModels = append(desired.FormerModels, models.Model(model))
+	}
 	return desired, nil
 }
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -179,6 +180,20 @@
 	return piece, err
 }
 
+// silent gives no answer once a model is loaded.
+type silent struct {
+	*engine.Engine
+	model models.Model
+}
+
+// Generate implements peer.Engine.
+func (s silent) Generate(ctx context.Context, generation models.Generation) (peer.TokenStream, error) {
+	if state, err := s.State(ctx); err == nil && slices.Contains(state.Models, s.model) {
+		return nil, peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
+	}
+	return s.Engine.Generate(ctx, generation)
+}
+
 func TestEngineThatAnswersWronglyGetsNoWork(t *testing.T) {
 	inBubble(t, engineCount, func(t *testing.T, w *world) {
 		is := is.New(t)
--- a/control/fleet_world_test.go
+++ b/control/fleet_world_test.go
@@ -79,10 +79,14 @@
 }
 
 func (w *world) add(id models.EngineID, zone models.Zone, role models.Role) {
+	w.addWith(id, zone, role, []models.Model{model})
+}
+
+func (w *world) addWith(id models.EngineID, zone models.Zone, role models.Role, loaded []models.Model) {
 	w.engines[id] = engine.New(w.clock, engine.Settings{
 		ID:          id,
 		Role:        role,
-		Models:      []models.Model{model},
+		Models:      loaded,
 		ChecksFence: true,
 		Cost:        w.cost,
 	})
--- a/control/lease_watch.go
+++ b/control/lease_watch.go
@@ -143,7 +143,7 @@
 // contend takes a lease over when it is free and this daemon's turn.
 func (l *Leases) contend(ctx context.Context, w watchedLease, candidates []Candidate) {
 	free, why := l.free(w)
-	turn := free.Add(time.Duration(rank(w.state.Name, l.self, candidates)) * l.settings.RankDelay)
+	turn := free.Add(time.Duration(leaseRank(w.state.Name, l.self, candidates)) * l.settings.RankDelay)
 	if l.clock.Now().Before(turn) {
 		return
 	}
@@ -202,7 +202,7 @@
 func (l *Leases) rebalance(ctx context.Context, h heldLease, candidates []Candidate) {
 	best := candidates[0]
 	for _, c := range candidates {
-		if rank(h.state.Name, c, candidates) == 0 {
+		if leaseRank(h.state.Name, c, candidates) == 0 {
 			best = c
 		}
 	}
--- a/policy/fleet/repair.go
+++ b/policy/fleet/repair.go
@@ -156,12 +156,22 @@
 		return s.order(Action{Desired: s.desired, Why: "the change is done"}, models.Order{Kind: models.OrderResume})
 	case s.seen.Checked > 0:
 		return s.enter(models.StepSteady, "its answer to a check was right")
+	case s.seen.Unanswered >= s.limits.FailedChecks && !slices.Equal(s.desired.Models, s.desired.FormerModels):
+		return s.goBack()
 	case s.seen.Unanswered >= s.limits.FailedChecks:
 		return s.enter(models.StepBroken, strconv.Itoa(s.seen.Unanswered)+" checks got no answer")
 	}
 	return Action{Desired: s.desired, Check: true, Why: "its answers are checked"}
 }
 
+// goBack returns to the models that the engine served before.
+func (s step) goBack() Action {
+	action := s.enter(models.StepDraining, fmt.Sprintf("%d checks got no answer, so it goes back from %v to %v",
+		s.seen.Unanswered, s.desired.Models, s.desired.FormerModels))
+	action.Desired.Models = s.desired.FormerModels
+	return action
+}
+
 // broken lets an engine that came back by itself work again, after a check.
 func (s step) broken() Action {
 	if s.desired.Wrong && s.seen.Present && !s.seen.State.Changing && !s.seen.State.Draining {
@@ -257,20 +267,32 @@
 	s := step{desired: desired, now: now}
 	next := s.enter(models.StepDraining, change.Why()).Desired
 	next.Former = desired.Role
+	next.FormerModels = desired.Models
 	next.Role = change.To
 	return next
 }
 
+// BeginModelChange returns the row of an engine that is to load a model.
+func BeginModelChange(desired models.DesiredEngine, change ModelChange, now time.Time) models.DesiredEngine {
+	s := step{desired: desired, now: now}
+	next := s.enter(models.StepDraining, fmt.Sprintf("it is to load %s: %s", change.Load, change.Why)).Desired
+	next.Former = desired.Role
+	next.FormerModels = desired.Models
+	next.Models = slices.Sorted(slices.Values(append(without(desired.Models, change.Unload), change.Load)))
+	return next
+}
+
 // Adopt returns the first row of an engine: it ought to be what it is.
 func Adopt(server models.BackendServer, state models.EngineState, now time.Time) models.DesiredEngine {
 	return models.DesiredEngine{
-		Engine: server.Engine,
-		Zone:   server.Zone,
-		Role:   state.Role,
-		Former: state.Role,
-		Models: slices.Sorted(slices.Values(state.Models)),
-		Step:   models.StepSteady,
-		Since:  now,
-		Why:    "it was found in this state",
+		Engine:       server.Engine,
+		Zone:         server.Zone,
+		Role:         state.Role,
+		Former:       state.Role,
+		Models:       slices.Sorted(slices.Values(state.Models)),
+		FormerModels: slices.Sorted(slices.Values(state.Models)),
+		Step:         models.StepSteady,
+		Since:        now,
+		Why:          "it was found in this state",
 	}
 }
--- a/policy/fleet/servers_test.go
+++ b/policy/fleet/servers_test.go
@@ -88,13 +88,13 @@
 	random := rand.New(rand.NewPCG(6, 8))
 	for range 2000 {
 		limits := models.FleetLimits{
-			SpendPerHour: 5 + 40*random.Float64(),
-			MaxPerZone:   1 + random.IntN(8),
+			SpendPerHour: 5 + 150*random.Float64(),
+			MaxPerZone:   1 + random.IntN(16),
 			CostWeight:   4 * random.Float64(),
 			WorstWeight:  4 * random.Float64(),
 			CheapShare:   random.Float64(),
 		}
-		s := serverSnapshot(20*random.Float64(), limits)
+		s := serverSnapshot(40*random.Float64(), limits)
 		servers := carryOut(nil, fleet.PlanServers(s))
 		assertWithinLimits(t, s, servers)
 		s.Servers = servers
