daemon: TLS on each address, metrics, control bytes counted

Cause: every connection was plain, /metrics was empty, and the bytes that control costs were not counted.

Change: each section of the settings says plain or not; listeners, calls and the exchange between daemons (mutual there) take certificates from one source; http:// backend servers are refused unless engines.plain. The daemon's listeners, transports and metrics have files of their own.

Conclusion: TLS and metrics are in the path of every request.

--- a/commands/demo.go
+++ b/commands/demo.go
@@ -18,6 +18,7 @@
 	duration   time.Duration
 	readyFile  string
 	logLevel   string
+	tls        bool
 }
 
 func registerDemo(app *kingpin.Application) (string, command) {
@@ -27,6 +28,7 @@
 	clause.Flag("for", "Stop after this time; 0 runs until interrupted.").DurationVar(&c.duration)
 	clause.Flag("ready-file", "Write where to call to this file.").StringVar(&c.readyFile)
 	clause.Flag("log-level", "debug, info, warn or error.").Default("warn").StringVar(&c.logLevel)
+	clause.Flag("tls", "Serve over TLS, with certificates made in memory; the ready file holds the authority.").BoolVar(&c.tls)
 	return clause.FullCommand(), c
 }
 
@@ -40,7 +42,7 @@
 		return err
 	}
 	clock := system.NewClock()
-	running, err := demo.Start(env.ctx, deployment, clock, logger)
+	running, err := demo.Start(env.ctx, deployment, clock, logger, demo.Options{TLS: c.tls})
 	if err != nil {
 		return err
 	}
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -7,7 +7,9 @@
 
 	"quincewinch/config"
 	"quincewinch/daemon"
+	"quincewinch/lib/certificates"
 	"quincewinch/lib/logfmt"
+	"quincewinch/peer"
 	"quincewinch/peer/system"
 )
 
@@ -32,10 +34,25 @@
 	if err != nil {
 		return err
 	}
-	d := daemon.New(settings, logger, system.NewClock())
+	clock := system.NewClock()
+	source, err := certificateSource(settings, clock)
+	if err != nil {
+		return err
+	}
+	d := daemon.New(settings, logger, clock, source)
 	if err := d.Start(); err != nil {
 		return err
 	}
 	<-env.ctx.Done()
 	return d.Stop(context.WithoutCancel(env.ctx))
 }
+
+// certificateSource returns the source of the files in the settings, nil where
+// no section uses TLS.
+func certificateSource(settings *config.Settings, clock peer.Clock) (certificates.Source, error) {
+	if !settings.UsesTLS() {
+		return nil, nil //nolint:nilnil // no section needs one
+	}
+	files := settings.TLS
+	return certificates.NewFiles(files.CertificateFile, files.KeyFile, files.AuthorityFile, files.Refresh, clock)
+}
--- a/config/fields.go
+++ b/config/fields.go
@@ -29,21 +29,27 @@
 	{"name", ``, true, "", "name of this daemon, in logs and on the time line", text(func(s *Settings) *string { return &s.Name })},
 	{"zone", ``, true, "", "availability zone of this VM", zone},
 	{"callers.address", ``, true, "IP:port", "where callers are served", address(func(s *Settings) *netip.AddrPort { return &s.Callers.Address })},
+	{"callers.plain", `false`, false, "", "serve callers without TLS", flag(func(s *Settings) *bool { return &s.Callers.Plain })},
 	{"callers.max-body-bytes", `4194304`, false, "bytes", "greatest body of a request", count(func(s *Settings) *int { return &s.Callers.MaxBodyBytes })},
 	{"callers.header-timeout", `"5s"`, false, "duration", "time for a request's header to arrive", duration(func(s *Settings) *time.Duration { return &s.Callers.HeaderTimeout })},
 	{"callers.timeout", `"2m"`, false, "duration", "time for a whole request", duration(func(s *Settings) *time.Duration { return &s.Callers.Timeout })},
 	{"callers.drain-timeout", `"130s"`, false, "duration", "time for running requests to finish at a planned stop, no less than callers.timeout", duration(func(s *Settings) *time.Duration { return &s.Callers.DrainTimeout })},
 	{"operators.address", ``, true, "IP:port", "where operators are served", address(func(s *Settings) *netip.AddrPort { return &s.Operators.Address })},
 	{"operators.key", ``, true, "", "operators' credential: {\"file\": PATH}, {\"environment\": NAME} or a text", secret(func(s *Settings) *string { return &s.Operators.Key })},
+	{"operators.plain", `false`, false, "", "serve operators without TLS", flag(func(s *Settings) *bool { return &s.Operators.Plain })},
 	{"daemons.address", ``, true, "IP:port", "where the other daemons reach this one", address(func(s *Settings) *netip.AddrPort { return &s.Daemons.Address })},
+	{"daemons.plain", `false`, false, "", "speak with the other daemons without TLS", flag(func(s *Settings) *bool { return &s.Daemons.Plain })},
 	{"daemons.interval", `"500ms"`, false, "duration", "between two exchanges with another daemon", duration(func(s *Settings) *time.Duration { return &s.Daemons.Interval })},
 	{"metrics.address", ``, true, "IP:port", "where metrics and health are served", address(func(s *Settings) *netip.AddrPort { return &s.Metrics.Address })},
+	{"metrics.plain", `false`, false, "", "serve metrics without TLS", flag(func(s *Settings) *bool { return &s.Metrics.Plain })},
 	{"platform.url", ``, true, "URL", "the platform's services", platformURL},
+	{"platform.plain", `false`, false, "", "call the platform without TLS", flag(func(s *Settings) *bool { return &s.Platform.Plain })},
 	{"platform.timeout", `"1s"`, false, "duration", "for one call of the platform", duration(func(s *Settings) *time.Duration { return &s.Platform.Timeout })},
 	{"platform.poll", `"500ms"`, false, "duration", "between two reads of the table's changes", duration(func(s *Settings) *time.Duration { return &s.Platform.Poll })},
 	{"engines.poll", `"250ms"`, false, "duration", "between two reads of an engine's load", duration(func(s *Settings) *time.Duration { return &s.Engines.Poll })},
 	{"engines.timeout", `"5s"`, false, "duration", "longest wait for the next piece of a stream", duration(func(s *Settings) *time.Duration { return &s.Engines.Timeout })},
-	{"tls.plain", `false`, false, "", "serve and call without TLS", flag(func(s *Settings) *bool { return &s.TLS.Plain })},
+	{"engines.plain", `false`, false, "", "call backend servers without TLS", flag(func(s *Settings) *bool { return &s.Engines.Plain })},
+	{"tls.refresh", `"1m"`, false, "duration", "until changed certificate files are taken up", duration(func(s *Settings) *time.Duration { return &s.TLS.Refresh })},
 	{"tls.certificate-file", `""`, false, "path", "this daemon's certificate, PEM", text(func(s *Settings) *string { return &s.TLS.CertificateFile })},
 	{"tls.key-file", `""`, false, "path", "the certificate's key, PEM", text(func(s *Settings) *string { return &s.TLS.KeyFile })},
 	{"tls.authority-file", `""`, false, "path", "authority of daemons, engines and platform, PEM", text(func(s *Settings) *string { return &s.TLS.AuthorityFile })},
@@ -107,7 +113,10 @@
 	if s.Callers.DrainTimeout < s.Callers.Timeout {
 		faults = append(faults, "callers.drain-timeout: must be no less than callers.timeout, or a planned stop cuts requests")
 	}
-	if s.TLS.Plain {
+	if s.Platform.URL != nil && s.Platform.URL.Scheme == "http" && !s.Platform.Plain {
+		faults = append(faults, "platform.url: must be https://HOST, unless platform.plain is true")
+	}
+	if !s.UsesTLS() {
 		return faults
 	}
 	files := map[string]string{
@@ -117,7 +126,7 @@
 	}
 	for path, value := range files {
 		if value == "" {
-			faults = append(faults, path+": missing field, unless tls.plain is true")
+			faults = append(faults, path+": missing field, unless every section is plain")
 		}
 	}
 	return faults
--- a/config/settings.go
+++ b/config/settings.go
@@ -27,6 +27,7 @@
 // Callers is the section of the address for callers.
 type Callers struct {
 	Address       netip.AddrPort
+	Plain         bool // without TLS
 	MaxBodyBytes  int
 	HeaderTimeout time.Duration
 	Timeout       time.Duration // of a whole request
@@ -36,23 +37,27 @@
 // Operators is the section of the address for operators.
 type Operators struct {
 	Address netip.AddrPort
+	Plain   bool
 	Key     string
 }
 
 // Daemons is the section of the exchange between daemons.
 type Daemons struct {
 	Address  netip.AddrPort
+	Plain    bool
 	Interval time.Duration
 }
 
 // Metrics is the section of the address for metrics and health.
 type Metrics struct {
 	Address netip.AddrPort
+	Plain   bool
 }
 
 // Platform is the section of the platform's services.
 type Platform struct {
 	URL     *url.URL
+	Plain   bool
 	Timeout time.Duration
 	Poll    time.Duration
 }
@@ -60,12 +65,13 @@
 // Engines is the section of the backend servers.
 type Engines struct {
 	Poll    time.Duration
+	Plain   bool
 	Timeout time.Duration // between two pieces of a stream
 }
 
-// TLS is the section of certificates. Plain switches TLS off.
+// TLS is the section of certificates.
 type TLS struct {
-	Plain           bool
+	Refresh         time.Duration
 	CertificateFile string
 	KeyFile         string
 	AuthorityFile   string
@@ -75,3 +81,9 @@
 type Log struct {
 	Level string
 }
+
+// UsesTLS reports whether any section needs certificates.
+func (s *Settings) UsesTLS() bool {
+	return !(s.Callers.Plain && s.Operators.Plain && s.Daemons.Plain &&
+		s.Metrics.Plain && s.Platform.Plain && s.Engines.Plain)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,25 +6,20 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"quincewinch/config"
 	"quincewinch/control"
+	"quincewinch/lib/certificates"
 	"quincewinch/lib/logfmt"
 	"quincewinch/models"
 	"quincewinch/peer"
-	"quincewinch/peer/caller"
 	"quincewinch/peer/engine"
-	"quincewinch/peer/operator"
 	"quincewinch/peer/service"
 	"quincewinch/request"
 	"quincewinch/timeline"
@@ -40,6 +35,7 @@
 // Daemon is one process of the system.
 type Daemon struct {
 	settings      *config.Settings
+	source        certificates.Source
 	logger        *zap.Logger
 	clock         peer.Clock
 	id            models.DaemonID
@@ -61,14 +57,6 @@
 	addresses     Addresses
 }
 
-// Addresses are where a started daemon listens.
-type Addresses struct {
-	Callers   netip.AddrPort
-	Operators netip.AddrPort
-	Metrics   netip.AddrPort
-	Daemons   netip.AddrPort
-}
-
 // Addresses returns where the daemon listens.
 func (d *Daemon) Addresses() Addresses {
 	return d.addresses
@@ -79,10 +67,12 @@
 	return d.id
 }
 
-// New returns a daemon that has not started.
-func New(settings *config.Settings, logger *zap.Logger, clock peer.Clock) *Daemon {
+// New returns a daemon that has not started. The source gives its
+// certificates; it may be nil where every section of the settings is plain.
+func New(settings *config.Settings, logger *zap.Logger, clock peer.Clock, source certificates.Source) *Daemon {
 	d := &Daemon{
 		settings: settings,
+		source:   source,
 		logger:   logger,
 		clock:    clock,
 		id:       models.DaemonID(settings.Name + "-" + randomText()),
@@ -96,15 +86,15 @@
 
 // Start binds the listeners and starts the control tasks.
 func (d *Daemon) Start() error {
-	client := &http.Client{}
+	client := d.client()
 	d.platform = d.platformServices(client)
-	engines := engine.NewClients(client)
+	engines := engine.NewClients(d.backendClient())
 	d.configuration = control.NewConfiguration(d.platform.table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
-	if err := d.startExchange(insecure.NewCredentials()); err != nil {
+	if err := d.startExchange(d.exchangeCredentials()); err != nil {
 		return err
 	}
-	line := d.line(engines, service.NewClients(client))
+	line := d.line(engines, service.NewClients(d.backendClient()))
 	editor := control.NewEditor(d.id, d.platform.table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
 	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
@@ -113,6 +103,7 @@
 	d.startLeases()
 	d.startOrders(engines)
 	d.startFleet(engines)
+	d.register()
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -145,61 +136,6 @@
 	return failed
 }
 
-func (d *Daemon) listen(line request.Handler, editor peer.Editor) error {
-	callers := caller.NewHandler(line, d.configuration, d.clock, newRequestID, caller.Settings{
-		MaxBodyBytes: d.settings.Callers.MaxBodyBytes,
-		Timeout:      d.settings.Callers.Timeout,
-	})
-	operators := operator.NewHandler(editor, overview{d}, d.settings.Operators.Key)
-	bindings := []struct {
-		address netip.AddrPort
-		handler http.Handler
-		bound   *netip.AddrPort
-	}{
-		{d.settings.Callers.Address, callers, &d.addresses.Callers},
-		{d.settings.Operators.Address, operators, &d.addresses.Operators},
-		{d.settings.Metrics.Address, d.metrics(), &d.addresses.Metrics},
-	}
-	for _, binding := range bindings {
-		bound, err := d.serve(binding.address, binding.handler)
-		if err != nil {
-			return err
-		}
-		*binding.bound = bound
-	}
-	return nil
-}
-
-// serve binds an address and returns the one bound, which differs for port 0.
-func (d *Daemon) serve(address netip.AddrPort, handler http.Handler) (netip.AddrPort, error) {
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
-	if err != nil {
-		return netip.AddrPort{}, errors.Annotate(err, "cannot listen")
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
-	d.servers = append(d.servers, server)
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.logger.Error("listener ended", zap.Error(err))
-		}
-	}()
-	return netip.ParseAddrPort(listener.Addr().String())
-}
-
-func (d *Daemon) metrics() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if d.ready.draining() || !d.engines.Polled() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-	return mux
-}
-
 // log writes an event of the time line to the log.
 func (d *Daemon) log(event models.Event) {
 	d.logger.Info(string(event.Kind),
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -23,6 +23,7 @@
 
 // exchange is this daemon's part in the exchange between daemons.
 type exchange struct {
+	traffic    peerdaemon.Traffic
 	client     *peerdaemon.Client
 	server     *peerdaemon.Server
 	editing    *control.Editing
@@ -40,12 +41,12 @@
 	d.addresses.Daemons = listener.Addr().(*net.TCPAddr).AddrPort()
 	self := table.Member{ID: d.id, Zone: d.settings.Zone, Address: d.addresses.Daemons}
 	e := &d.exchange
-	e.client = peerdaemon.NewClient(credentials, exchangeTimeout)
+	e.client = peerdaemon.NewClient(credentials, exchangeTimeout, &e.traffic)
 	e.editing = control.NewEditing(d.id)
 	e.membership = control.NewMembership(self, d.platform.table, d.platform.vms, d.clock, d.ring, d.configuration, e.editing)
 	e.gossip = control.NewGossip(self, e.client, d.clock, d.ring, d.configuration, e.membership, e.editing)
 	e.spread = control.NewSpread(e.gossip)
-	e.server = peerdaemon.NewServer(receiver{d}, credentials)
+	e.server = peerdaemon.NewServer(receiver{d}, credentials, &e.traffic)
 	d.configuration.ReadWhen(e.membership.Reader)
 	go func() {
 		if err := e.server.Serve(listener); err != nil {
--- /dev/null
+++ b/daemon/listeners.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"quincewinch/lib/certificates"
+	"quincewinch/peer"
+	"quincewinch/peer/caller"
+	"quincewinch/peer/operator"
+	"quincewinch/request"
+)
+
+// Addresses are where a started daemon listens.
+type Addresses struct {
+	Callers   netip.AddrPort
+	Operators netip.AddrPort
+	Metrics   netip.AddrPort
+	Daemons   netip.AddrPort
+}
+
+// binding is one address to listen on.
+type binding struct {
+	address netip.AddrPort
+	plain   bool
+	handler http.Handler
+	bound   *netip.AddrPort
+}
+
+func (d *Daemon) listen(line request.Handler, editor peer.Editor) error {
+	settings := d.settings
+	callers := caller.NewHandler(line, d.configuration, d.clock, newRequestID, caller.Settings{
+		MaxBodyBytes: settings.Callers.MaxBodyBytes,
+		Timeout:      settings.Callers.Timeout,
+	})
+	operators := operator.NewHandler(editor, overview{d}, settings.Operators.Key)
+	bindings := []binding{
+		{settings.Callers.Address, settings.Callers.Plain, callers, &d.addresses.Callers},
+		{settings.Operators.Address, settings.Operators.Plain, operators, &d.addresses.Operators},
+		{settings.Metrics.Address, settings.Metrics.Plain, d.metrics(), &d.addresses.Metrics},
+	}
+	for _, b := range bindings {
+		if err := d.serve(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve binds an address and notes the one bound, which differs for port 0.
+func (d *Daemon) serve(b binding) error {
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(b.address))
+	if err != nil {
+		return errors.Annotate(err, "cannot listen")
+	}
+	if *b.bound, err = netip.ParseAddrPort(tcp.Addr().String()); err != nil {
+		return errors.Trace(err)
+	}
+	var listener net.Listener = tcp
+	if !b.plain {
+		listener = tls.NewListener(tcp, certificates.Server(d.source, false))
+	}
+	server := &http.Server{Handler: b.handler, ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
+	d.servers = append(d.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.logger.Error("listener ended", zap.Error(err))
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"quincewinch/metrics"
+	"quincewinch/models"
+)
+
+// register registers what is read at each scrape.
+func (d *Daemon) register() {
+	d.registry.MustRegister(
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		collectors.NewGoCollector(),
+		metrics.NewStateCollector(measured{d}, d.clock),
+	)
+}
+
+func (d *Daemon) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", d.readyz)
+	return mux
+}
+
+// readyz tells the balancer whether to send requests here.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if d.ready.draining() || !d.engines.Polled() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// measured implements metrics.State.
+type measured struct {
+	daemon *Daemon
+}
+
+// States returns the engines' latest states.
+func (m measured) States() map[models.EngineID]models.EngineState {
+	return m.daemon.engines.States()
+}
+
+// Evidence returns the evidence that no withdrawal of a key was missed.
+func (m measured) Evidence() models.Evidence {
+	return m.daemon.configuration.Evidence()
+}
+
+// ConfigRevision returns the revision of the configuration in force.
+func (m measured) ConfigRevision() models.Revision {
+	return m.daemon.configuration.Config().Through
+}
+
+// LeaseNames lists the leases.
+func (m measured) LeaseNames() []models.LeaseName {
+	return m.daemon.leaseNames()
+}
+
+// Authority returns the authority held for a lease.
+func (m measured) Authority(name models.LeaseName) models.Authority {
+	return m.daemon.leases.Authority(name)
+}
+
+// ExchangeBytes returns the bytes exchanged with other daemons.
+func (m measured) ExchangeBytes() (sent, received int64) {
+	return m.daemon.exchange.traffic.Bytes()
+}
+
+// LiveDaemons returns how many other daemons this one hears of.
+func (m measured) LiveDaemons() int {
+	return len(m.daemon.exchange.gossip.Reports())
+}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"quincewinch/control"
+	"quincewinch/metrics"
 	"quincewinch/peer"
 	"quincewinch/request"
 )
@@ -16,6 +17,7 @@
 	})
 	return request.Chain(
 		sender,
+		metrics.NewRequests(d.registry, d.clock).Filter(),
 		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
 		request.Metered(control.NewMeter(), d.clock),
--- /dev/null
+++ b/daemon/transport.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quincewinch/lib/certificates"
+)
+
+const (
+	// idleConnections bounds the idle connections to one backend server.
+	idleConnections = 256
+	idleTimeout     = 90 * time.Second
+)
+
+// client returns the HTTP client for calls of the platform.
+func (d *Daemon) client() *http.Client {
+	return &http.Client{Transport: d.transport()}
+}
+
+// backendClient returns the HTTP client for calls of backend servers.
+func (d *Daemon) backendClient() *http.Client {
+	if d.settings.Engines.Plain {
+		return &http.Client{Transport: d.transport()}
+	}
+	return &http.Client{Transport: secureOnly{d.transport()}}
+}
+
+func (d *Daemon) transport() *http.Transport {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		ForceAttemptHTTP2:   true,
+	}
+	if d.source != nil {
+		transport.TLSClientConfig = certificates.Client(d.source)
+	}
+	return transport
+}
+
+// exchangeCredentials returns the credentials between daemons: mutual TLS
+// unless the settings say plain.
+func (d *Daemon) exchangeCredentials() credentials.TransportCredentials {
+	if d.settings.Daemons.Plain {
+		return insecure.NewCredentials()
+	}
+	return mutual{credentials.NewTLS(certificates.Client(d.source)), credentials.NewTLS(certificates.Server(d.source, true))}
+}
+
+// secureOnly refuses to call an address without TLS.
+type secureOnly struct {
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s secureOnly) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Scheme != "https" {
+		return nil, errors.New("calls without TLS are not allowed by the settings: " + r.URL.Host)
+	}
+	return s.next.RoundTrip(r)
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -16,6 +16,7 @@
 
 	"quincewinch/config"
 	"quincewinch/daemon"
+	"quincewinch/lib/certificates"
 	"quincewinch/models"
 	"quincewinch/peer"
 	standinengine "quincewinch/standin/engine"
@@ -40,6 +41,14 @@
 	clock      peer.Clock
 	logger     *zap.Logger
 	servers    []*http.Server
+
+	options      Options
+	certificates *certificates.Memory
+}
+
+// Options vary the demo.
+type Options struct {
+	TLS bool // serve callers, operators, metrics and stand-ins over TLS
 }
 
 // Ready tells where the running demo is reached.
@@ -51,6 +60,7 @@
 	Workspaces  []WorkspaceKey
 	Engines     []string
 	Services    []ReadyService
+	Authority   string // PEM, where TLS is on
 }
 
 // WorkspaceKey is a workspace and a key to it.
@@ -68,7 +78,11 @@
 }
 
 // Start starts the demo of a deployment.
-func Start(ctx context.Context, deployment Deployment, clock peer.Clock, logger *zap.Logger) (*System, error) {
+func Start(ctx context.Context, deployment Deployment, clock peer.Clock, logger *zap.Logger, options Options) (*System, error) {
+	source, err := certificates.NewMemory(clock)
+	if err != nil {
+		return nil, err
+	}
 	s := &System{
 		Store:      standinplatform.NewStore(clock),
 		Engines:    map[models.EngineID]*standinengine.Engine{},
@@ -76,6 +90,12 @@
 		deployment: deployment,
 		clock:      clock,
 		logger:     logger,
+
+		options:      options,
+		certificates: source,
+	}
+	if options.TLS {
+		s.Ready.Authority = string(source.AuthorityPEM())
 	}
 	s.Ready.OperatorKey = "op-" + randomText()
 	if err := s.startBackends(ctx); err != nil {
@@ -187,15 +207,15 @@
 		if err != nil {
 			return err
 		}
-		d := daemon.New(settings, s.logger, s.clock)
+		d := daemon.New(settings, s.logger, s.clock, s.certificates)
 		if err := d.Start(); err != nil {
 			return err
 		}
 		s.Daemons = append(s.Daemons, d)
 		addresses := d.Addresses()
-		s.Ready.Callers = append(s.Ready.Callers, "http://"+addresses.Callers.String())
-		s.Ready.Operators = append(s.Ready.Operators, "http://"+addresses.Operators.String())
-		s.Ready.Metrics = append(s.Ready.Metrics, "http://"+addresses.Metrics.String())
+		s.Ready.Callers = append(s.Ready.Callers, s.scheme()+addresses.Callers.String())
+		s.Ready.Operators = append(s.Ready.Operators, s.scheme()+addresses.Operators.String())
+		s.Ready.Metrics = append(s.Ready.Metrics, s.scheme()+addresses.Metrics.String())
 	}
 	s.Store.SetVMs(s.vms())
 	return s.awaitReady(ctx)
@@ -217,7 +237,7 @@
 // awaitReady waits until each daemon says that it is ready, and takes edits.
 func (s *System) awaitReady(ctx context.Context) error {
 	for _, address := range s.Ready.Metrics {
-		for !isReady(ctx, address) {
+		for !s.isReady(ctx, address) {
 			if err := s.clock.Sleep(ctx, readyPoll); err != nil {
 				return errors.Annotate(err, "a daemon did not become ready")
 			}
@@ -235,12 +255,12 @@
 
 const readyPoll = 50 * time.Millisecond
 
-func isReady(ctx context.Context, address string) bool {
+func (s *System) isReady(ctx context.Context, address string) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/readyz", nil)
 	if err != nil {
 		return false
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := s.Client().Do(r)
 	if err != nil {
 		return false
 	}
@@ -249,15 +269,17 @@
 }
 
 func (s *System) settings(i int, platform *url.URL) (*config.Settings, error) {
+	plain := strconv.FormatBool(!s.options.TLS)
 	raw := `{
 		"name": "entry-` + strconv.Itoa(i+1) + `",
 		"zone": "` + string(s.deployment.Zones[i%len(s.deployment.Zones)]) + `",
-		"callers": {"address": "127.0.0.1:0"},
-		"operators": {"address": "127.0.0.1:0", "key": "` + s.Ready.OperatorKey + `"},
+		"callers": {"address": "127.0.0.1:0", "plain": ` + plain + `},
+		"operators": {"address": "127.0.0.1:0", "plain": ` + plain + `, "key": "` + s.Ready.OperatorKey + `"},
 		"daemons": {"address": "127.0.0.1:0"},
-		"metrics": {"address": "127.0.0.1:0"},
-		"platform": {"url": "` + platform.String() + `"},
-		"tls": {"plain": true}
+		"metrics": {"address": "127.0.0.1:0", "plain": ` + plain + `},
+		"platform": {"url": "` + platform.String() + `", "plain": ` + plain + `},
+		"engines": {"plain": ` + plain + `},
+		"tls": {"certificate-file": "(memory)", "key-file": "(memory)", "authority-file": "(memory)"}
 	}`
 	return config.Parse([]byte(raw))
 }
@@ -268,14 +290,33 @@
 	if err != nil {
 		return "", errors.Annotate(err, "cannot listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, TLSConfig: certificates.Server(s.certificates, false)}
 	s.servers = append(s.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.accept(server, listener); !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error("stand-in ended", zap.Error(err))
 		}
 	}()
-	return "http://" + listener.Addr().String(), nil
+	return s.scheme() + listener.Addr().String(), nil
+}
+
+func (s *System) accept(server *http.Server, listener net.Listener) error {
+	if s.options.TLS {
+		return server.ServeTLS(listener, "", "")
+	}
+	return server.Serve(listener)
+}
+
+func (s *System) scheme() string {
+	if s.options.TLS {
+		return "https://"
+	}
+	return "http://"
+}
+
+// Client returns an HTTP client that trusts the demo.
+func (s *System) Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: certificates.Client(s.certificates)}}
 }
 
 // randomText returns a random name; the system's source never fails.
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -25,7 +25,7 @@
 	is := is.New(t)
 	deployment, err := demo.Find("tamarind")
 	is.NoErr(err)
-	running, err := demo.Start(t.Context(), deployment, system.NewClock(), zap.NewNop())
+	running, err := demo.Start(t.Context(), deployment, system.NewClock(), zap.NewNop(), demo.Options{})
 	is.NoErr(err)
 	t.Cleanup(func() { is.NoErr(running.Stop(context.Background())) })
 	return running
--- a/demo/ready.go
+++ b/demo/ready.go
@@ -15,6 +15,7 @@
 	Workspaces  []workspaceForm `json:"workspaces"`
 	Engines     []string        `json:"engines"`
 	Services    []serviceForm   `json:"services"`
+	Authority   string          `json:"certificate-authority,omitempty"`
 }
 
 type workspaceForm struct {
@@ -39,6 +40,7 @@
 		Metrics:     r.Metrics,
 		OperatorKey: r.OperatorKey,
 		Engines:     r.Engines,
+		Authority:   r.Authority,
 	}
 	for _, workspace := range r.Workspaces {
 		form.Workspaces = append(form.Workspaces, workspaceForm(workspace))
--- /dev/null
+++ b/metrics/state.go
@@ -0,0 +1,102 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+)
+
+// State is what the process knows when it is asked.
+type State interface {
+	States() map[models.EngineID]models.EngineState
+	Evidence() models.Evidence
+	ConfigRevision() models.Revision
+	LeaseNames() []models.LeaseName
+	Authority(name models.LeaseName) models.Authority
+	ExchangeBytes() (sent, received int64)
+	LiveDaemons() int
+}
+
+// StateCollector reads a process's state at each scrape.
+type StateCollector struct {
+	state   State
+	clock   peer.Clock
+	running *prometheus.Desc
+	queued  *prometheus.Desc
+	free    *prometheus.Desc
+	age     *prometheus.Desc
+	holder  *prometheus.Desc
+	fence   *prometheus.Desc
+	config  *prometheus.Desc
+	proof   *prometheus.Desc
+	bytes   *prometheus.Desc
+	daemons *prometheus.Desc
+}
+
+// NewStateCollector returns a collector of a state.
+func NewStateCollector(state State, clock peer.Clock) *StateCollector {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+	}
+	return &StateCollector{
+		state:   state,
+		clock:   clock,
+		running: desc("engine_running_requests", "Requests in an engine's batch, as it last reported.", "engine"),
+		queued:  desc("engine_queued_requests", "Requests that wait at an engine, as it last reported.", "engine"),
+		free:    desc("engine_free_pieces", "Free memory of an engine in fixed pieces.", "engine"),
+		age:     desc("engine_report_age_seconds", "Age of an engine's last report.", "engine"),
+		holder:  desc("lease_held", "Whether this daemon holds a lease.", "lease"),
+		fence:   desc("lease_fence", "Fencing number of a lease that this daemon holds.", "lease"),
+		config:  desc("config_revision", "Revision of the configuration in force."),
+		proof:   desc("key_evidence_age_seconds", "Age of the evidence that no withdrawal of a key was missed.", "source"),
+		bytes:   desc("exchange_bytes_total", "Bytes exchanged with other daemons.", "direction"),
+		daemons: desc("live_daemons", "Other daemons that this one hears of."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *StateCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	prometheus.DescribeByCollect(c, descriptions)
+}
+
+// Collect implements prometheus.Collector.
+func (c *StateCollector) Collect(metrics chan<- prometheus.Metric) {
+	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+	}
+	now := c.clock.Now()
+	c.collectEngines(now, gauge)
+	for _, name := range c.state.LeaseNames() {
+		authority := c.state.Authority(name)
+		gauge(c.holder, number(authority.Valid(now)), string(name))
+		gauge(c.fence, float64(authority.Fence), string(name))
+	}
+	gauge(c.config, float64(c.state.ConfigRevision()))
+	if evidence := c.state.Evidence(); evidence.Source != models.EvidenceNone {
+		gauge(c.proof, now.Sub(evidence.At).Seconds(), string(evidence.Source))
+	}
+	gauge(c.daemons, float64(c.state.LiveDaemons()))
+	sent, received := c.state.ExchangeBytes()
+	metrics <- prometheus.MustNewConstMetric(c.bytes, prometheus.CounterValue, float64(sent), "sent")
+	metrics <- prometheus.MustNewConstMetric(c.bytes, prometheus.CounterValue, float64(received), "received")
+}
+
+func (c *StateCollector) collectEngines(now time.Time, gauge func(*prometheus.Desc, float64, ...string)) {
+	for id, state := range c.state.States() {
+		engine := string(id)
+		gauge(c.running, float64(state.Running), engine)
+		gauge(c.queued, float64(state.Queued), engine)
+		gauge(c.free, float64(state.FreePieces), engine)
+		gauge(c.age, now.Sub(state.MeasuredAt).Seconds(), engine)
+	}
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/peer/daemon/client.go
+++ b/peer/daemon/client.go
@@ -22,6 +22,7 @@
 // Client reaches the other daemons over one connection each. It implements
 // peer.Daemons.
 type Client struct {
+	traffic     *Traffic
 	credentials credentials.TransportCredentials
 	timeout     time.Duration // of one call
 
@@ -30,8 +31,9 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient(credentials credentials.TransportCredentials, timeout time.Duration) *Client {
+func NewClient(credentials credentials.TransportCredentials, timeout time.Duration, traffic *Traffic) *Client {
 	return &Client{
+		traffic:     traffic,
 		credentials: credentials,
 		timeout:     timeout,
 		connections: map[netip.AddrPort]*grpc.ClientConn{},
@@ -98,6 +100,7 @@
 	connection, err := grpc.NewClient(
 		"passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(c.credentials),
+		grpc.WithStatsHandler(c.traffic),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 	)
 	if err != nil {
--- a/peer/daemon/codec_test.go
+++ b/peer/daemon/codec_test.go
@@ -66,10 +66,10 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := NewServer(echo{}, insecure.NewCredentials())
+	server := NewServer(echo{}, insecure.NewCredentials(), &Traffic{})
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
-	client := NewClient(insecure.NewCredentials(), time.Minute)
+	client := NewClient(insecure.NewCredentials(), time.Minute, &Traffic{})
 	to := models.VM{Address: listener.Addr().(*net.TCPAddr).AddrPort()}
 
 	answer, err := client.Exchange(context.Background(), to, full())
--- a/peer/daemon/server.go
+++ b/peer/daemon/server.go
@@ -28,10 +28,14 @@
 }
 
 // NewServer returns a server that does not listen yet.
-func NewServer(receiver Receiver, credentials credentials.TransportCredentials) *Server {
+func NewServer(receiver Receiver, credentials credentials.TransportCredentials, traffic *Traffic) *Server {
 	s := &Server{
 		receiver: receiver,
-		server:   grpc.NewServer(grpc.Creds(credentials), grpc.MaxRecvMsgSize(MaxMessageBytes)),
+		server: grpc.NewServer(
+			grpc.Creds(credentials),
+			grpc.MaxRecvMsgSize(MaxMessageBytes),
+			grpc.StatsHandler(traffic),
+		),
 	}
 	proto.RegisterDaemonsServer(s.server, s)
 	return s
