certificates: the demo's certificate and its authority have two names

Cause: curl refused the demo's TLS as self-signed: certificate and authority had one subject, and OpenSSL takes a certificate whose issuer equals its subject for its own issuer. Go's verifier did not mind. Stopping with TLS took 10 s and failed, since idle connections were left open by their clients.

Change: two names, a test that failed before; daemon and demo close idle connections at their stop.

Conclusion: other TLS libraries can check the demo.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,6 +53,7 @@
 	work          *request.Work
 	fleet         *control.Fleet
 	servers       []*http.Server
+	transports    []*http.Transport
 	ready         readiness
 	addresses     Addresses
 }
@@ -133,6 +134,7 @@
 	d.system.Stop()
 	d.fleet.Wait()
 	d.stopExchange(context.WithoutCancel(ctx))
+	d.closeIdle()
 	return failed
 }
 
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -39,9 +39,18 @@
 	if d.source != nil {
 		transport.TLSClientConfig = certificates.Client(d.source)
 	}
+	d.transports = append(d.transports, transport)
 	return transport
 }
 
+// closeIdle closes connections that nothing uses, so that peers need not wait
+// for them.
+func (d *Daemon) closeIdle() {
+	for _, transport := range d.transports {
+		transport.CloseIdleConnections()
+	}
+}
+
 // exchangeCredentials returns the credentials between daemons: mutual TLS
 // unless the settings say plain.
 func (d *Daemon) exchangeCredentials() credentials.TransportCredentials {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -44,6 +44,7 @@
 
 	options      Options
 	certificates *certificates.Memory
+	client       *http.Client
 }
 
 // Options vary the demo.
@@ -93,6 +94,7 @@
 
 		options:      options,
 		certificates: source,
+		client:       &http.Client{Transport: &http.Transport{TLSClientConfig: certificates.Client(source)}},
 	}
 	if options.TLS {
 		s.Ready.Authority = string(source.AuthorityPEM())
@@ -118,6 +120,7 @@
 			failed = err
 		}
 	}
+	s.client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	for _, server := range s.servers {
@@ -316,7 +319,7 @@
 
 // Client returns an HTTP client that trusts the demo.
 func (s *System) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: certificates.Client(s.certificates)}}
+	return s.client
 }
 
 // randomText returns a random name; the system's source never fails.
--- a/lib/certificates/certificates_test.go
+++ b/lib/certificates/certificates_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"os"
 	"path/filepath"
@@ -82,6 +83,14 @@
 		is.NoErr(serverErr)
 		is.NoErr(clientErr)
 	})
+	t.Run("names differ, or libraries take the certificate for self-signed", func(t *testing.T) {
+		is := is.New(t)
+		certificate, err := ours.Certificate()
+		is.NoErr(err)
+		leaf, err := x509.ParseCertificate(certificate.Certificate[0])
+		is.NoErr(err)
+		is.True(leaf.Subject.String() != leaf.Issuer.String()) // two names
+	})
 	t.Run("a server of another authority", func(t *testing.T) {
 		_, clientErr := handshake(t, certificates.Server(others, false), certificates.Client(ours))
 		is.New(t).True(clientErr != nil) // the client does not trust it
--- a/lib/certificates/memory.go
+++ b/lib/certificates/memory.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "cannot make a key")
 	}
-	parent, err := template(now)
+	parent, err := template(now, "authority")
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +88,7 @@
 	if err != nil {
 		return errors.Annotate(err, "cannot make a key")
 	}
-	leaf, err := template(now)
+	leaf, err := template(now, "loopback")
 	if err != nil {
 		return err
 	}
@@ -104,14 +104,14 @@
 	return nil
 }
 
-func template(now time.Time) (*x509.Certificate, error) {
+func template(now time.Time, name string) (*x509.Certificate, error) {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
 		return nil, errors.Annotate(err, "cannot make a serial number")
 	}
 	return &x509.Certificate{
 		SerialNumber: serial,
-		Subject:      pkix.Name{Organization: []string{organisation}, CommonName: organisation},
+		Subject:      pkix.Name{Organization: []string{organisation}, CommonName: organisation + " " + name},
 		NotBefore:    now.Add(-clockSlack),
 		NotAfter:     now.Add(validity),
 	}, nil
