--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -96,13 +96,14 @@
 func (d *Daemon) Start() error {
 	client := &http.Client{}
 	d.platform = d.platformServices(client)
-	engines := engine.NewClients(client)
+	backends := backendClient()
+	engines := engine.NewClients(backends)
 	d.configuration = control.NewConfiguration(d.platform.table, d.clock, d.ring)
 	d.engines = control.NewEngines(engines, d.configuration, d.clock, d.settings.Engines.Timeout)
 	if err := d.startExchange(insecure.NewCredentials()); err != nil {
 		return err
 	}
-	line := d.line(engines, service.NewClients(client))
+	line := d.line(engines, service.NewClients(backends))
 	editor := control.NewEditor(d.id, d.platform.table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
 	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -1,6 +1,10 @@
 package daemon
 
 import (
+	"net"
+	"net/http"
+	"time"
+
 	"quincewinch/control"
 	"quincewinch/peer"
 	"quincewinch/request"
@@ -8,7 +12,7 @@
 
 // line returns the filters in the order a request meets them.
 func (d *Daemon) line(engines peer.Engines, services peer.Services) request.Handler {
-	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
+	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout, d.exchange.gossip)
 	placer := d.newPlacer(engines)
 	sender := request.NewSender(engines, services, d.configuration, placer, d.engines, d.ring, d.clock, request.SenderSettings{
 		Zone:  d.settings.Zone,
@@ -23,3 +27,24 @@
 		d.claims.Filter(),
 	)
 }
+
+const (
+	// dialTimeout bounds the making of a connection to a backend server.
+	dialTimeout = time.Second
+	// idleConnections is how many unused connections are kept to each.
+	idleConnections = 64
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = time.Minute
+)
+
+// backendClient returns the HTTP client towards backend servers. It uses no
+// proxy from the environment and leaves answers as they come.
+func backendClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+}
--- /dev/null
+++ b/peer/caller/handler_test.go
@@ -0,0 +1,112 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer/system"
+	"quincewinch/request"
+)
+
+const bodyLimit = 200
+
+// reached is a line that tells whether a request came to it.
+type reached struct {
+	exchange *request.Exchange
+}
+
+func (r *reached) Handle(ctx context.Context, e *request.Exchange) error {
+	r.exchange = e
+	if e.Generation != nil {
+		return e.Sink.Piece(ctx, models.Piece{Done: true})
+	}
+	return e.Sink.Answer(ctx, models.ServiceAnswer{Status: http.StatusOK})
+}
+
+// send sends a body and returns the status and what the line got.
+func send(path, body string) (int, *request.Exchange) {
+	line := &reached{}
+	h := NewHandler(line, nil, system.NewClock(), func() models.RequestID { return "r" }, Settings{MaxBodyBytes: bodyLimit, Timeout: 1 << 30})
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer qw-secret")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Code, line.exchange
+}
+
+func TestMalformedRequestsReachNoEngine(t *testing.T) {
+	const chat, completion = "/v1/chat/completions", "/v1/completions"
+	cases := []struct {
+		name, path, body string
+		status           int
+	}{
+		{"not JSON", chat, `{"model": "m"`, http.StatusBadRequest},
+		{"no messages", chat, `{"model": "m"}`, http.StatusBadRequest},
+		{"no model", chat, `{"messages": [{"role": "user", "content": "x"}]}`, http.StatusBadRequest},
+		{"content of a wrong type", chat, `{"model": "m", "messages": [{"content": 7}]}`, http.StatusBadRequest},
+		{"negative limit", completion, `{"model": "m", "prompt": "x", "max_tokens": -1}`, http.StatusBadRequest},
+		{"empty prompt", completion, `{"model": "m", "prompt": ""}`, http.StatusBadRequest},
+		{"stop of a wrong type", completion, `{"model": "m", "prompt": "x", "stop": 7}`, http.StatusBadRequest},
+		{"too large", completion, `{"model": "m", "prompt": "` + strings.Repeat("x", bodyLimit) + `"}`, http.StatusRequestEntityTooLarge},
+		{"too large for a service", "/services/reservations", strings.Repeat("x", bodyLimit+1), http.StatusRequestEntityTooLarge},
+		{"key in the body", "/services/reservations", "key=qw-secret", http.StatusBadRequest},
+		{"key in the query", "/services/reservations?key=qw-secret", "", http.StatusBadRequest},
+		{"unknown path", "/v1/elsewhere", "", http.StatusNotFound},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			status, got := send(c.path, c.body)
+			is.Equal(status, c.status)
+			is.True(got == nil) // the line saw nothing
+		})
+	}
+	t.Run("a good request passes", func(t *testing.T) {
+		is := is.New(t)
+		status, got := send(completion, `{"model": "m", "prompt": "x"}`)
+		is.Equal(status, http.StatusOK)
+		is.Equal(got.Generation.Prompt, "x")
+	})
+}
+
+// fuzzTokens checks that any body is either refused as malformed or reaches
+// the line as a valid generation.
+func fuzzTokens(f *testing.F, path string, seeds ...string) {
+	f.Helper()
+	for _, seed := range seeds {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		status, got := send(path, body)
+		switch {
+		case got == nil && status/100 != 4:
+			t.Errorf("status %d without an answer", status)
+		case got != nil && (got.Generation.Model == "" || got.Generation.Prompt == "" || got.Generation.MaxTokens < 0):
+			t.Errorf("an invalid generation passed: %+v", *got.Generation)
+		}
+	})
+}
+
+func FuzzChat(f *testing.F) {
+	fuzzTokens(f, "/v1/chat/completions",
+		`{"model": "m", "messages": [{"role": "user", "content": "x"}]}`,
+		`{"model": "m", "messages": [{"content": ["a", {"text": "b"}, {"image_url": {"url": "c"}}]}], "stop": ["x"]}`,
+		`{"model": "m", "messages": [{}], "max_completion_tokens": 1e3}`,
+		`{"model": "m", "messages": null, "stream_options": null, "stop": null}`,
+		`[]`, `null`, ``,
+	)
+}
+
+func FuzzCompletion(f *testing.F) {
+	fuzzTokens(f, "/v1/completions",
+		`{"model": "m", "prompt": "x", "stream": true, "stream_options": {"include_usage": true}}`,
+		`{"model": "m", "prompt": ["a", "b"], "max_tokens": 9223372036854775807}`,
+		`{"model": "m", "prompt": {}}`, `{"model": 1}`, `null`, ``,
+	)
+}
--- /dev/null
+++ b/peer/daemon/fuzz_test.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"reflect"
+	"testing"
+
+	gproto "google.golang.org/protobuf/proto"
+
+	"quincewinch/models"
+	"quincewinch/peer/daemon/proto"
+)
+
+// FuzzGossip checks that any message that protobuf takes is decoded, and that
+// what it says survives the next hop.
+func FuzzGossip(f *testing.F) {
+	for _, gossip := range []models.Gossip{full(), {}} {
+		raw, err := gproto.Marshal(EncodeGossip(gossip))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Add([]byte{0x0a, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var form proto.Gossip
+		if err := gproto.Unmarshal(raw, &form); err != nil {
+			return
+		}
+		gossip := DecodeGossip(&form)
+		if again := DecodeGossip(EncodeGossip(gossip)); !reflect.DeepEqual(gossip.Rows, again.Rows) || gossip.Stamp != again.Stamp || gossip.Through != again.Through {
+			t.Errorf("%+v became %+v", gossip, again)
+		}
+	})
+}
--- a/peer/engine/stream.go
+++ b/peer/engine/stream.go
@@ -10,6 +10,9 @@
 	"quincewinch/peer/engine/wire"
 )
 
+// maxStreamBytes bounds what is read of one stream.
+const maxStreamBytes = 64 << 20
+
 // stream reads pieces from a response's body.
 type stream struct {
 	body    io.ReadCloser
@@ -18,7 +21,8 @@
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
-	return &stream{body: body, decoder: json.NewDecoder(body), cancel: cancel}
+	limited := io.LimitReader(body, maxStreamBytes)
+	return &stream{body: body, decoder: json.NewDecoder(limited), cancel: cancel}
 }
 
 // Next implements peer.TokenStream. The end of ctx ends the stream.
--- /dev/null
+++ b/peer/engine/stream_test.go
@@ -0,0 +1,31 @@
+package engine
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"quincewinch/peer"
+)
+
+// FuzzStream checks that any bytes of an engine give pieces or a failure, and
+// end.
+func FuzzStream(f *testing.F) {
+	f.Add("{\"request\": \"r\", \"index\": 0, \"text\": \" oak\"}\n{\"request\": \"r\", \"index\": 1, \"finish\": {\"reason\": \"stop\"}}\n")
+	f.Add(`{"request": "r", "index": -1}`)
+	f.Add(`{"request": "r", "index": 1e99}`)
+	f.Add(`{"finish": null}[]`)
+	f.Add("")
+	f.Fuzz(func(t *testing.T, body string) {
+		s := newStream(io.NopCloser(strings.NewReader(body)), func() {})
+		for range len(body) + 1 {
+			if _, err := s.Next(t.Context()); err != nil {
+				if peer.OutcomeOf(err) != peer.OutcomeUnknown {
+					t.Errorf("outcome %s of a broken stream", peer.OutcomeOf(err))
+				}
+				return
+			}
+		}
+		t.Error("the stream does not end")
+	})
+}
--- a/peer/service/client.go
+++ b/peer/service/client.go
@@ -72,6 +72,9 @@
 	if len(raw) > MaxAnswerBytes {
 		return models.ServiceAnswer{}, peer.NewFailure(peer.OutcomeUnknown, "the service's answer is too large", nil)
 	}
+	if response.StatusCode < http.StatusOK {
+		return models.ServiceAnswer{}, peer.NewFailure(peer.OutcomeUnknown, "the service answered "+response.Status, nil)
+	}
 	return models.ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: raw}, nil
 }
 
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -14,6 +14,7 @@
 	server models.BackendServer
 	engine peer.Engine
 	id     models.RequestID
+	waited time.Duration // for pieces, the time that the caller took left out
 }
 
 // streamEnd tells how one connection's stream ended.
@@ -135,7 +136,8 @@
 // answer; anything else breaks the stream.
 func (a *attempt) pump(ctx context.Context, from *source) (streamEnd, ending) {
 	clock := a.sender.clock
-	latest := clock.Now()
+	latest := clock.Now() // when the engine was waited for from
+	defer func() { a.waited += clock.Now().Sub(latest) }()
 	patrol := clock.NewTimer(patrolInterval)
 	defer func() { patrol.Stop() }()
 	for {
@@ -151,6 +153,8 @@
 			}
 			patrol = clock.NewTimer(patrolInterval)
 		case item := <-from.items:
+			a.waited += clock.Now().Sub(latest)
+			latest = clock.Now()
 			if item.err != nil || item.piece.Request != a.id || item.piece.Index != len(a.given) {
 				return streamBroken, ending{}
 			}
--- a/request/claim.go
+++ b/request/claim.go
@@ -54,15 +54,16 @@
 	err         error    // why it could not be claimed
 }
 
-// NewClaims returns claims of a daemon. Timeout bounds one call of the table.
-func NewClaims(table peer.Table, objects peer.Objects, clock peer.Clock, timeline peer.Timeline, daemon models.DaemonID, timeout time.Duration) *Claims {
+// NewClaims returns claims of a daemon. Timeout bounds one call of the table;
+// the daemons of reports share the rate of transactions.
+func NewClaims(table peer.Table, objects peer.Objects, clock peer.Clock, timeline peer.Timeline, daemon models.DaemonID, timeout time.Duration, reports peer.Reports) *Claims {
 	return &Claims{
 		table:    table,
 		objects:  objects,
 		clock:    clock,
 		timeline: timeline,
 		daemon:   daemon,
-		commits:  newCommitter(table, clock, timeout),
+		commits:  newCommitter(table, clock, timeout, reports),
 		local:    map[models.RowKey]*localClaim{},
 	}
 }
--- a/request/claim_test.go
+++ b/request/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,11 +21,18 @@
 	"quincewinch/standin/platform"
 )
 
-// quiet is a time line that keeps nothing.
+// quiet is a time line that keeps nothing, and daemons that report nothing.
 type quiet struct{}
 
 func (quiet) Record(models.Event) {}
 
+func (quiet) Reports() []models.PeerReport { return nil }
+
+// sharers is the reports of so many other daemons.
+type sharers int
+
+func (s sharers) Reports() []models.PeerReport { return make([]models.PeerReport, s) }
+
 // answerSink keeps what a caller got.
 type answerSink struct {
 	mu     sync.Mutex
@@ -142,7 +150,7 @@
 	for i := range daemons {
 		id := models.DaemonID(string(rune('a' + i)))
 		way := &link{Store: c.store}
-		part := request.NewClaims(way, c.store, clock, quiet{}, id, time.Second)
+		part := request.NewClaims(way, c.store, clock, quiet{}, id, time.Second, sharers(daemons-1))
 		c.links = append(c.links, way)
 		c.parts = append(c.parts, part)
 		c.lines = append(c.lines, request.Chain(c.ledger, part.Filter()))
@@ -225,6 +233,7 @@
 			is.Equal(refusal, nil)
 			synctest.Wait()
 			before := c.store.Counts().Writes
+			c.store.SetFaults(platform.Faults{Delay: 5 * time.Millisecond})
 			var group sync.WaitGroup
 			for i := range 40 {
 				group.Go(func() {
@@ -360,6 +369,28 @@
 	})
 }
 
+// TestCommitRate has seven daemons claim 350 requests a second for 10 s.
+func TestCommitRate(t *testing.T) {
+	const rate, duration = 350, 10 // a second; seconds
+	bubble(t, func(t *testing.T, is *is.I) {
+		c := newClaims(7)
+		c.store.SetFaults(platform.Faults{Delay: 3 * time.Millisecond})
+		var group sync.WaitGroup
+		for i := range rate * duration {
+			group.Go(func() {
+				_ = system.NewClock().Sleep(t.Context(), time.Duration(i)*time.Second/rate)
+				_, refusal := c.book(t.Context(), i%7, "r"+strconv.Itoa(i), "", "x")
+				is.Equal(refusal, nil)
+			})
+		}
+		group.Wait()
+		writes := float64(c.store.Counts().Writes) / duration
+		t.Logf("%d claims a second took %.0f transactions a second", rate, writes)
+		is.True(writes <= 300) // the platform takes several hundred writes a second
+		is.Equal(c.ledger.count(), rate*duration)
+	})
+}
+
 // TestClaimOfDeadHolder takes the claim's holder away after its claim was
 // written and its answer lost: the request runs nowhere else.
 func TestClaimOfDeadHolder(t *testing.T) {
--- a/request/claimrow.go
+++ b/request/claimrow.go
@@ -111,9 +111,9 @@
 	}
 	copy(row.fingerprint[:], fingerprint)
 	if form.Answer != nil {
-		row.answer = form.Answer.domain()
+		row.answer, err = form.Answer.domain()
 	}
-	return row, nil
+	return row, err
 }
 
 func encodeAnswer(answer answerRecord) ([]byte, error) {
@@ -126,7 +126,7 @@
 	if err := json.Unmarshal(raw, &form); err != nil {
 		return nil, errors.Annotate(err, "cannot decode a kept answer")
 	}
-	return form.domain(), nil
+	return form.domain()
 }
 
 func formOfAnswer(answer answerRecord) *answerForm {
@@ -147,13 +147,16 @@
 	return form
 }
 
-func (f answerForm) domain() *answerRecord {
+func (f answerForm) domain() (*answerRecord, error) {
+	if f.Finish == nil && f.Status == 0 {
+		return nil, errors.NotValidf("kept answer of neither kind")
+	}
 	if f.Finish == nil {
-		return &answerRecord{service: &models.ServiceAnswer{Status: f.Status, Header: f.Header, Body: f.Body}}
+		return &answerRecord{service: &models.ServiceAnswer{Status: f.Status, Header: f.Header, Body: f.Body}}, nil
 	}
 	finish := models.Finish{
 		Reason: models.FinishReason(f.Finish.Reason),
 		Usage:  models.TokenUsage{Prompt: f.Finish.Prompt, Cached: f.Finish.Cached, Output: f.Finish.Output},
 	}
-	return &answerRecord{tokens: f.Tokens, finish: &finish}
+	return &answerRecord{tokens: f.Tokens, finish: &finish}, nil
 }
--- a/request/commit.go
+++ b/request/commit.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// commitWindow is the least time between two transactions of a daemon.
-	commitWindow = 10 * time.Millisecond
+	// commitInterval is the mean time between two transactions of all daemons
+	// together at the least: the platform takes several hundred writes a
+	// second, and claims are not all of them. After a quiet time a daemon may
+	// commit commitBurst of them without a wait.
+	commitInterval = 5 * time.Millisecond
+	commitBurst    = 20
 	// commitBatch is the greatest number of rows in a transaction.
 	commitBatch = 64
 	// commitBackoff is the wait after a transaction that met no store; it
@@ -59,18 +63,21 @@
 	table   peer.Table
 	clock   peer.Clock
 	timeout time.Duration // of one call of the table
+	reports peer.Reports  // of the other daemons, which share the rate
 
 	mu      sync.Mutex
 	pending []*commit
 	running bool
 	idle    chan struct{} // closed while nothing is pending
 	hurry   chan struct{} // a request waits for its claim
+
+	free time.Time // when all of a burst's transactions would be paid off
 }
 
-func newCommitter(table peer.Table, clock peer.Clock, timeout time.Duration) *committer {
+func newCommitter(table peer.Table, clock peer.Clock, timeout time.Duration, reports peer.Reports) *committer {
 	idle := make(chan struct{})
 	close(idle)
-	return &committer{table: table, clock: clock, timeout: timeout, idle: idle, hurry: make(chan struct{}, 1)}
+	return &committer{table: table, clock: clock, timeout: timeout, reports: reports, idle: idle, hurry: make(chan struct{}, 1)}
 }
 
 // submit hands over a write; it is settled when its done is closed.
@@ -154,7 +161,20 @@
 			c.rest(backoff)
 			backoff = min(2*backoff, commitBackoffMax)
 		}
-		_ = c.clock.Sleep(context.Background(), commitWindow)
+		c.pace()
+	}
+}
+
+// pace waits until one more transaction keeps within the mean rate.
+func (c *committer) pace() {
+	now := c.clock.Now()
+	if c.free.Before(now) {
+		c.free = now
+	}
+	interval := commitInterval * time.Duration(1+len(c.reports.Reports()))
+	c.free = c.free.Add(interval)
+	if early := c.free.Sub(now) - commitBurst*interval; early > 0 {
+		_ = c.clock.Sleep(context.Background(), early)
 	}
 }
 
--- a/request/fleet_test.go
+++ b/request/fleet_test.go
@@ -82,7 +82,7 @@
 func (f *fleet) addDaemon(id models.DaemonID) {
 	way := &link{Store: f.store}
 	gate := request.NewGate()
-	part := request.NewClaims(way, f.store, f.clock, quiet{}, id, time.Second)
+	part := request.NewClaims(way, f.store, f.clock, quiet{}, id, time.Second, quiet{})
 	sender := request.NewSender(f, f, f, request.NewTurnPlacer(f, f), f, quiet{}, f.clock, request.SenderSettings{Zone: "near", Stall: stall})
 	f.links = append(f.links, way)
 	f.gates = append(f.gates, gate)
--- a/request/generate.go
+++ b/request/generate.go
@@ -129,6 +129,7 @@
 	result := Result{
 		Failed:     !end.whole && end.refusal == nil && end.move == nil,
 		FirstToken: len(g.given) > before,
+		Waited:     a.waited,
 	}
 	if g.finish != nil {
 		result.Usage = g.finish.Usage
