--- a/control/editor.go
+++ b/control/editor.go
@@ -225,12 +225,14 @@
 	return rows[0], nil
 }
 
-// retry tries an edit of unknown outcome again. A conflict may come of the
+// retry tries an edit of unknown outcome again, under an identity of its own,
+// for the earlier one may have been cancelled. A conflict may come of the
 // earlier try that took effect; then its row has to be known before the edit
 // counts as settled.
 func (e *Editor) retry(ctx context.Context, transaction models.Transaction) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	transaction.ID = randomHex(transactionIDBytes)
 	_, err := e.transact(ctx, transaction)
 	settled := err == nil || peer.OutcomeOf(err) == peer.OutcomeRefused
 	if err != nil && peer.OutcomeOf(err) == peer.OutcomeConflict {
