request: a request given up on is answered before its cancel

Now only a request that goes elsewhere waits.

Tests over loopback: one reservation at seven daemons at once is booked once and each gives the one answer; a planned stop cuts no stream; a stream that fails ends with an explicit error and no [DONE].

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,3 +81,57 @@
 		}
 	})
 }
+
+// reserve sends a reservation with an idempotency key.
+func reserve(t *testing.T, address, key, idempotency string) (int, string) {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, address+"/services/reservations/flitches/7", strings.NewReader("one"))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Idempotency-Key", idempotency)
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, string(raw)
+}
+
+func TestReservationRunsOnceOverAllDaemons(t *testing.T) {
+	is := is.New(t)
+	running := start(t)
+	key := running.Ready.Workspaces[0].Key
+	answers := make([]string, len(running.Ready.Callers))
+	var group sync.WaitGroup
+	for i, address := range running.Ready.Callers {
+		group.Go(func() {
+			status, body := reserve(t, address, key, "flitch-7")
+			is.Equal(status, http.StatusOK)
+			answers[i] = body
+		})
+	}
+	group.Wait()
+	is.Equal(len(running.Services["reservations"].Bookings()), 1) // booked once
+	is.Equal(len(slices.Compact(answers)), 1)                     // each daemon gave the one answer
+	is.True(running.Services["reservations"].Bookings()[0].Header.Get("Authorization") == "")
+}
+
+func TestPlannedStopCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	running := start(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, running.Ready.Callers[0]+"/v1/chat/completions", strings.NewReader(question+`, "stream": true}`))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+running.Ready.Workspaces[0].Key)
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer response.Body.Close()
+	stopping := running.Daemons[0]
+	running.Daemons = running.Daemons[1:]
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopping.Stop(context.Background()) }()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(body), "data: [DONE]\n\n")) // whole
+	is.NoErr(<-stopped)
+}
--- a/peer/caller/handler_test.go
+++ b/peer/caller/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -75,6 +76,34 @@
 	})
 }
 
+// failing is a line that fails after one token.
+type failing struct{}
+
+func (failing) Handle(ctx context.Context, e *request.Exchange) error {
+	if err := e.Sink.Piece(ctx, models.Piece{Text: " oak"}); err != nil {
+		return err
+	}
+	return &models.Refusal{Code: models.RefusalKeyWithdrawn, Message: "withdrawn"}
+}
+
+func TestStreamEndsWithAnExplicitError(t *testing.T) {
+	for _, stream := range []string{"true", "false"} {
+		t.Run("stream "+stream, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(NewHandler(failing{}, nil, system.NewClock(), func() models.RequestID { return "r" }, Settings{MaxBodyBytes: bodyLimit, Timeout: 1 << 40}))
+			defer server.Close()
+			response, err := http.Post(server.URL+"/v1/completions", "application/json", strings.NewReader(`{"model": "m", "prompt": "x", "stream": `+stream+`}`))
+			is.NoErr(err)
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.True(strings.Contains(string(body), `"code":"key-withdrawn"`)) // says why
+			is.True(!strings.Contains(string(body), "[DONE]"))                // and is no whole answer
+			is.Equal(response.StatusCode == http.StatusOK, stream == "true")
+		})
+	}
+}
+
 // fuzzTokens checks that any body is either refused as malformed or reaches
 // the line as a valid generation.
 func fuzzTokens(f *testing.F, path string, seeds ...string) {
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -88,8 +88,7 @@
 	case peer.OutcomeOf(err) == peer.OutcomeRefused:
 		return nil, ending{refusal: a.refusedBy(err)}, false
 	}
-	a.sender.cancelFirst(ctx, a.engine, a.id)
-	return nil, ending{}, false
+	return nil, ending{cancelled: a.sender.cancel(ctx, a.engine, a.id)}, false
 }
 
 // refusedBy returns the refusal of a request that the engine will not run.
@@ -124,12 +123,10 @@
 
 // giveUp ends the request at an engine that does not finish it.
 func (a *attempt) giveUp(ctx context.Context) ending {
-	if refusal := gone(ctx, a.exchange); refusal != nil {
-		a.sender.cancel(ctx, a.engine, a.id)
-		return ending{refusal: refusal}
+	return ending{
+		refusal:   gone(ctx, a.exchange),
+		cancelled: a.sender.cancel(ctx, a.engine, a.id),
 	}
-	a.sender.cancelFirst(ctx, a.engine, a.id)
-	return ending{}
 }
 
 // pump hands pieces to the caller. Each must be the next of this attempt's
--- a/request/generate.go
+++ b/request/generate.go
@@ -26,7 +26,10 @@
 	whole   bool
 	refusal error
 	unrun   bool // the engine never saw the request
-	move    *move
+	// cancelled is closed once the engine was told to end the request; nil
+	// where there is nothing to end.
+	cancelled <-chan struct{}
+	move      *move
 }
 
 // move takes a request from an engine that leaves to another.
@@ -60,6 +63,7 @@
 		if tries >= generateAttempts || !g.mayRetry(end) {
 			return g.lost(placement.Server.Engine)
 		}
+		s.awaitCancel(end.cancelled)
 		if placement, err = g.place(ctx); err != nil {
 			return g.unplaced(ctx, err)
 		}
@@ -199,12 +203,16 @@
 	return done
 }
 
-// cancelFirst cancels a request at an engine before it goes elsewhere.
-func (s *Sender) cancelFirst(ctx context.Context, engine peer.Engine, id models.RequestID) {
+// awaitCancel waits a short while for a cancel, before the request goes
+// elsewhere.
+func (s *Sender) awaitCancel(cancelled <-chan struct{}) {
+	if cancelled == nil {
+		return
+	}
 	timer := s.clock.NewTimer(cancelWait)
 	defer timer.Stop()
 	select {
-	case <-s.cancel(ctx, engine, id):
+	case <-cancelled:
 	case <-timer.C():
 	}
 }
