--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -1,11 +1,8 @@
 package daemon
 
 import (
-	"net"
-	"net/http"
-	"time"
-
 	"quincewinch/control"
+	"quincewinch/metrics"
 	"quincewinch/peer"
 	"quincewinch/request"
 )
@@ -20,6 +17,7 @@
 	})
 	return request.Chain(
 		sender,
+		metrics.NewRequests(d.registry, d.clock).Filter(),
 		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
 		request.Metered(control.NewMeter(), d.clock),
@@ -27,24 +25,3 @@
 		d.claims.Filter(),
 	)
 }
-
-const (
-	// dialTimeout bounds the making of a connection to a backend server.
-	dialTimeout = time.Second
-	// idleConnections is how many unused connections are kept to each.
-	idleConnections = 64
-	// idleTimeout is how long an unused connection is kept.
-	idleTimeout = time.Minute
-)
-
-// backendClient returns the HTTP client towards backend servers. It uses no
-// proxy from the environment and leaves answers as they come.
-func backendClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
-}
--- a/demo/latency_test.go
+++ b/demo/latency_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	running, err := demo.Start(b.Context(), deployment, system.NewClock(), zap.NewNop())
+	running, err := demo.Start(b.Context(), deployment, system.NewClock(), zap.NewNop(), demo.Options{})
 	if err != nil {
 		b.Fatal(err)
 	}
