--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -9,7 +9,7 @@
 
 // line returns the filters in the order a request meets them.
 func (d *Daemon) line(engines peer.Engines, services peer.Services) request.Handler {
-	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
+	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout, d.exchange.gossip)
 	placer := d.newPlacer(engines)
 	sender := request.NewSender(engines, services, d.configuration, placer, d.engines, d.ring, d.clock, request.SenderSettings{
 		Zone:  d.settings.Zone,
--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -15,6 +16,8 @@
 	// idleConnections bounds the idle connections to one backend server.
 	idleConnections = 256
 	idleTimeout     = 90 * time.Second
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
 )
 
 // client returns the HTTP client for calls of the platform.
@@ -31,7 +34,10 @@
 }
 
 func (d *Daemon) transport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		ForceAttemptHTTP2:   true,
