policy: share limits between daemons, pace by level, prefer cached prefixes

Cause: limits of the table had no effect; at overload daemons rushed to the engine that the last report showed free; a workspace far above its share took freed places at daemons where nobody else waited just then.

Placement expects other daemons to do what this one has done since the report, and weighs the prefill that a cached prefix saves. The queue reserves the engine at the moment it lets a request go, so that the forecast and the placement are the same choice, and a workspace above the mean level needs an emptier engine.

--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -10,8 +10,12 @@
 	"quincewinch/request"
 )
 
-// queueInterval is how often queues look for late requests and for room.
-const queueInterval = 20 * time.Millisecond
+const (
+	// queueInterval is how often queues look for late requests and for room.
+	queueInterval = 20 * time.Millisecond
+	// limitInterval is how often the shares of limits are divided anew.
+	limitInterval = 250 * time.Millisecond
+)
 
 // newPlacer returns the placer of the line, and starts the task that feeds it
 // with cache events.
@@ -26,11 +30,15 @@
 	return placer
 }
 
-// newQueue returns the queue before the placer, and starts its task.
-func (d *Daemon) newQueue(placer *request.LoadPlacer) *request.Queue {
+// newAdmission returns the limits and the queue before the placer, and starts
+// their tasks.
+func (d *Daemon) newAdmission(placer *request.LoadPlacer) (*request.Limits, *request.Queue) {
 	work := request.NewWork()
-	d.exchange.gossip.RegisterReportSource(work)
-	queue := request.NewQueue(d.configuration, placer, d.exchange.gossip, d.clock, work)
+	reports := d.exchange.gossip
+	reports.RegisterReportSource(work)
+	limits := request.NewLimits(d.id, placer, reports, d.clock, work)
+	queue := request.NewQueue(d.configuration, placer, reports, d.clock, work)
+	d.system.Spawn(limits, limitInterval)
 	d.system.Spawn(queue, queueInterval)
-	return queue
+	return limits, queue
 }
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -10,6 +10,7 @@
 func (d *Daemon) line(engines peer.Engines, services peer.Services) request.Handler {
 	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
 	placer := d.newPlacer(engines)
+	limits, queue := d.newAdmission(placer)
 	sender := request.NewSender(engines, services, d.configuration, placer, d.engines, d.ring, d.clock, request.SenderSettings{
 		Zone:  d.settings.Zone,
 		Stall: d.settings.Engines.Timeout,
@@ -19,7 +20,8 @@
 		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
 		request.Metered(control.NewMeter(), d.clock),
-		d.newQueue(placer).Filter(),
+		limits.Filter(),
+		queue.Filter(),
 		d.claims.Filter(),
 	)
 }
--- a/policy/demand/tracker.go
+++ b/policy/demand/tracker.go
@@ -2,18 +2,17 @@
 package demand
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"quincewinch/models"
 )
 
-const (
-	// smoothing is the time over which a rate forgets.
-	smoothing = 2 * time.Second
-	// shortest is the least time between two reports that give a rate.
-	shortest = 100 * time.Millisecond
-)
+// shortest is the least time between two reports that give a rate.
+const shortest = 100 * time.Millisecond
 
 // Totals are running totals since a daemon's start.
 type Totals struct {
@@ -28,25 +27,27 @@
 }
 
 // Increase is what was added to the totals of one key since the report before.
-type Increase[K comparable] struct {
+type Increase[K cmp.Ordered] struct {
 	Key    K
 	Tokens int64
 }
 
 // Tracker keeps the rates of each daemon by workspace, model or the like.
-type Tracker[K comparable] struct {
-	daemons map[models.DaemonID]*record[K]
+type Tracker[K cmp.Ordered] struct {
+	smoothing time.Duration
+	daemons   map[models.DaemonID]*record[K]
 }
 
-type record[K comparable] struct {
+type record[K cmp.Ordered] struct {
 	at     time.Time
 	totals map[K]Totals
 	rates  map[K]Rate
 }
 
-// NewTracker returns a tracker that knows no daemon.
-func NewTracker[K comparable]() *Tracker[K] {
-	return &Tracker[K]{daemons: map[models.DaemonID]*record[K]{}}
+// NewTracker returns a tracker that knows no daemon. Smoothing is the time over
+// which rates forget.
+func NewTracker[K cmp.Ordered](smoothing time.Duration) *Tracker[K] {
+	return &Tracker[K]{smoothing: smoothing, daemons: map[models.DaemonID]*record[K]{}}
 }
 
 // Observe takes in a daemon's totals as of at, and returns what was added to
@@ -61,19 +62,21 @@
 	if passed < shortest {
 		return nil
 	}
+	part := 1 - math.Exp(-passed.Seconds()/t.smoothing.Seconds())
 	var increases []Increase[K]
 	for key, now := range totals {
 		before := last.totals[key]
 		last.rates[key] = last.rates[key].toward(Rate{
 			Requests: float64(now.Requests-before.Requests) / passed.Seconds(),
 			Tokens:   float64(now.Tokens-before.Tokens) / passed.Seconds(),
-		}, passed)
+		}, part)
 		if now.Tokens != before.Tokens {
 			increases = append(increases, Increase[K]{Key: key, Tokens: now.Tokens - before.Tokens})
 		}
 	}
 	last.at = at
 	last.totals = totals
+	slices.SortFunc(increases, func(a, b Increase[K]) int { return cmp.Compare(a.Key, b.Key) })
 	return increases
 }
 
@@ -97,16 +100,33 @@
 // Sum returns the rate of all daemons for a key.
 func (t *Tracker[K]) Sum(key K) Rate {
 	var sum Rate
-	for _, known := range t.daemons {
+	for _, daemon := range slices.Sorted(maps.Keys(t.daemons)) {
+		known := t.daemons[daemon]
 		sum.Requests += known.rates[key].Requests
 		sum.Tokens += known.rates[key].Tokens
 	}
 	return sum
 }
 
-// toward moves a rate towards a newer one as far as the time passed allows.
-func (r Rate) toward(newer Rate, passed time.Duration) Rate {
-	part := 1 - math.Exp(-passed.Seconds()/smoothing.Seconds())
+// Total returns the rate of all daemons for all keys.
+func (t *Tracker[K]) Total() Rate {
+	keys := map[K]bool{}
+	for _, known := range t.daemons {
+		for key := range known.rates {
+			keys[key] = true
+		}
+	}
+	var total Rate
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		sum := t.Sum(key)
+		total.Requests += sum.Requests
+		total.Tokens += sum.Tokens
+	}
+	return total
+}
+
+// toward moves a rate by a part of the way to a newer one.
+func (r Rate) toward(newer Rate, part float64) Rate {
 	return Rate{
 		Requests: r.Requests + part*(newer.Requests-r.Requests),
 		Tokens:   r.Tokens + part*(newer.Tokens-r.Tokens),
--- a/policy/fair/ledger.go
+++ b/policy/fair/ledger.go
@@ -3,7 +3,9 @@
 package fair
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"quincewinch/models"
@@ -19,6 +21,7 @@
 }
 
 type account struct {
+	weight float64
 	tokens float64
 	at     time.Time
 }
@@ -28,14 +31,15 @@
 	return &Ledger{accounts: map[models.Workspace]*account{}}
 }
 
-// Charge adds tokens to a workspace's work; negative ones correct an estimate
+// Charge adds tokens to the work of a workspace of a weight; negative ones correct an estimate
 // that was too high.
-func (l *Ledger) Charge(workspace models.Workspace, tokens float64, now time.Time) {
+func (l *Ledger) Charge(workspace models.Workspace, weight, tokens float64, now time.Time) {
 	a, ok := l.accounts[workspace]
 	if !ok {
 		a = &account{at: now}
 		l.accounts[workspace] = a
 	}
+	a.weight = max(weight, leastWeight)
 	a.tokens = max(a.as(now)+tokens, 0)
 	a.at = now
 }
@@ -50,6 +54,23 @@
 	return a.as(now) / max(weight, leastWeight)
 }
 
+// Levels returns the work of all workspaces over the weight of those that have
+// had any of late, and the highest level of them.
+func (l *Ledger) Levels(now time.Time) (mean, highest float64) {
+	var tokens, weights float64
+	for _, workspace := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[workspace]
+		had := a.as(now)
+		if had < 1 {
+			continue
+		}
+		tokens += had
+		weights += a.weight
+		highest = max(highest, had/a.weight)
+	}
+	return tokens / max(weights, leastWeight), highest
+}
+
 // leastWeight stands for a weight of zero, which gets what nobody else wants.
 const leastWeight = 1e-6
 
--- a/policy/fair/queue.go
+++ b/policy/fair/queue.go
@@ -17,12 +17,15 @@
 	margin = 100 * time.Millisecond
 	// freeWait is the wait at an engine up to which a request is let go. What
 	// would wait longer there waits here, where it can still be ordered.
-	freeWait = 250 * time.Millisecond
+	freeWait = float64(250 * time.Millisecond)
+	// lowBonus is how much longer the wait may be of a workspace that has had
+	// nothing, as a share of freeWait.
+	lowBonus = 1.5
 	// leastWait is the wait at an engine up to which any workspace's request
 	// is let go, however far it is above its share.
 	leastWait = 10 * time.Millisecond
 	// drainMemory is the time over which the drain rate forgets.
-	drainMemory = time.Second
+	drainMemory = 3 * time.Second
 	// drainKnown is how long a queue has to be seen before its rate is used.
 	drainKnown = 300 * time.Millisecond
 	// leastRetry is the least time after which a refused caller should retry.
@@ -60,7 +63,6 @@
 	ledger *Ledger
 	lines  map[models.Workspace]*line
 	drain  rate
-	floor  float64 // least level of those who wait at other daemons; infinite: nobody
 }
 
 type line struct {
@@ -71,13 +73,7 @@
 
 // NewQueue returns an empty queue over a ledger.
 func NewQueue(ledger *Ledger) *Queue {
-	return &Queue{ledger: ledger, lines: map[models.Workspace]*line{}, floor: math.Inf(1)}
-}
-
-// Elsewhere tells the queue the least level of the workspaces that wait at
-// other daemons; infinite if none does.
-func (q *Queue) Elsewhere(floor float64) {
-	q.floor = floor
+	return &Queue{ledger: ledger, lines: map[models.Workspace]*line{}}
 }
 
 // Push takes in a ticket and returns those that now cannot start in time: the
@@ -123,23 +119,31 @@
 }
 
 // MayStart reports whether a ticket may go to an engine at which it waits as
-// long as given. A workspace above the share of those who wait leaves them
-// room: the farther above, the emptier the engine has to be.
+// long as given.
 func (q *Queue) MayStart(t *Ticket, wait time.Duration, now time.Time) bool {
 	level := q.ledger.Level(t.Workspace, t.Weight, now)
-	allowed := freeWait
-	if level > q.floor {
-		ratio := (q.floor + 1) / (level + 1)
-		allowed = max(time.Duration(float64(freeWait)*ratio*ratio), leastWait)
+	mean, highest := q.ledger.Levels(now)
+	return wait <= allowedWait(level, mean, highest)
+}
+
+// allowedWait returns the longest acceptable wait at an engine. A workspace
+// that has had more than the mean leaves room to the others, wherever they
+// arrive: the more it has had, the emptier the engine has to be. One that has
+// had less may wait longer there, where it keeps its place.
+func allowedWait(level, mean, highest float64) time.Duration {
+	if level <= mean {
+		return time.Duration(freeWait * (1 + lowBonus*(1-level/max(mean, 1))))
 	}
-	return wait <= allowed
+	least := mean / highest * mean / highest
+	part := (level - mean) / (highest - mean)
+	return max(time.Duration(freeWait*(1-part*(1-least))), leastWait)
 }
 
 // Start takes a ticket that is about to go to an engine out of the queue, and
 // charges its workspace.
 func (q *Queue) Start(t *Ticket, now time.Time) {
 	q.Remove(t, now)
-	q.ledger.Charge(t.Workspace, t.Tokens, now)
+	q.ledger.Charge(t.Workspace, t.Weight, t.Tokens, now)
 	q.drain.add(t.Tokens, now)
 }
 
--- a/policy/placement/candidate.go
+++ b/policy/placement/candidate.go
@@ -13,6 +13,8 @@
 	// stepGrowth is how much longer a decode step is for each further request
 	// in the batch, as a share of the step of a batch of one.
 	stepGrowth = 0.025
+	// herding is how much the other daemons are expected to do likewise.
+	herding = 0.5
 	// reportInterval is about how often the other daemons tell of their work.
 	reportInterval = time.Second
 )
@@ -66,23 +68,26 @@
 	free     float64 // pieces of memory
 }
 
-// estimate corrects the reported load by what has happened since. expected is
-// the number of requests that other daemons have probably sent in the
-// meantime, each like the one demanded.
-func (c *Candidate) estimate(d *Demand, age time.Duration, expected float64) load {
+// estimate corrects the reported load by what has happened since. Other
+// daemons see the same report: where this one has sent more than has ended,
+// they probably have as well. What they send besides is made up for by what
+// ends, but for its prefill.
+func (c *Candidate) estimate(d *Demand, age time.Duration, s *Snapshot) load {
 	state := &c.Load.State
 	requests := float64(state.Running + state.Queued + c.Unseen.Requests)
 	known := float64(c.Own.Requests)
 	if age > reportInterval {
 		known += float64(c.Elsewhere.Requests)
 	}
+	likewise := herding * s.ratio * float64(max(c.Unseen.Requests, 0))
+	arrived := s.others*age.Seconds() + likewise
 	unseen := max(c.Unseen.PromptTokens, 0)
-	arrived := float64(state.QueuedTokens+unseen) + expected*float64(d.Prompt)
-	taken := c.Unseen.PromptTokens + c.Unseen.OutputTokens
+	prompts := float64(state.QueuedTokens+unseen) + arrived*float64(d.Prompt)
+	taken := float64(c.Unseen.PromptTokens+c.Unseen.OutputTokens) + likewise*float64(d.tokens())
 	return load{
-		requests: max(requests, known, 0) + expected,
-		backlog:  max(arrived-state.PrefillRate*age.Seconds(), 0),
-		free:     float64(state.FreePieces) - (float64(taken)+expected*float64(d.tokens()))/float64(max(state.PieceTokens, 1)),
+		requests: max(requests, known, 0) + likewise,
+		backlog:  max(prompts-state.PrefillRate*age.Seconds(), 0),
+		free:     float64(state.FreePieces) - taken/float64(max(state.PieceTokens, 1)),
 	}
 }
 
--- a/policy/placement/score.go
+++ b/policy/placement/score.go
@@ -16,6 +16,9 @@
 	// firstTokenWeight sets the time to the first token against that of the
 	// rest of the answer.
 	firstTokenWeight = 2
+	// prefillWeight sets the prefill's own time, which holds up the requests
+	// behind it and pushes other prefixes out of the cache.
+	prefillWeight = 2
 )
 
 // Demand is what a request asks of an engine.
@@ -50,7 +53,7 @@
 		return score{}, false
 	}
 	age := max(now.Sub(c.Load.MeasuredAt), 0)
-	at := c.estimate(d, age, s.others*age.Seconds())
+	at := c.estimate(d, age, s)
 	limit := c.batchLimit()
 	batch := min(at.requests+1, limit)
 	decode := float64(d.Output) * c.step(batch)
@@ -59,7 +62,8 @@
 	if short := pieces - at.free; short > 0 {
 		wait += short / max(float64(state.TotalPieces), 1) * decode
 	}
-	first := wait + (float64(d.Prompt)-cached)/max(state.PrefillRate, 1) + c.step(batch)
+	prefill := (float64(d.Prompt) - cached) / max(state.PrefillRate, 1)
+	first := wait + prefill + c.step(batch)
 	if c.Server.Zone != s.Zone {
 		first += zoneCost
 	}
@@ -67,7 +71,7 @@
 		first *= c.Slowness
 		decode *= c.Slowness
 	}
-	total := firstTokenWeight*first + decode
+	total := firstTokenWeight*first + prefillWeight*prefill + decode
 	if mismatched(state.Role, decode, float64(d.Prompt)/max(state.PrefillRate, 1)) {
 		total *= roleCost
 	}
--- a/policy/placement/snapshot.go
+++ b/policy/placement/snapshot.go
@@ -24,6 +24,7 @@
 	index      map[models.EngineID]int
 	dependable []int   // candidates that aren't cheap
 	others     float64 // requests a second that other daemons send to one engine
+	ratio      float64 // of what they send to what this daemon sends
 	lag        float64 // mean age of the loads when it was built, in seconds
 	all        []int
 }
@@ -32,6 +33,7 @@
 type Choice struct {
 	Server     models.BackendServer
 	Wait       time.Duration // predicted wait before its prefill
+	Missed     time.Duration // prefill that the engine with the longest cached prefix would save
 	FirstToken time.Duration // predicted time to the first token
 	Step       time.Duration // predicted time between two tokens
 	Cached     int           // prompt tokens expected in its prefix cache
@@ -39,9 +41,14 @@
 	Last       bool // only taken because nothing better suited was left
 }
 
-// NewSnapshot builds a snapshot of usable candidates. othersRate is how many
-// requests a second the other daemons send to all of them together.
-func NewSnapshot(zone models.Zone, candidates []Candidate, othersRate float64, now time.Time) *Snapshot {
+// Rates are how many requests a second are sent to all engines of a model.
+type Rates struct {
+	Own    float64 // by this daemon
+	Others float64 // by the other daemons
+}
+
+// NewSnapshot builds a snapshot of usable candidates.
+func NewSnapshot(zone models.Zone, candidates []Candidate, rates Rates, now time.Time) *Snapshot {
 	s := &Snapshot{Zone: zone, Candidates: candidates, index: make(map[models.EngineID]int, len(candidates))}
 	for i := range candidates {
 		c := &candidates[i]
@@ -53,9 +60,12 @@
 		s.lag += max(now.Sub(c.Load.MeasuredAt), 0).Seconds()
 	}
 	if len(candidates) > 0 {
-		s.others = othersRate / float64(len(candidates))
+		s.others = rates.Others / float64(len(candidates))
 		s.lag /= float64(len(candidates))
 	}
+	if rates.Own > 0 {
+		s.ratio = rates.Others / rates.Own
+	}
 	return s
 }
 
@@ -132,6 +142,7 @@
 	now      time.Time
 	at       int
 	best     score
+	cached   float64 // most of all compared
 	compared int
 }
 
@@ -146,6 +157,7 @@
 		return
 	}
 	c.compared++
+	c.cached = max(c.cached, scored.cached)
 	if c.at < 0 || scored.total < c.best.total {
 		c.at = i
 		c.best = scored
@@ -156,8 +168,11 @@
 	if c.at < 0 {
 		return Choice{}, false
 	}
+	chosen := &c.snapshot.Candidates[c.at]
+	missed := (c.cached - c.best.cached) / max(chosen.Load.State.PrefillRate, 1)
 	return Choice{
-		Server:     c.snapshot.Candidates[c.at].Server,
+		Server:     chosen.Server,
+		Missed:     time.Duration(missed * float64(time.Second)),
 		Wait:       time.Duration(c.best.wait * float64(time.Second)),
 		FirstToken: time.Duration(c.best.first * float64(time.Second)),
 		Step:       time.Duration(c.best.step * float64(time.Second)),
--- a/request/exchange.go
+++ b/request/exchange.go
@@ -29,6 +29,7 @@
 	Sink           Sink
 	Usage          models.Usage // what it used so far
 	Started        bool         // a backend server may have seen it
+	reserved       *reservation // its place at an engine, until it is sent
 }
 
 // Repeatable reports whether the request may run more than once.
--- a/request/loadplacer.go
+++ b/request/loadplacer.go
@@ -17,9 +17,8 @@
 const (
 	// rebuildAfter is how old a snapshot may be though no load has changed.
 	rebuildAfter = time.Second
-	// freshReport is how old another daemon's report may be to say what waits
-	// there.
-	freshReport = 3 * time.Second
+	// rateMemory is the time over which the rates of daemons forget.
+	rateMemory = 2 * time.Second
 	// cheapBonus favours cheap backend servers for work that may be repeated,
 	// which leaves the others to work that may not.
 	cheapBonus = -20 * time.Millisecond
@@ -54,6 +53,9 @@
 	lengths   *placement.Lengths
 	detector  *outlier.Detector
 	others    *demand.Tracker[models.Model]
+	started   *demand.Tracker[models.Workspace] // by other daemons
+	own       *demand.Tracker[models.Model]
+	sent      map[models.Model]demand.Totals
 	snapshots map[models.Model]*snapshot
 	cheap     float64 // share of the latest work on cheap backend servers
 }
@@ -83,28 +85,72 @@
 		cache:         placement.NewCache(),
 		lengths:       placement.NewLengths(),
 		detector:      outlier.NewDetector(),
-		others:        demand.NewTracker[models.Model](),
+		others:        demand.NewTracker[models.Model](rateMemory),
+		started:       demand.NewTracker[models.Workspace](rateMemory),
+		own:           demand.NewTracker[models.Model](rateMemory),
+		sent:          map[models.Model]demand.Totals{},
 		snapshots:     map[models.Model]*snapshot{},
 	}
 }
 
 // Place implements Placer.
 func (p *LoadPlacer) Place(ctx context.Context, e *Exchange, excluded []models.EngineID) (Placement, error) {
+	if r := e.reserved; r != nil {
+		e.reserved = nil
+		r.sent.ctx = ctx
+		return r.placement, nil
+	}
 	d := p.demand(e, excluded)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	d.Output = p.lengths.Expect(e.Workspace.Name, d.Model, e.Generation.MaxTokens)
-	d.CheapBias = p.cheapBias()
+	p.complete(&d, e)
 	s := p.snapshot(d.Model, now)
 	if choice, ok := p.probe(s, &d, now); ok {
-		return p.placed(ctx, e, &d, choice, "a probe of an engine that was taken out", now), nil
+		return p.placed(ctx, e, &d, choice, "a probe of an engine that was taken out", now).placement, nil
 	}
 	choice, ok := s.Choose(&d, p.cache, p.random, now)
 	if !ok {
 		return Placement{}, noBackend("no engine can run " + string(d.Model) + " now")
 	}
-	return p.placed(ctx, e, &d, choice, choice.Why(), now), nil
+	return p.placed(ctx, e, &d, choice, choice.Why(), now).placement, nil
+}
+
+// reservation is a placement made before the request is sent.
+type reservation struct {
+	placement Placement
+	sent      *sending
+}
+
+// Reserve chooses the engine of a request ahead of Place, which then returns
+// it, if the time that the request would wait there is acceptable, that of
+// prefill that another engine would save included.
+func (p *LoadPlacer) Reserve(e *Exchange, acceptable func(wait time.Duration) bool) bool {
+	d := p.demand(e, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.complete(&d, e)
+	s := p.snapshot(d.Model, now)
+	why := "a probe of an engine that was taken out"
+	choice, ok := p.probe(s, &d, now)
+	if !ok {
+		choice, ok = s.Choose(&d, p.cache, p.random, now)
+		if !ok || !acceptable(choice.Wait+choice.Missed) {
+			return false
+		}
+		why = choice.Why()
+	}
+	e.reserved = p.placed(context.Background(), e, &d, choice, why, now)
+	return true
+}
+
+// Unreserve gives back a reservation that was not used.
+func (p *LoadPlacer) Unreserve(e *Exchange) {
+	if r := e.reserved; r != nil {
+		e.reserved = nil
+		r.placement.Release(Result{})
+	}
 }
 
 // Forecast returns where a request would go if it were placed now, and how it
@@ -114,7 +160,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	d.Output = p.lengths.Expect(e.Workspace.Name, d.Model, e.Generation.MaxTokens)
+	p.complete(&d, e)
 	return p.snapshot(d.Model, now).Choose(&d, p.cache, p.random, now)
 }
 
@@ -180,6 +226,12 @@
 	}
 }
 
+// complete adds what has been learnt to a demand. The lock is held.
+func (p *LoadPlacer) complete(d *placement.Demand, e *Exchange) {
+	d.Output = p.lengths.Expect(e.Workspace.Name, d.Model, e.Generation.MaxTokens)
+	d.CheapBias = p.cheapBias()
+}
+
 func (p *LoadPlacer) cheapBias() time.Duration {
 	if p.cheap > p.configuration.Config().Fleet.CheapShare {
 		return cheapPenalty
@@ -204,13 +256,14 @@
 }
 
 // placed notes a request at its engine. The lock is held.
-func (p *LoadPlacer) placed(ctx context.Context, e *Exchange, d *placement.Demand, choice placement.Choice, why string, now time.Time) Placement {
+func (p *LoadPlacer) placed(ctx context.Context, e *Exchange, d *placement.Demand, choice placement.Choice, why string, now time.Time) *reservation {
 	engine := choice.Server.Engine
 	work := models.InflightWork{Requests: 1, PromptTokens: max(d.Prompt-choice.Cached, 0), OutputTokens: d.Output}
 	p.add(d.Model, engine, work, now)
 	p.cache.Expect(engine, d.Hashes, now)
+	p.sent[d.Model] = demand.Totals{Requests: p.sent[d.Model].Requests + 1}
 	p.countCheap(choice.Server.Cheap)
-	sent := sending{
+	sent := &sending{
 		ctx:       ctx,
 		engine:    engine,
 		workspace: e.Workspace.Name,
@@ -219,7 +272,10 @@
 		choice:    choice,
 		at:        now,
 	}
-	return Placement{Server: choice.Server, Why: why, Release: func(result Result) { p.release(&sent, result) }}
+	return &reservation{
+		placement: Placement{Server: choice.Server, Why: why, Release: func(result Result) { p.release(sent, result) }},
+		sent:      sent,
+	}
 }
 
 // sending is a request at an engine.
--- a/request/loadsnapshot.go
+++ b/request/loadsnapshot.go
@@ -36,7 +36,7 @@
 			s.probes = append(s.probes, engine)
 		}
 	}
-	s.Snapshot = placement.NewSnapshot(p.zone, candidates, p.othersRate(model), now)
+	s.Snapshot = placement.NewSnapshot(p.zone, candidates, p.rates(model, now), now)
 	p.snapshots[model] = s
 	return s
 }
@@ -85,18 +85,40 @@
 	return all
 }
 
-// othersRate returns how many requests a second the other daemons meet for a
-// model. The lock is held.
+// self names this daemon among the daemons of a tracker.
+const self = models.DaemonID("")
+
+// rates returns how many requests a second this daemon and the others send to
+// engines for a model. The lock is held.
+func (p *LoadPlacer) rates(model models.Model, now time.Time) placement.Rates {
+	p.own.Observe(self, now, maps.Clone(p.sent))
+	return placement.Rates{Own: p.own.Rate(self, model).Requests, Others: p.othersRate(model)}
+}
+
+// othersRate returns how many requests a second the other daemons send to
+// engines for a model: those offered, less the share that they refuse. The
+// lock is held.
 func (p *LoadPlacer) othersRate(model models.Model) float64 {
 	kept := map[models.DaemonID]bool{}
 	for _, report := range p.reports.Reports() {
-		totals := map[models.Model]demand.Totals{}
+		daemon := report.Report.Daemon
+		offered := map[models.Model]demand.Totals{}
 		for name, work := range report.Report.Offered {
-			totals[name] = demand.Totals{Requests: work.Requests, Tokens: work.PromptTokens + work.OutputTokens}
+			offered[name] = demand.Totals{Requests: work.Requests}
 		}
-		p.others.Observe(report.Report.Daemon, report.ReceivedAt, totals)
-		kept[report.Report.Daemon] = true
+		started := map[models.Workspace]demand.Totals{}
+		for workspace, work := range report.Report.Work {
+			started[workspace] = demand.Totals{Requests: work.Requests + work.Refused, Tokens: work.Requests}
+		}
+		p.others.Observe(daemon, report.ReceivedAt, offered)
+		p.started.Observe(daemon, report.ReceivedAt, started)
+		kept[daemon] = true
 	}
 	p.others.Keep(kept)
-	return p.others.Sum(model).Requests
+	p.started.Keep(kept)
+	rate := p.others.Sum(model).Requests
+	if all := p.started.Total(); all.Requests > 0 {
+		rate *= all.Tokens / all.Requests
+	}
+	return rate
 }
--- a/request/queue.go
+++ b/request/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -19,6 +18,10 @@
 	Forecast(exchange *Exchange) (placement.Choice, bool)
 	// Expect returns the output expected of a request, in tokens.
 	Expect(exchange *Exchange) int
+	// Reserve chooses a request's engine if the wait there is acceptable.
+	Reserve(exchange *Exchange, acceptable func(wait time.Duration) bool) bool
+	// Unreserve gives back a reservation that was not used.
+	Unreserve(exchange *Exchange)
 }
 
 // Queue holds requests until an engine has room, in the order of their
@@ -46,7 +49,7 @@
 		work:          work,
 		ledger:        fair.NewLedger(),
 		queues:        map[models.Model]*fair.Queue{},
-		others:        demand.NewTracker[models.Workspace](),
+		others:        demand.NewTracker[models.Workspace](rateMemory),
 	}
 }
 
@@ -55,6 +58,8 @@
 	return func(next Handler) Handler {
 		return HandlerFunc(func(ctx context.Context, e *Exchange) error {
 			if e.Generation == nil {
+				q.work.add(e.Workspace.Name, models.WorkDone{Requests: 1, Running: 1})
+				defer q.work.add(e.Workspace.Name, models.WorkDone{Running: -1})
 				return next.Handle(ctx, e)
 			}
 			w := q.Enter(e)
@@ -120,11 +125,12 @@
 
 // Leave ends a request that was started.
 func (q *Queue) Leave(w *Waiter) {
+	q.forecaster.Unreserve(w.exchange)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
 	if short := w.expected - w.output; short > 0 {
-		q.ledger.Charge(w.ticket.Workspace, -float64(short), now)
+		q.ledger.Charge(w.ticket.Workspace, w.ticket.Weight, -float64(short), now)
 	}
 	q.work.add(w.ticket.Workspace, models.WorkDone{Running: -1})
 	q.pump(w.exchange.Generation.Model, now)
@@ -138,7 +144,7 @@
 	defer q.mu.Unlock()
 	w.output++
 	if w.output > w.expected {
-		q.ledger.Charge(w.ticket.Workspace, 1, q.clock.Now())
+		q.ledger.Charge(w.ticket.Workspace, w.ticket.Weight, 1, q.clock.Now())
 	}
 }
 
@@ -148,9 +154,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	floor := q.learn(now)
+	q.learn(now)
 	for model, queue := range q.queues {
-		queue.Elsewhere(floor)
 		q.refuseAll(queue.Expire(now))
 		q.pump(model, now)
 	}
@@ -194,8 +199,8 @@
 	queue := q.queue(model)
 	for t := queue.Next(now); t != nil; t = queue.Next(now) {
 		w := t.Data.(*Waiter)
-		choice, ok := q.forecaster.Forecast(w.exchange)
-		if !ok || !queue.MayStart(t, choice.Wait, now) {
+		acceptable := func(wait time.Duration) bool { return queue.MayStart(t, wait, now) }
+		if !q.forecaster.Reserve(w.exchange, acceptable) {
 			return
 		}
 		queue.Start(t, now)
@@ -204,35 +209,18 @@
 	}
 }
 
-// learn charges the work of other daemons, and returns the least level of
-// those who wait there. The lock is held.
-func (q *Queue) learn(now time.Time) float64 {
-	floor := math.Inf(1)
+// learn charges the work of other daemons. The lock is held.
+func (q *Queue) learn(now time.Time) {
+	workspaces := q.configuration.Config().Workspaces
 	for _, report := range q.reports.Reports() {
 		totals := map[models.Workspace]demand.Totals{}
 		for workspace, work := range report.Report.Work {
 			totals[workspace] = demand.Totals{Requests: work.Requests, Tokens: work.PromptTokens + work.OutputTokens}
 		}
 		for _, increase := range q.others.Observe(report.Report.Daemon, report.ReceivedAt, totals) {
-			q.ledger.Charge(increase.Key, float64(increase.Tokens), now)
-		}
-		floor = min(floor, q.leastWaiting(report, now))
-	}
-	return floor
-}
-
-func (q *Queue) leastWaiting(report models.PeerReport, now time.Time) float64 {
-	floor := math.Inf(1)
-	if now.Sub(report.ReceivedAt) > freshReport {
-		return floor
-	}
-	workspaces := q.configuration.Config().Workspaces
-	for workspace, work := range report.Report.Work {
-		if work.Waiting > 0 {
-			floor = min(floor, q.ledger.Level(workspace, weight(workspaces[workspace]), now))
+			q.ledger.Charge(increase.Key, weight(workspaces[increase.Key]), float64(increase.Tokens), now)
 		}
 	}
-	return floor
 }
 
 func (q *Queue) refuseAll(refused []fair.Refused) {
