--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -33,11 +33,11 @@
 // newAdmission returns the limits and the queue before the placer, and starts
 // their tasks.
 func (d *Daemon) newAdmission(placer *request.LoadPlacer) (*request.Limits, *request.Queue) {
-	work := request.NewWork()
+	d.work = request.NewWork()
 	reports := d.exchange.gossip
-	reports.RegisterReportSource(work)
-	limits := request.NewLimits(d.id, placer, reports, d.clock, work)
-	queue := request.NewQueue(d.configuration, placer, reports, d.clock, work)
+	reports.RegisterReportSource(d.work)
+	limits := request.NewLimits(d.id, placer, reports, d.clock, d.work)
+	queue := request.NewQueue(d.configuration, placer, reports, d.clock, d.work)
 	d.system.Spawn(limits, limitInterval)
 	d.system.Spawn(queue, queueInterval)
 	return limits, queue
--- a/request/commit.go
+++ b/request/commit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,8 +15,10 @@
 	commitWindow = 10 * time.Millisecond
 	// commitBatch is the greatest number of rows in a transaction.
 	commitBatch = 64
-	// commitBackoff is the wait after a transaction that met no store.
-	commitBackoff = 250 * time.Millisecond
+	// commitBackoff is the wait after a transaction that met no store; it
+	// doubles up to commitBackoffMax while outcomes alone wait.
+	commitBackoff    = 250 * time.Millisecond
+	commitBackoffMax = time.Second
 	// commitPending is how many outcomes wait for the store at the most.
 	commitPending = 4096
 	// commitKeep is how long an outcome waits for the store.
@@ -57,20 +58,19 @@
 type committer struct {
 	table   peer.Table
 	clock   peer.Clock
-	name    string
 	timeout time.Duration // of one call of the table
 
 	mu      sync.Mutex
 	pending []*commit
 	running bool
 	idle    chan struct{} // closed while nothing is pending
-	number  uint64
+	hurry   chan struct{} // a request waits for its claim
 }
 
-func newCommitter(table peer.Table, clock peer.Clock, name string, timeout time.Duration) *committer {
+func newCommitter(table peer.Table, clock peer.Clock, timeout time.Duration) *committer {
 	idle := make(chan struct{})
 	close(idle)
-	return &committer{table: table, clock: clock, name: name, timeout: timeout, idle: idle}
+	return &committer{table: table, clock: clock, timeout: timeout, idle: idle, hurry: make(chan struct{}, 1)}
 }
 
 // submit hands over a write; it is settled when its done is closed.
@@ -81,6 +81,12 @@
 	defer c.mu.Unlock()
 	c.pending = append(c.pending, w)
 	c.shed()
+	if !w.lasting {
+		select {
+		case c.hurry <- struct{}{}:
+		default:
+		}
+	}
 	if c.running {
 		return
 	}
@@ -136,29 +142,42 @@
 }
 
 func (c *committer) run() {
+	backoff := commitBackoff
 	for {
-		batch, id := c.take()
+		batch := c.take()
 		if len(batch) == 0 {
 			return
 		}
-		wait := commitWindow
-		if !c.settle(batch, id) {
-			wait = commitBackoff
+		if c.settle(batch) {
+			backoff = commitBackoff
+		} else {
+			c.rest(backoff)
+			backoff = min(2*backoff, commitBackoffMax)
 		}
-		_ = c.clock.Sleep(context.Background(), wait)
+		_ = c.clock.Sleep(context.Background(), commitWindow)
+	}
+}
+
+// rest waits for d, or until a request waits for its claim.
+func (c *committer) rest(d time.Duration) {
+	timer := c.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-c.hurry:
 	}
 }
 
 // take chooses the writes of the next transaction: those that a request waits
 // for first, and at most one of a row.
-func (c *committer) take() ([]*commit, string) {
+func (c *committer) take() []*commit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expire()
 	if len(c.pending) == 0 {
 		c.running = false
 		close(c.idle)
-		return nil, ""
+		return nil
 	}
 	var batch []*commit
 	keys := map[models.RowKey]bool{}
@@ -171,8 +190,7 @@
 			}
 		}
 	}
-	c.number++
-	return batch, c.name + "-claims-" + strconv.FormatUint(c.number, 10)
+	return batch
 }
 
 // expire drops lasting writes that have waited too long. The lock is held.
@@ -188,8 +206,8 @@
 }
 
 // settle commits a batch and reports whether the store answered.
-func (c *committer) settle(batch []*commit, id string) bool {
-	batch, transaction := c.transaction(batch, id)
+func (c *committer) settle(batch []*commit) bool {
+	batch, transaction := c.transaction(batch)
 	if len(batch) == 0 {
 		return true
 	}
@@ -212,9 +230,11 @@
 	return true
 }
 
-// transaction returns the transaction of a batch, and the writes in it.
-func (c *committer) transaction(batch []*commit, id string) ([]*commit, models.Transaction) {
-	transaction := models.Transaction{ID: id}
+// transaction returns the transaction of a batch, and the writes in it. It has
+// no identity: the rows themselves show whether it was committed, and a marker
+// would be one more row to write.
+func (c *committer) transaction(batch []*commit) ([]*commit, models.Transaction) {
+	var transaction models.Transaction
 	var kept []*commit
 	c.mu.Lock()
 	defer c.mu.Unlock()
