--- a/commands/commands.go
+++ b/commands/commands.go
@@ -37,9 +37,7 @@
 	app.UsageWriter(stderr)
 	app.ErrorWriter(stderr)
 	commands := map[string]command{}
-	for _, register := range []func(*kingpin.Application) (string, command){
-		registerServe, registerDemo, registerCheckSettings, registerSettings, registerCompare,
-	} {
+	for _, register := range registrations(app) {
 		name, c := register(app)
 		commands[name] = c
 	}
@@ -54,3 +52,19 @@
 	}
 	return exitSuccess
 }
+
+// registrations returns what registers each command. Groups of commands are
+// made first.
+func registrations(app *kingpin.Application) []func(*kingpin.Application) (string, command) {
+	app.Command("workspace", "Workspaces.")
+	app.Command("key", "Keys to workspaces.")
+	app.Command("table", "The table's rows.")
+	app.Command("fleet", "The engines.")
+	return []func(*kingpin.Application) (string, command){
+		registerServe, registerDemo, registerCheckSettings, registerSettings, registerCompare,
+		registerWorkspaceList, registerWorkspaceCreate,
+		registerKeyList, registerKeyGive, registerKeyWithdraw,
+		registerTableList, registerTablePut, registerTableDelete,
+		registerFleetList, registerFleetExplain, registerTimeline,
+	}
+}
--- /dev/null
+++ b/commands/operator.go
@@ -0,0 +1,120 @@
+package commands
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"quincewinch/peer/operator"
+)
+
+// operatorFlags say which daemon a command speaks to, and how.
+type operatorFlags struct {
+	address   string
+	key       string
+	authority string
+	json      bool
+}
+
+func (f *operatorFlags) register(clause *kingpin.CmdClause) {
+	clause.Flag("address", "Operators' address of any daemon, a URL.").Envar("QUINCEWINCH_ADDRESS").Required().StringVar(&f.address)
+	clause.Flag("operator-key", "Operators' key.").Envar("QUINCEWINCH_OPERATOR_KEY").Required().StringVar(&f.key)
+	clause.Flag("authority", "Authority of the daemon's certificate, a PEM file.").Envar("QUINCEWINCH_AUTHORITY").StringVar(&f.authority)
+	clause.Flag("json", "Print JSON.").BoolVar(&f.json)
+}
+
+func (f *operatorFlags) client() (*operator.Client, error) {
+	client := &http.Client{}
+	if f.authority != "" {
+		pem, err := os.ReadFile(f.authority)
+		if err != nil {
+			return nil, errors.Annotate(err, "cannot read the authority")
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, errors.NotValidf("authority %s: no certificate in PEM,", f.authority)
+		}
+		client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	}
+	return operator.NewClient(strings.TrimSuffix(f.address, "/"), f.key, client), nil
+}
+
+// call sends a request and prints the answer, in JSON or by columns.
+func (f *operatorFlags) call(env environment, method, path string, query url.Values, version string, body []byte, columns []string) error {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	raw, err := client.Call(env.ctx, method, path, query, version, body)
+	if err != nil {
+		return explain(err)
+	}
+	if f.json || columns == nil {
+		_, err := env.stdout.Write(raw)
+		return errors.Trace(err)
+	}
+	return printColumns(env, raw, columns)
+}
+
+// explain adds the row that won to the error of a lost race.
+func explain(err error) error {
+	var problem *operator.Problem
+	if errors.As(err, &problem) && len(problem.Standing) > 0 {
+		return errors.New(problem.Message + "; the row now stands as " + string(problem.Standing))
+	}
+	return err
+}
+
+// printColumns prints a JSON list of objects, or one object, by columns.
+func printColumns(env environment, raw json.RawMessage, columns []string) error {
+	var rows []map[string]any
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		var row map[string]any
+		if err := json.Unmarshal(raw, &row); err != nil {
+			return errors.Annotate(err, "cannot decode the daemon's answer")
+		}
+		rows = []map[string]any{row}
+	}
+	w := tabwriter.NewWriter(env.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.ToUpper(strings.Join(columns, "\t")))
+	for _, row := range rows {
+		cells := make([]string, 0, len(columns))
+		for _, column := range columns {
+			cells = append(cells, cell(row[column]))
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return errors.Trace(w.Flush())
+}
+
+// cell prints a value; an object as name=value pairs in order of name.
+func cell(value any) string {
+	switch v := value.(type) {
+	case nil:
+		return ""
+	case map[string]any:
+		pairs := make([]string, 0, len(v))
+		for name, part := range v {
+			pairs = append(pairs, name+"="+cell(part))
+		}
+		slices.Sort(pairs)
+		return strings.Join(pairs, " ")
+	case []any:
+		parts := make([]string, 0, len(v))
+		for _, part := range v {
+			parts = append(parts, cell(part))
+		}
+		return strings.Join(parts, ",")
+	}
+	return fmt.Sprint(value)
+}
--- /dev/null
+++ b/commands/table.go
@@ -0,0 +1,82 @@
+package commands
+
+import (
+	"net/http"
+	"net/url"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+var rowColumns = []string{"kind", "name", "version", "cells"}
+
+func rowPath(kind, name string) string {
+	return "/table/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+// tableListCommand lists rows.
+type tableListCommand struct {
+	flags operatorFlags
+	kind  string
+}
+
+func registerTableList(app *kingpin.Application) (string, command) {
+	c := &tableListCommand{}
+	clause := app.GetCommand("table").Command("list", "List rows.")
+	c.flags.register(clause)
+	clause.Arg("kind", "Only rows of this kind.").StringVar(&c.kind)
+	return clause.FullCommand(), c
+}
+
+func (c *tableListCommand) run(env environment) error {
+	path := "/table"
+	if c.kind != "" {
+		path += "/" + url.PathEscape(c.kind)
+	}
+	return c.flags.call(env, http.MethodGet, path, nil, "", nil, rowColumns)
+}
+
+// tablePutCommand writes a row.
+type tablePutCommand struct {
+	flags   operatorFlags
+	kind    string
+	name    string
+	cells   string
+	version string
+}
+
+func registerTablePut(app *kingpin.Application) (string, command) {
+	c := &tablePutCommand{}
+	clause := app.GetCommand("table").Command("put", "Write a row whole; cells that are not given get their defaults.")
+	c.flags.register(clause)
+	clause.Flag("row-version", "The version that you read; none for a new row.").StringVar(&c.version)
+	clause.Arg("kind", "Kind of row.").Required().StringVar(&c.kind)
+	clause.Arg("name", "Name of the row.").Required().StringVar(&c.name)
+	clause.Arg("cells", "Cells as a JSON object.").Required().StringVar(&c.cells)
+	return clause.FullCommand(), c
+}
+
+func (c *tablePutCommand) run(env environment) error {
+	return c.flags.call(env, http.MethodPut, rowPath(c.kind, c.name), nil, c.version, []byte(c.cells), rowColumns)
+}
+
+// tableDeleteCommand deletes a row.
+type tableDeleteCommand struct {
+	flags   operatorFlags
+	kind    string
+	name    string
+	version string
+}
+
+func registerTableDelete(app *kingpin.Application) (string, command) {
+	c := &tableDeleteCommand{}
+	clause := app.GetCommand("table").Command("delete", "Delete a row.")
+	c.flags.register(clause)
+	clause.Flag("row-version", "The version that you read.").Required().StringVar(&c.version)
+	clause.Arg("kind", "Kind of row.").Required().StringVar(&c.kind)
+	clause.Arg("name", "Name of the row.").Required().StringVar(&c.name)
+	return clause.FullCommand(), c
+}
+
+func (c *tableDeleteCommand) run(env environment) error {
+	return c.flags.call(env, http.MethodDelete, rowPath(c.kind, c.name), nil, c.version, nil, rowColumns)
+}
--- a/daemon/overview.go
+++ b/daemon/overview.go
@@ -72,3 +72,8 @@
 func (o overview) States() map[models.EngineID]models.EngineState {
 	return o.daemon.engines.States()
 }
+
+// Explain tells in sentences what an engine does and why.
+func (o overview) Explain(ctx context.Context, engine models.EngineID) []string {
+	return o.daemon.ExplainEngine(ctx, engine)
+}
--- a/peer/operator.go
+++ b/peer/operator.go
@@ -37,4 +37,6 @@
 type Overview interface {
 	Events(ctx context.Context, filter models.EventFilter) ([]models.Event, error)
 	States() map[models.EngineID]models.EngineState
+	// Explain tells in sentences what an engine does and why.
+	Explain(ctx context.Context, engine models.EngineID) []string
 }
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -40,6 +40,8 @@
 	h.mux.HandleFunc("DELETE /keys/{id}", h.withdrawKey)
 	h.mux.HandleFunc("GET /timeline", h.timeline)
 	h.mux.HandleFunc("GET /fleet", h.fleet)
+	h.mux.HandleFunc("GET /fleet/{engine}", h.explain)
+	h.mux.HandleFunc("/", h.unknown)
 	return h
 }
 
@@ -148,6 +150,19 @@
 	answer(w, http.StatusOK, engineForms(h.overview.States()))
 }
 
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
+	engine := models.EngineID(r.PathValue("engine"))
+	forms := []sentenceForm{}
+	for _, sentence := range h.overview.Explain(r.Context(), engine) {
+		forms = append(forms, sentenceForm{Sentence: sentence})
+	}
+	answer(w, http.StatusOK, forms)
+}
+
+func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
+	answer(w, http.StatusNotFound, problem{Error: "no such path: " + r.Method + " " + r.URL.Path})
+}
+
 // version returns the version that an edit says it read.
 func version(w http.ResponseWriter, r *http.Request) (models.Revision, bool) {
 	raw := strings.Trim(r.Header.Get("If-Match"), `"`)
--- a/peer/operator/wire.go
+++ b/peer/operator/wire.go
@@ -69,6 +69,10 @@
 	MeasuredAt  time.Time `json:"measured-at"`
 }
 
+type sentenceForm struct {
+	Sentence string `json:"sentence"`
+}
+
 func formOf(row peer.TableRow) rowForm {
 	return rowForm{Kind: row.Kind, Name: row.Name, Version: uint64(row.Version), Cells: row.Cells, Deleted: row.Deleted}
 }
