control, table: tests of restarts in place, pushes, edits in doubt, and of Apply

Change: a differential test of Apply against Build; all daemons restarted at their addresses; a push reaches all before an exchange is due; an edit stays in doubt while the table's reads lag.

--- a/control/outage_test.go
+++ b/control/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -210,12 +211,63 @@
 	for _, n := range w.nodes {
 		is.True(!n.admits("k1")) // the write had taken effect
 	}
+	is.True(w.nodes[0].editing.Statement("", 0).Settled) // and its daemon knows
 	withdrawal, err := w.nodes[1].withdraw("k1")
 	is.NoErr(err) // the same twice
 	is.Equal(len(withdrawal.InForce), 4)
 	recovers(t, w)
 }
 
+// TestUnknownWithdrawalAndLaggingReads leaves an edit in doubt as long as the
+// table shows no more than before it.
+func TestUnknownWithdrawalAndLaggingReads(t *testing.T) {
+	is := is.New(t)
+	w := ready(t)
+	n := w.nodes[0]
+	n.freeze()
+	w.isolate(true, n)
+	n.storeCut = false
+	w.store.SetFaults(platform.Faults{LoseAnswer: func(transaction models.Transaction) bool { return transaction.ID != "" }})
+	_, err := n.withdraw("k1")
+	is.Equal(peer.OutcomeOf(err), peer.OutcomeUnknown)
+	w.run(settled)
+	is.True(!n.editing.Statement("", 0).Settled)
+	n.lag = nil
+	w.run(settled)
+	is.True(n.editing.Statement("", 0).Settled)
+	is.True(!n.admits("k1"))
+	recovers(t, w)
+}
+
+// TestRestartOfAllInPlace kills all daemons and starts others at their
+// addresses.
+func TestRestartOfAllInPlace(t *testing.T) {
+	is := is.New(t)
+	w := ready(t)
+	listAll(w)
+	for _, n := range slices.Clone(w.nodes) {
+		w.kill(n)
+		w.start(n.self.Zone, n.self.Address)
+	}
+	w.run(2 * settled)
+	for _, n := range w.nodes {
+		is.True(n.editing.Open()) // nobody waits for those that are gone
+	}
+	recovers(t, w)
+}
+
+// TestPush spreads a change before any exchange is due.
+func TestPush(t *testing.T) {
+	is := is.New(t)
+	w := ready(t)
+	n := w.nodes[0]
+	is.NoErr(n.put(7))
+	n.spread.Step(t.Context())
+	for _, other := range w.nodes {
+		is.Equal(other.configuration.Config().Workspaces["w"].Weight, 7.0)
+	}
+}
+
 // TestUnknownWithdrawalInOutage loses the answer of a withdrawal to an outage
 // that goes on: whether it took effect can't be known.
 func TestUnknownWithdrawalInOutage(t *testing.T) {
--- /dev/null
+++ b/table/apply_test.go
@@ -0,0 +1,80 @@
+package table_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"reflect"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/table"
+)
+
+const (
+	histories = 500
+	steps     = 20
+)
+
+// randomRow returns the next version of one of a few rows.
+func randomRow(random *rand.Rand, revision models.Revision) models.Row {
+	n := strconv.Itoa(random.IntN(3))
+	hash := sha256.Sum256([]byte(strconv.Itoa(int(revision))))
+	values := []struct{ kind, name, cells string }{
+		{"workspace", n, `{"weight": ` + strconv.Itoa(random.IntN(9)) + `}`},
+		{"key", n, `{"workspace": "0", "hash": "` + hex.EncodeToString(hash[:]) + `"}`},
+		{"route", n, `{"kind": "model"}`},
+		{"model", n, `{"pieces": ` + strconv.Itoa(random.IntN(9)) + `}`},
+		{"backend-server", n, `{"zone": "a", "url": "http://` + strconv.Itoa(random.IntN(9)) + `"}`},
+		{"service", n, `{"service": "s` + strconv.Itoa(random.IntN(2)) + `", "zone": "a", "url": "http://` + n + `"}`},
+		{"fleet", "limits", `{"spend-per-hour": ` + strconv.Itoa(random.IntN(9)) + `}`},
+		{"workspace", n, `{"weight": -1}`}, // it is left out
+	}
+	v := values[random.IntN(len(values))]
+	row := models.Row{Key: table.Key(table.Kind(v.kind), v.name), Revision: revision, Value: []byte(v.cells)}
+	if random.IntN(4) == 0 {
+		row.Value, row.Deleted = nil, true
+	}
+	return row
+}
+
+// TestApplyEqualsBuild is differential: changes one after the other come to
+// the same as building all anew, and leave the former configuration alone.
+func TestApplyEqualsBuild(t *testing.T) {
+	for seed := range uint64(histories) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		rows := map[models.RowKey]models.Row{}
+		config := table.NewConfig()
+		for revision := models.Revision(1); revision <= steps; revision++ {
+			row := randomRow(random, revision)
+			before, _ := table.Build(list(rows), revision-1)
+			next, _ := table.Apply(config, revision, []table.Change{{Old: rows[row.Key], New: row}})
+			if !reflect.DeepEqual(config, before) {
+				t.Fatalf("seed %d: revision %d changed the former configuration", seed, revision)
+			}
+			rows[row.Key] = row
+			config = next
+		}
+		built, _ := table.Build(list(rows), steps)
+		if !reflect.DeepEqual(config, built) {
+			t.Fatalf("seed %d: %v, built anew %v", seed, config, built)
+		}
+	}
+}
+
+func list(rows map[models.RowKey]models.Row) []models.Row {
+	var all []models.Row
+	for _, row := range rows {
+		all = append(all, row)
+	}
+	return all
+}
+
+func TestMemberSurvivesItsRow(t *testing.T) {
+	is := is.New(t)
+	_, err := table.ParseMember(models.Row{Key: table.EditMarkKey})
+	is.True(err != nil) // the mark is no daemon
+}
