--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -40,16 +40,17 @@
 	clock    peer.Clock
 	settings Settings
 
-	mu       sync.Mutex
-	state    models.EngineState
-	runs     map[models.RequestID]*run
-	crashed  bool
-	faults   Faults
-	cache    *prefixCache
-	received []models.Generation
-	orders   []models.Order
-	used     int           // pieces of memory in use
-	freed    chan struct{} // closed whenever a place in the batch or memory comes free
+	mu        sync.Mutex
+	state     models.EngineState
+	runs      map[models.RequestID]*run
+	crashed   bool
+	faults    Faults
+	cache     *prefixCache
+	cancelled int
+	received  []models.Generation
+	orders    []models.Order
+	used      int           // pieces of memory in use
+	freed     chan struct{} // closed whenever a place in the batch or memory comes free
 }
 
 // New returns an engine that runs.
@@ -130,6 +131,13 @@
 	return append([]models.Order(nil), e.orders...)
 }
 
+// Cancelled returns how many requests were cancelled before their end.
+func (e *Engine) Cancelled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cancelled
+}
+
 // Generate implements peer.Engine.
 func (e *Engine) Generate(ctx context.Context, generation models.Generation) (peer.TokenStream, error) {
 	e.mu.Lock()
@@ -171,6 +179,9 @@
 		return unreachable()
 	}
 	if r, ok := e.runs[id]; ok {
+		if !r.done && !r.failed {
+			e.cancelled++
+		}
 		r.fail()
 		delete(e.runs, id)
 	}
