control: count use into billing windows, close, freeze and report them

Cause: counts were kept in a daemon's memory and never reported. Change: each daemon writes what it counted into one row a window, as totals, on the condition that the window is not closed. The holder of the lease on usage closes a window (from then on its counts cannot change), freezes the sums and reports them, each step a transaction under its guard. What a daemon still has of a closed window goes into a later one as an adjustment that names its own. Windows follow the platform's time, sampled by the readings of the leases. ReadUsage gives windows, states and adjustments from the table. Broken once: the condition on the closing, the guard, the reading after the closing, the moving of late counts, the checks before a report: a test fails each time. The condition on a count's own row is also covered by the markers; without it alone no test fails.

--- a/control/lease.go
+++ b/control/lease.go
@@ -53,6 +53,7 @@
 	reports  peer.Reports
 	names    func() []models.LeaseName
 	settings LeaseSettings
+	platform *PlatformClock // nil: not sampled
 
 	mu      sync.Mutex
 	leaving bool
@@ -97,6 +98,12 @@
 	}
 }
 
+// Sample makes each reading of the leases a sample of the platform's time. It
+// goes before the first step.
+func (l *Leases) Sample(platform *PlatformClock) {
+	l.platform = platform
+}
+
 // Authority implements peer.Leases.
 func (l *Leases) Authority(name models.LeaseName) models.Authority {
 	now := l.clock.Now()
--- a/control/meter.go
+++ b/control/meter.go
@@ -1,34 +1,300 @@
 package control
 
 import (
+	"context"
 	"maps"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"quincewinch/models"
+	"quincewinch/peer"
 )
 
-// Meter counts what workspaces used since the daemon's start.
+// UsageSettings are the times of billing windows.
+type UsageSettings struct {
+	Window time.Duration // length of a window
+	Grace  time.Duration // from a window's end until it is closed
+	// Keep is how long counts stay in the table after that. A daemon that is in
+	// doubt about its last write for longer gives up what it may have written.
+	Keep time.Duration
+}
+
+// DefaultUsageSettings returns the settings of a daemon.
+func DefaultUsageSettings() UsageSettings {
+	return UsageSettings{Window: 5 * time.Minute, Grace: 15 * time.Second, Keep: time.Hour}
+}
+
+// Meter counts what requests used, and writes the counts of each window into
+// a row of its own in the table: totals, so that a repeated write counts
+// nothing twice. A window's row is only written while the window is not
+// closed; what comes later goes into the open window as use of its own one.
 type Meter struct {
-	mu     sync.Mutex
-	totals map[models.Workspace]models.Usage
+	daemon   models.DaemonID
+	table    peer.Table
+	clock    peer.Clock
+	platform *PlatformClock
+	timeline peer.Timeline
+	settings UsageSettings
+
+	stepping sync.Mutex // one flush at a time
+
+	mu      sync.Mutex
+	waiting []count // counted before the platform's time was known
+	records map[int64]*countRecord
+	floor   int64 // no record is begun for windows before this one
+	totals  map[models.Workspace]models.Usage
+}
+
+// count is the use of one request.
+type count struct {
+	workspace models.Workspace
+	endedAt   time.Time
+	usage     models.Usage
+}
+
+// countRecord is what this daemon counts in one window.
+type countRecord struct {
+	total    tally
+	flushed  tally // what the table has
+	tried    tally // what it may have instead, after a lost answer; else nil
+	revision models.Revision
+	unsure   bool // the row has to be read before it is written again
+	writes   int  // tried, to name them
 }
 
 // NewMeter returns a meter without counts.
-func NewMeter() *Meter {
-	return &Meter{totals: map[models.Workspace]models.Usage{}}
+func NewMeter(daemon models.DaemonID, table peer.Table, clock peer.Clock, platform *PlatformClock, timeline peer.Timeline, settings UsageSettings) *Meter {
+	return &Meter{
+		daemon:   daemon,
+		table:    table,
+		clock:    clock,
+		platform: platform,
+		timeline: timeline,
+		settings: settings,
+		records:  map[int64]*countRecord{},
+		totals:   map[models.Workspace]models.Usage{},
+	}
 }
 
 // Count implements peer.Meter.
-func (m *Meter) Count(workspace models.Workspace, _ time.Time, usage models.Usage) {
+func (m *Meter) Count(workspace models.Workspace, endedAt time.Time, usage models.Usage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.totals[workspace] = m.totals[workspace].Add(usage)
+	m.waiting = append(m.waiting, count{workspace: workspace, endedAt: endedAt, usage: usage})
 }
 
-// Totals returns the counts so far.
+// Totals returns the counts since the daemon's start.
 func (m *Meter) Totals() map[models.Workspace]models.Usage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return maps.Clone(m.totals)
 }
+
+// Step writes what was counted since the last one.
+func (m *Meter) Step(ctx context.Context) {
+	_ = m.Flush(ctx)
+}
+
+// Flush writes what was counted, and returns the first error of a write.
+func (m *Meter) Flush(ctx context.Context) error {
+	m.stepping.Lock()
+	defer m.stepping.Unlock()
+	now, _, known := m.platform.At(m.clock.Now())
+	if !known && m.idle() {
+		return nil
+	}
+	if !known {
+		return notDone("the platform's time is not known yet")
+	}
+	current := windowOf(now, m.settings.Window)
+	m.sort(current)
+	var failed error
+	for _, window := range m.dirty() {
+		if err := m.flush(ctx, window, current); err != nil && failed == nil {
+			failed = err
+		}
+	}
+	m.forget(current)
+	return failed
+}
+
+// idle reports whether nothing waits.
+func (m *Meter) idle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.waiting) == 0
+}
+
+// sort assigns counts to the windows in which their requests ended.
+func (m *Meter) sort(current int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.waiting {
+		at, _, _ := m.platform.At(c.endedAt)
+		window := windowOf(at, m.settings.Window)
+		into := window
+		if window < m.floor {
+			into = current
+		}
+		record := m.record(into)
+		record.total.add(tally{usageEntry{window, c.workspace}: c.usage})
+	}
+	m.waiting = nil
+}
+
+// record returns the record of a window. The lock is held.
+func (m *Meter) record(window int64) *countRecord {
+	record, ok := m.records[window]
+	if !ok {
+		record = &countRecord{total: tally{}, flushed: tally{}}
+		m.records[window] = record
+	}
+	return record
+}
+
+// dirty returns the windows whose row is behind, oldest first.
+func (m *Meter) dirty() []int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var windows []int64
+	for window, record := range m.records {
+		if len(record.total.without(record.flushed)) > 0 {
+			windows = append(windows, window)
+		}
+	}
+	slices.Sort(windows)
+	return windows
+}
+
+// flush writes the row of one window, or moves what it lacks to the current
+// window when it is closed.
+func (m *Meter) flush(ctx context.Context, window, current int64) error {
+	m.mu.Lock()
+	record := *m.records[window]
+	record.total = maps.Clone(record.total)
+	m.records[window].writes++
+	m.mu.Unlock()
+	if record.unsure {
+		return m.settle(ctx, window, record, current)
+	}
+	value, err := encodeTally(record.total)
+	if err != nil {
+		return err
+	}
+	key := countKey(window, m.daemon)
+	revision, err := m.table.Transact(ctx, models.Transaction{
+		ID:         key.Name + "/" + strconv.Itoa(record.writes),
+		Conditions: []models.Condition{{Key: usageKey(closedPrefix, window, "")}, {Key: key, Revision: record.revision}},
+		Writes:     []models.Write{{Key: key, Value: value}},
+	})
+	switch {
+	case err == nil:
+		m.written(window, record.total, revision)
+		return nil
+	case peer.OutcomeOf(err) == peer.OutcomeConflict:
+		return m.settle(ctx, window, record, current)
+	case peer.OutcomeOf(err) == peer.OutcomeUnknown:
+		m.doubt(window, record.total)
+	}
+	return err
+}
+
+// settle finds out what the table has of a window. The closing is read first:
+// once it is there, the counts do not change any more.
+func (m *Meter) settle(ctx context.Context, window int64, record countRecord, current int64) error {
+	closed, err := m.table.Read(ctx, usageKey(closedPrefix, window, ""))
+	if err != nil {
+		m.doubt(window, record.tried)
+		return err
+	}
+	rows, err := m.table.Read(ctx, countKey(window, m.daemon))
+	if err != nil {
+		m.doubt(window, record.tried)
+		return err
+	}
+	flushed, revision, err := record.found(rows)
+	if err != nil {
+		return err
+	}
+	m.written(window, flushed, revision)
+	if len(closed) > 0 {
+		m.move(window, max(current, window+int64(m.settings.Window/time.Second)))
+	}
+	return nil
+}
+
+// found returns what the table has. Of a row that was cleaned up, it is what
+// was last written, as far as that may have arrived: nothing is counted twice.
+func (r countRecord) found(rows []models.Row) (tally, models.Revision, error) {
+	switch {
+	case len(rows) == 0:
+		return tally{}, 0, nil
+	case rows[0].Deleted && r.tried != nil:
+		return r.tried, rows[0].Revision, nil
+	case rows[0].Deleted:
+		return r.flushed, rows[0].Revision, nil
+	}
+	flushed, err := decodeTally(rows[0].Value)
+	return flushed, rows[0].Revision, err
+}
+
+func (m *Meter) written(window int64, flushed tally, revision models.Revision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	record := m.records[window]
+	record.flushed = flushed
+	record.revision = revision
+	record.unsure = false
+	record.tried = nil
+}
+
+func (m *Meter) doubt(window int64, tried tally) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records[window].unsure = true
+	m.records[window].tried = tried
+}
+
+// move makes what a closed window lacks an adjustment in a later one.
+func (m *Meter) move(window, to int64) {
+	m.mu.Lock()
+	record := m.records[window]
+	late := record.total.without(record.flushed)
+	record.total = maps.Clone(record.flushed)
+	m.record(to).total.add(late)
+	m.mu.Unlock()
+	for _, entry := range late.entries() {
+		m.timeline.Record(models.Event{
+			Kind:      models.EventUsage,
+			Workspace: entry.workspace,
+			What:      "use of window " + windowText(entry.window) + " goes to window " + windowText(to) + " as an adjustment",
+			Why:       "it came in after its window was closed",
+		})
+	}
+}
+
+// forget drops the records of windows that are complete and long past.
+func (m *Meter) forget(current int64) {
+	past := current - 2*int64(m.settings.Window/time.Second)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.floor = max(m.floor, past)
+	for window, record := range m.records {
+		if window < past && !record.unsure && len(record.total.without(record.flushed)) == 0 {
+			delete(m.records, window)
+		}
+	}
+}
+
+// windowOf returns the start of the window of an instant, in seconds.
+func windowOf(platform time.Time, length time.Duration) int64 {
+	seconds := int64(length / time.Second)
+	return platform.Unix() / seconds * seconds
+}
+
+func windowText(window int64) string {
+	return time.Unix(window, 0).UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/control/usage_record.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+)
+
+// Rows of the partition of usage, by the start of the window in seconds:
+// count/WINDOW/DAEMON holds what a daemon counted, as totals; closed/WINDOW
+// ends the writing of counts; frozen/WINDOW holds the sums; reported/WINDOW
+// says that all of them were accepted.
+const (
+	countPrefix    = "count/"
+	closedPrefix   = "closed/"
+	frozenPrefix   = "frozen/"
+	reportedPrefix = "reported/"
+)
+
+// usageEntry names what a figure is about: a workspace's use in a window.
+type usageEntry struct {
+	window    int64 // start, seconds of the platform's time
+	workspace models.Workspace
+}
+
+// tally is use by window and workspace.
+type tally map[usageEntry]models.Usage
+
+// add adds the figures of another tally.
+func (t tally) add(other tally) {
+	for entry, usage := range other {
+		t[entry] = t[entry].Add(usage)
+	}
+}
+
+// without returns what a tally has beyond an earlier state of it.
+func (t tally) without(earlier tally) tally {
+	rest := tally{}
+	for entry, usage := range t {
+		if left := subtract(usage, earlier[entry]); left != (models.Usage{}) {
+			rest[entry] = left
+		}
+	}
+	return rest
+}
+
+func subtract(a, b models.Usage) models.Usage {
+	return models.Usage{
+		Requests:     a.Requests - b.Requests,
+		Prompt:       a.Prompt - b.Prompt,
+		Cached:       a.Cached - b.Cached,
+		Output:       a.Output - b.Output,
+		ServiceCalls: a.ServiceCalls - b.ServiceCalls,
+	}
+}
+
+func usageKey(prefix string, window int64, rest string) models.RowKey {
+	return models.RowKey{Partition: models.PartitionUsage, Name: prefix + strconv.FormatInt(window, 10) + rest}
+}
+
+func countKey(window int64, daemon models.DaemonID) models.RowKey {
+	return usageKey(countPrefix, window, "/"+string(daemon))
+}
+
+// usageWindow returns the window that a row is about, and the prefix.
+func usageWindow(key models.RowKey) (prefix string, window int64, ok bool) {
+	for _, prefix := range []string{countPrefix, closedPrefix, frozenPrefix, reportedPrefix} {
+		rest, found := strings.CutPrefix(key.Name, prefix)
+		if !found {
+			continue
+		}
+		number, _, _ := strings.Cut(rest, "/")
+		window, err := strconv.ParseInt(number, 10, 64)
+		return prefix, window, err == nil
+	}
+	return "", 0, false
+}
+
+// entryForm is one figure of a row.
+type entryForm struct {
+	Window       int64  `json:"window"`
+	Workspace    string `json:"workspace"`
+	Requests     int64  `json:"requests"`
+	Prompt       int64  `json:"prompt"`
+	Cached       int64  `json:"cached"`
+	Output       int64  `json:"output"`
+	ServiceCalls int64  `json:"service-calls"`
+}
+
+// encodeTally writes a tally in a fixed order, so that equal ones are equal
+// bytes.
+func encodeTally(t tally) ([]byte, error) {
+	forms := make([]entryForm, 0, len(t))
+	for _, entry := range t.entries() {
+		usage := t[entry]
+		forms = append(forms, entryForm{
+			Window:       entry.window,
+			Workspace:    string(entry.workspace),
+			Requests:     usage.Requests,
+			Prompt:       usage.Prompt,
+			Cached:       usage.Cached,
+			Output:       usage.Output,
+			ServiceCalls: usage.ServiceCalls,
+		})
+	}
+	value, err := json.Marshal(forms)
+	return value, errors.Annotate(err, "cannot encode usage")
+}
+
+func decodeTally(value []byte) (tally, error) {
+	var forms []entryForm
+	if err := json.Unmarshal(value, &forms); err != nil {
+		return nil, errors.Annotate(err, "cannot decode usage")
+	}
+	t := tally{}
+	for _, form := range forms {
+		t[usageEntry{form.Window, models.Workspace(form.Workspace)}] = models.Usage{
+			Requests:     form.Requests,
+			Prompt:       form.Prompt,
+			Cached:       form.Cached,
+			Output:       form.Output,
+			ServiceCalls: form.ServiceCalls,
+		}
+	}
+	return t, nil
+}
+
+// entries returns the entries in order.
+func (t tally) entries() []usageEntry {
+	return slices.SortedFunc(maps.Keys(t), func(a, b usageEntry) int {
+		if a.window != b.window {
+			return int(min(max(a.window-b.window, -1), 1))
+		}
+		return strings.Compare(string(a.workspace), string(b.workspace))
+	})
+}
+
+// reportsOf returns the reports of a frozen window, one a workspace, in order
+// of name. What belongs to other windows is an adjustment.
+func reportsOf(window int64, length time.Duration, t tally) []models.UsageReport {
+	reports := map[models.Workspace]models.UsageReport{}
+	for _, entry := range t.entries() {
+		report := reports[entry.workspace]
+		report.ID = strconv.FormatInt(window, 10) + "-" + string(entry.workspace)
+		report.Workspace = entry.workspace
+		report.Window = time.Unix(window, 0).UTC()
+		report.Length = length
+		if entry.window == window {
+			report.Usage = t[entry]
+		} else {
+			start := time.Unix(entry.window, 0).UTC()
+			report.Adjustments = append(report.Adjustments, models.Adjustment{Window: start, Usage: t[entry]})
+		}
+		reports[entry.workspace] = report
+	}
+	var ordered []models.UsageReport
+	for _, workspace := range slices.Sorted(maps.Keys(reports)) {
+		ordered = append(ordered, reports[workspace])
+	}
+	return ordered
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,7 @@
 	gate          *request.Gate
 	leases        *control.Leases
 	orders        *control.Orders
+	usage         usage
 	servers       []*http.Server
 	ready         readiness
 	addresses     Addresses
@@ -102,6 +103,7 @@
 	if err := d.startExchange(insecure.NewCredentials()); err != nil {
 		return err
 	}
+	d.newUsage()
 	line := d.line(engines, service.NewClients(client))
 	editor := control.NewEditor(d.id, d.platform.table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
 	d.spawnExchange(editor)
@@ -110,6 +112,7 @@
 	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock, d.id), claimCleaning)
 	d.startLeases()
 	d.startOrders(engines)
+	d.startUsage()
 	if err := d.listen(line, editor); err != nil {
 		return err
 	}
@@ -124,6 +127,7 @@
 	d.leaveExchange(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
+	d.usage.closer.Stop()
 	d.leases.Release(ctx)
 	failed := errors.Annotate(d.gate.Drain(ctx), "requests were still running at the end of the drain timeout")
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), closingTimeout)
@@ -133,6 +137,9 @@
 			failed = errors.Annotate(err, "connections were still open at the end of the drain")
 		}
 	}
+	if err := d.flushUsage(ctx); err != nil {
+		failed = err
+	}
 	if err := d.claims.Flush(ctx); err != nil {
 		failed = errors.Annotate(err, "outcomes of claimed requests were not stored")
 	}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"quincewinch/control"
 	"quincewinch/peer"
 	"quincewinch/request"
 )
@@ -18,7 +17,7 @@
 		sender,
 		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
-		request.Metered(control.NewMeter(), d.clock),
+		request.Metered(d.usage.meter, d.clock),
 		d.newQueue(placer).Filter(),
 		d.claims.Filter(),
 	)
--- /dev/null
+++ b/daemon/usage.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"quincewinch/control"
+	"quincewinch/models"
+)
+
+const (
+	flushInterval = 2 * time.Second
+	closeInterval = 5 * time.Second
+)
+
+// usage is this daemon's part in the counting and reporting of use.
+type usage struct {
+	platform *control.PlatformClock
+	meter    *control.Meter
+	closer   *control.Closer
+}
+
+// newUsage makes what counts and reports.
+func (d *Daemon) newUsage() {
+	settings := control.DefaultUsageSettings()
+	clock := control.NewPlatformClock()
+	d.usage.platform = clock
+	d.usage.meter = control.NewMeter(d.id, d.platform.table, d.clock, clock, d.ring, settings)
+}
+
+// startUsage starts the tasks. It goes after the leases.
+func (d *Daemon) startUsage() {
+	u := &d.usage
+	u.closer = control.NewCloser(d.platform.table, d.platform.usage, d.leases, d.clock, u.platform, d.ring, control.DefaultUsageSettings())
+	d.system.Spawn(u.meter, flushInterval)
+	d.system.Spawn(u.closer, closeInterval)
+}
+
+// flushUsage writes the last counts at a planned stop.
+func (d *Daemon) flushUsage(ctx context.Context) error {
+	return errors.Annotate(d.usage.meter.Flush(ctx), "the last counts were not written")
+}
+
+// Usage returns the billing windows of a workspace, of all for the empty name.
+func (d *Daemon) Usage(ctx context.Context, workspace models.Workspace) ([]control.WorkspaceWindow, error) {
+	return control.ReadUsage(ctx, d.platform.table, workspace, control.DefaultUsageSettings())
+}
