--- /dev/null
+++ b/policy/fleet/models.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"quincewinch/models"
+)
+
+// cacheShare is the share of an engine's memory that stays free of weights,
+// for KV caches.
+const cacheShare = 0.25
+
+// ModelEngine is one engine as the plan of models sees it.
+type ModelEngine struct {
+	ID     models.EngineID
+	Zone   models.Zone
+	Models []models.Model // that it ought to have
+	Pieces int            // of memory, in all
+	Away   bool           // it takes no work now
+	Frozen bool           // no change of it may begin
+}
+
+// ModelSnapshot is what loads are planned from.
+type ModelSnapshot struct {
+	Engines []ModelEngine
+	Plans   map[models.Model]models.ModelPlan
+	Offered map[models.Model]float64 // engines that each model's work keeps busy
+}
+
+// ModelChange is the decision to load a model, and to unload others for it.
+type ModelChange struct {
+	Engine models.EngineID
+	Zone   models.Zone
+	Load   models.Model
+	Unload []models.Model
+	Why    string
+}
+
+// PlanModels returns the loads that are wanted, the most popular model first.
+// The caller carries out as many as the weight store's budget allows; the
+// others wait.
+func PlanModels(s ModelSnapshot) []ModelChange {
+	s.Engines = slices.Clone(s.Engines)
+	slices.SortFunc(s.Engines, func(a, b ModelEngine) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	var changes []ModelChange
+	for _, model := range s.byPopularity() {
+		for s.hot(model) < s.Plans[model].MinHot {
+			change, ok := s.place(model, fmt.Sprintf("%d engines have it loaded for %d wanted", s.hot(model), s.Plans[model].MinHot))
+			if !ok {
+				break
+			}
+			changes = append(changes, change)
+		}
+	}
+	return append(changes, s.fillEmpty()...)
+}
+
+// byPopularity lists the planned models, the most work first.
+func (s ModelSnapshot) byPopularity() []models.Model {
+	var list []models.Model
+	for model := range s.Plans {
+		list = append(list, model)
+	}
+	slices.SortFunc(list, func(a, b models.Model) int {
+		if order := compareFloats(s.Offered[b], s.Offered[a]); order != 0 {
+			return order
+		}
+		return strings.Compare(string(a), string(b))
+	})
+	return list
+}
+
+// fillEmpty gives each engine without a model the one that is shortest of
+// engines for its work.
+func (s ModelSnapshot) fillEmpty() []ModelChange {
+	var changes []ModelChange
+	for i, e := range s.Engines {
+		if len(e.Models) > 0 || e.Away || e.Frozen {
+			continue
+		}
+		model, ok := s.shortest(e)
+		if !ok {
+			continue
+		}
+		s.Engines[i].Models = []models.Model{model}
+		changes = append(changes, ModelChange{
+			Engine: e.ID,
+			Zone:   e.Zone,
+			Load:   model,
+			Why:    fmt.Sprintf("the engine has no model, and the work for %s keeps %.1f engines busy", model, s.Offered[model]),
+		})
+	}
+	return changes
+}
+
+// shortest returns the model with the most work for each of its engines.
+func (s ModelSnapshot) shortest(e ModelEngine) (models.Model, bool) {
+	var best models.Model
+	most := -1.0
+	for _, model := range s.byPopularity() {
+		if !s.fits(e, nil, model) {
+			continue
+		}
+		if load := s.Offered[model] / float64(1+s.hot(model)); load > most {
+			best, most = model, load
+		}
+	}
+	return best, most >= 0
+}
+
+// hot counts the engines that have a model or are to load it.
+func (s ModelSnapshot) hot(model models.Model) int {
+	count := 0
+	for _, e := range s.Engines {
+		if slices.Contains(e.Models, model) {
+			count++
+		}
+	}
+	return count
+}
+
+// place finds an engine for one more copy of a model: an empty one first,
+// then one in a zone without the model, then one where rarer models give way.
+func (s ModelSnapshot) place(model models.Model, why string) (ModelChange, bool) {
+	best, bestRank := -1, 0
+	var bestUnload []models.Model
+	for i, e := range s.Engines {
+		if e.Away || e.Frozen || slices.Contains(e.Models, model) || !s.spared(e) {
+			continue
+		}
+		unload, ok := s.makeRoom(e, model)
+		if !ok {
+			continue
+		}
+		if rank := s.rank(e, unload, model); best < 0 || rank < bestRank {
+			best, bestRank, bestUnload = i, rank, unload
+		}
+	}
+	if best < 0 {
+		return ModelChange{}, false
+	}
+	e := &s.Engines[best]
+	e.Models = append(without(e.Models, bestUnload), model)
+	e.Frozen = true
+	return ModelChange{Engine: e.ID, Zone: e.Zone, Load: model, Unload: bestUnload, Why: why}, true
+}
+
+func (s ModelSnapshot) rank(e ModelEngine, unload []models.Model, model models.Model) int {
+	rank := 4 * len(unload)
+	if len(e.Models) > 0 {
+		rank += 2
+	}
+	for _, other := range s.Engines {
+		if other.Zone == e.Zone && slices.Contains(other.Models, model) {
+			return rank + 1
+		}
+	}
+	return rank
+}
+
+// spared reports whether each of an engine's models has another engine that
+// works while this one is away.
+func (s ModelSnapshot) spared(e ModelEngine) bool {
+	for _, model := range e.Models {
+		working := 0
+		for _, other := range s.Engines {
+			if other.ID != e.ID && !other.Away && !other.Frozen && slices.Contains(other.Models, model) {
+				working++
+			}
+		}
+		if working == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// makeRoom returns the models that have to give way, rarest first. Those that
+// would fall under their number of hot engines stay, and so do more popular
+// ones.
+func (s ModelSnapshot) makeRoom(e ModelEngine, model models.Model) ([]models.Model, bool) {
+	var unload []models.Model
+	ranked := s.byPopularity()
+	slices.Reverse(ranked)
+	for _, rare := range ranked {
+		if s.fits(e, unload, model) {
+			break
+		}
+		if slices.Contains(e.Models, rare) && s.hot(rare) > s.Plans[rare].MinHot && s.Offered[rare] <= s.Offered[model] {
+			unload = append(unload, rare)
+		}
+	}
+	return unload, s.fits(e, unload, model)
+}
+
+// fits reports whether a model's weights fit beside those that stay.
+func (s ModelSnapshot) fits(e ModelEngine, unload []models.Model, model models.Model) bool {
+	pieces := s.Plans[model].Pieces
+	for _, loaded := range without(e.Models, unload) {
+		pieces += s.Plans[loaded].Pieces
+	}
+	return float64(pieces) <= (1-cacheShare)*float64(e.Pieces)
+}
+
+func without(list, drop []models.Model) []models.Model {
+	return slices.DeleteFunc(slices.Clone(list), func(m models.Model) bool { return slices.Contains(drop, m) })
+}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -14,6 +14,7 @@
 	server models.BackendServer
 	engine peer.Engine
 	id     models.RequestID
+	waited time.Duration // for pieces, the time that the caller took left out
 }
 
 // streamEnd tells how one connection's stream ended.
@@ -87,8 +88,7 @@
 	case peer.OutcomeOf(err) == peer.OutcomeRefused:
 		return nil, ending{refusal: a.refusedBy(err)}, false
 	}
-	a.sender.cancelFirst(ctx, a.engine, a.id)
-	return nil, ending{}, false
+	return nil, ending{cancelled: a.sender.cancel(ctx, a.engine, a.id)}, false
 }
 
 // refusedBy returns the refusal of a request that the engine will not run.
@@ -123,19 +123,18 @@
 
 // giveUp ends the request at an engine that does not finish it.
 func (a *attempt) giveUp(ctx context.Context) ending {
-	if refusal := gone(ctx, a.exchange); refusal != nil {
-		a.sender.cancel(ctx, a.engine, a.id)
-		return ending{refusal: refusal}
+	return ending{
+		refusal:   gone(ctx, a.exchange),
+		cancelled: a.sender.cancel(ctx, a.engine, a.id),
 	}
-	a.sender.cancelFirst(ctx, a.engine, a.id)
-	return ending{}
 }
 
 // pump hands pieces to the caller. Each must be the next of this attempt's
 // answer; anything else breaks the stream.
 func (a *attempt) pump(ctx context.Context, from *source) (streamEnd, ending) {
 	clock := a.sender.clock
-	latest := clock.Now()
+	latest := clock.Now() // when the engine was waited for from
+	defer func() { a.waited += clock.Now().Sub(latest) }()
 	patrol := clock.NewTimer(patrolInterval)
 	defer func() { patrol.Stop() }()
 	for {
@@ -151,6 +150,8 @@
 			}
 			patrol = clock.NewTimer(patrolInterval)
 		case item := <-from.items:
+			a.waited += clock.Now().Sub(latest)
+			latest = clock.Now()
 			if item.err != nil || item.piece.Request != a.id || item.piece.Index != len(a.given) {
 				return streamBroken, ending{}
 			}
--- a/request/commit.go
+++ b/request/commit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -12,12 +11,18 @@
 )
 
 const (
-	// commitWindow is the least time between two transactions of a daemon.
-	commitWindow = 10 * time.Millisecond
+	// commitInterval is the mean time between two transactions of all daemons
+	// together at the least: the platform takes several hundred writes a
+	// second, and claims are not all of them. After a quiet time a daemon may
+	// commit commitBurst of them without a wait.
+	commitInterval = 5 * time.Millisecond
+	commitBurst    = 20
 	// commitBatch is the greatest number of rows in a transaction.
 	commitBatch = 64
-	// commitBackoff is the wait after a transaction that met no store.
-	commitBackoff = 250 * time.Millisecond
+	// commitBackoff is the wait after a transaction that met no store; it
+	// doubles up to commitBackoffMax while outcomes alone wait.
+	commitBackoff    = 250 * time.Millisecond
+	commitBackoffMax = time.Second
 	// commitPending is how many outcomes wait for the store at the most.
 	commitPending = 4096
 	// commitKeep is how long an outcome waits for the store.
@@ -57,20 +62,22 @@
 type committer struct {
 	table   peer.Table
 	clock   peer.Clock
-	name    string
 	timeout time.Duration // of one call of the table
+	reports peer.Reports  // of the other daemons, which share the rate
 
 	mu      sync.Mutex
 	pending []*commit
 	running bool
 	idle    chan struct{} // closed while nothing is pending
-	number  uint64
+	hurry   chan struct{} // a request waits for its claim
+
+	free time.Time // when all of a burst's transactions would be paid off
 }
 
-func newCommitter(table peer.Table, clock peer.Clock, name string, timeout time.Duration) *committer {
+func newCommitter(table peer.Table, clock peer.Clock, timeout time.Duration, reports peer.Reports) *committer {
 	idle := make(chan struct{})
 	close(idle)
-	return &committer{table: table, clock: clock, name: name, timeout: timeout, idle: idle}
+	return &committer{table: table, clock: clock, timeout: timeout, reports: reports, idle: idle, hurry: make(chan struct{}, 1)}
 }
 
 // submit hands over a write; it is settled when its done is closed.
@@ -81,6 +88,12 @@
 	defer c.mu.Unlock()
 	c.pending = append(c.pending, w)
 	c.shed()
+	if !w.lasting {
+		select {
+		case c.hurry <- struct{}{}:
+		default:
+		}
+	}
 	if c.running {
 		return
 	}
@@ -136,29 +149,55 @@
 }
 
 func (c *committer) run() {
+	backoff := commitBackoff
 	for {
-		batch, id := c.take()
+		batch := c.take()
 		if len(batch) == 0 {
 			return
 		}
-		wait := commitWindow
-		if !c.settle(batch, id) {
-			wait = commitBackoff
+		if c.settle(batch) {
+			backoff = commitBackoff
+		} else {
+			c.rest(backoff)
+			backoff = min(2*backoff, commitBackoffMax)
 		}
-		_ = c.clock.Sleep(context.Background(), wait)
+		c.pace()
+	}
+}
+
+// pace waits until one more transaction keeps within the mean rate.
+func (c *committer) pace() {
+	now := c.clock.Now()
+	if c.free.Before(now) {
+		c.free = now
+	}
+	interval := commitInterval * time.Duration(1+len(c.reports.Reports()))
+	c.free = c.free.Add(interval)
+	if early := c.free.Sub(now) - commitBurst*interval; early > 0 {
+		_ = c.clock.Sleep(context.Background(), early)
+	}
+}
+
+// rest waits for d, or until a request waits for its claim.
+func (c *committer) rest(d time.Duration) {
+	timer := c.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-c.hurry:
 	}
 }
 
 // take chooses the writes of the next transaction: those that a request waits
 // for first, and at most one of a row.
-func (c *committer) take() ([]*commit, string) {
+func (c *committer) take() []*commit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expire()
 	if len(c.pending) == 0 {
 		c.running = false
 		close(c.idle)
-		return nil, ""
+		return nil
 	}
 	var batch []*commit
 	keys := map[models.RowKey]bool{}
@@ -171,8 +210,7 @@
 			}
 		}
 	}
-	c.number++
-	return batch, c.name + "-claims-" + strconv.FormatUint(c.number, 10)
+	return batch
 }
 
 // expire drops lasting writes that have waited too long. The lock is held.
@@ -188,8 +226,8 @@
 }
 
 // settle commits a batch and reports whether the store answered.
-func (c *committer) settle(batch []*commit, id string) bool {
-	batch, transaction := c.transaction(batch, id)
+func (c *committer) settle(batch []*commit) bool {
+	batch, transaction := c.transaction(batch)
 	if len(batch) == 0 {
 		return true
 	}
@@ -212,9 +250,11 @@
 	return true
 }
 
-// transaction returns the transaction of a batch, and the writes in it.
-func (c *committer) transaction(batch []*commit, id string) ([]*commit, models.Transaction) {
-	transaction := models.Transaction{ID: id}
+// transaction returns the transaction of a batch, and the writes in it. It has
+// no identity: the rows themselves show whether it was committed, and a marker
+// would be one more row to write.
+func (c *committer) transaction(batch []*commit) ([]*commit, models.Transaction) {
+	var transaction models.Transaction
 	var kept []*commit
 	c.mu.Lock()
 	defer c.mu.Unlock()
