--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,7 @@
 	gate          *request.Gate
 	leases        *control.Leases
 	orders        *control.Orders
+	usage         usage
 	work          *request.Work
 	fleet         *control.Fleet
 	servers       []*http.Server
@@ -95,6 +96,7 @@
 	if err := d.startExchange(d.exchangeCredentials()); err != nil {
 		return err
 	}
+	d.newUsage()
 	line := d.line(engines, service.NewClients(d.backendClient()))
 	editor := control.NewEditor(d.id, d.platform.table, d.configuration, d.exchange.editing, d.exchange.gossip, d.ring)
 	d.spawnExchange(editor)
@@ -103,6 +105,7 @@
 	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock), claimCleaning)
 	d.startLeases()
 	d.startOrders(engines)
+	d.startUsage()
 	d.startFleet(engines)
 	d.register()
 	if err := d.listen(line, editor); err != nil {
@@ -119,6 +122,7 @@
 	d.leaveExchange(ctx)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.DrainTimeout)
 	defer cancel()
+	d.usage.closer.Stop()
 	d.leases.Release(ctx)
 	failed := errors.Annotate(d.gate.Drain(ctx), "requests were still running at the end of the drain timeout")
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), closingTimeout)
@@ -128,6 +132,9 @@
 			failed = errors.Annotate(err, "connections were still open at the end of the drain")
 		}
 	}
+	if err := d.flushUsage(ctx); err != nil {
+		failed = err
+	}
 	if err := d.claims.Flush(ctx); err != nil {
 		failed = errors.Annotate(err, "outcomes of claimed requests were not stored")
 	}
