--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -2,13 +2,14 @@
 
 import (
 	"quincewinch/control"
+	"quincewinch/metrics"
 	"quincewinch/peer"
 	"quincewinch/request"
 )
 
 // line returns the filters in the order a request meets them.
 func (d *Daemon) line(engines peer.Engines, services peer.Services) request.Handler {
-	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout)
+	d.claims = request.NewClaims(d.platform.table, d.platform.objects, d.clock, d.ring, d.id, d.settings.Platform.Timeout, d.exchange.gossip)
 	placer := d.newPlacer(engines)
 	limits, queue := d.newAdmission(placer)
 	sender := request.NewSender(engines, services, d.configuration, placer, d.engines, d.ring, d.clock, request.SenderSettings{
@@ -17,6 +18,7 @@
 	})
 	return request.Chain(
 		sender,
+		metrics.NewRequests(d.registry, d.clock).Filter(),
 		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
 		request.Metered(control.NewMeter(), d.clock),
