commands: usage and table columns; pages for operators, settings and the table

Cause: billing windows could not be seen, and no page told operators what they may edit.

Change: usage shows windows with state, figures and adjustments; the pages of settings and table hold what the commands print, and a test compares them; each command on the pages is run by a test against the demo.

Conclusion: pages and program cannot drift apart unseen.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -64,7 +64,7 @@
 		registerServe, registerDemo, registerCheckSettings, registerSettings, registerCompare,
 		registerWorkspaceList, registerWorkspaceCreate,
 		registerKeyList, registerKeyGive, registerKeyWithdraw,
-		registerTableList, registerTablePut, registerTableDelete,
-		registerFleetList, registerFleetExplain, registerTimeline,
+		registerTableColumns, registerTableList, registerTablePut, registerTableDelete,
+		registerFleetList, registerFleetExplain, registerTimeline, registerUsage,
 	}
 }
--- /dev/null
+++ b/commands/docs_test.go
@@ -0,0 +1,109 @@
+package commands_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"quincewinch/commands"
+	"quincewinch/demo"
+	"quincewinch/peer/system"
+)
+
+const examplePrefix = "    quincewinch "
+
+// examples returns the commands on a page: lines indented by four spaces.
+func examples(t *testing.T, page string) []string {
+	t.Helper()
+	raw, err := os.ReadFile(page)
+	is.New(t).NoErr(err)
+	var found []string
+	for line := range strings.Lines(string(raw)) {
+		if example, ok := strings.CutPrefix(strings.TrimRight(line, "\n"), examplePrefix); ok {
+			found = append(found, example)
+		}
+	}
+	return found
+}
+
+// words splits a command as a shell does, with single quotes.
+func words(command string) []string {
+	var list []string
+	for i, part := range strings.Split(command, "'") {
+		if i%2 == 1 {
+			list = append(list, part)
+			continue
+		}
+		list = append(list, strings.Fields(part)...)
+	}
+	return list
+}
+
+func TestCommandsOnThePages(t *testing.T) {
+	is := is.New(t)
+	deployment, err := demo.Find("tamarind")
+	is.NoErr(err)
+	running, err := demo.Start(t.Context(), deployment, system.NewClock(), zap.NewNop(), demo.Options{})
+	is.NoErr(err)
+	defer func() { is.NoErr(running.Stop(context.Background())) }()
+	t.Setenv("QUINCEWINCH_ADDRESS", running.Ready.Operators[0])
+	t.Setenv("QUINCEWINCH_OPERATOR_KEY", running.Ready.OperatorKey)
+	pages, err := filepath.Glob("../docs/*.md")
+	is.NoErr(err)
+	for _, page := range pages {
+		for _, example := range examples(t, page) {
+			t.Run(filepath.Base(page)+": "+example, func(t *testing.T) {
+				is := is.New(t)
+				var stdout, stderr bytes.Buffer
+				status := commands.Run(words(example), &stdout, &stderr)
+				is.Equal(stderr.String(), "")
+				is.Equal(status, 0)
+				is.True(stdout.Len() > 0) // it prints something
+			})
+		}
+	}
+}
+
+// expectOnPage asserts that a page holds what a command prints.
+func expectOnPage(t *testing.T, page string, args ...string) {
+	t.Helper()
+	is := is.New(t)
+	var stdout, stderr bytes.Buffer
+	is.Equal(commands.Run(args, &stdout, &stderr), 0)
+	raw, err := os.ReadFile(page)
+	is.NoErr(err)
+	for line := range strings.Lines(stdout.String()) {
+		is.True(strings.Contains(string(raw), line)) // the page has the line
+	}
+}
+
+func TestPagesOfFields(t *testing.T) {
+	t.Run("settings", func(t *testing.T) { expectOnPage(t, "../docs/settings.md", "settings") })
+	t.Run("table", func(t *testing.T) { expectOnPage(t, "../docs/table.md", "table", "columns") })
+}
+
+func TestCheckSettingsNamesEachFault(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	settings := `{
+		"name": "entry-1",
+		"callers": {"address": "nowhere", "plain": true},
+		"operators": {"address": "127.0.0.1:2", "plain": true, "key": "k", "colour": 1},
+		"daemons": {"address": "127.0.0.1:3", "plain": true},
+		"metrics": {"address": "127.0.0.1:4", "plain": true},
+		"platform": {"url": "http://127.0.0.1:5", "plain": true},
+		"engines": {"plain": true}
+	}`
+	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
+	var stdout, stderr bytes.Buffer
+	is.Equal(commands.Run([]string{"check-settings", path}, &stdout, &stderr), 1)
+	for _, fault := range []string{"zone: missing field", "callers.address: bad address", "operators.colour: unknown field"} {
+		is.True(strings.Contains(stderr.String(), fault)) // names the fault
+	}
+}
--- a/commands/table.go
+++ b/commands/table.go
@@ -1,10 +1,17 @@
 package commands
 
 import (
+	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
+	"text/tabwriter"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"quincewinch/table"
 )
 
 var rowColumns = []string{"kind", "name", "version", "cells"}
@@ -35,6 +42,29 @@
 	return c.flags.call(env, http.MethodGet, path, nil, "", nil, rowColumns)
 }
 
+// tableColumnsCommand prints the columns of each kind of row.
+type tableColumnsCommand struct{}
+
+func registerTableColumns(app *kingpin.Application) (string, command) {
+	clause := app.GetCommand("table").Command("columns", "Print the columns of each kind of row.")
+	return clause.FullCommand(), tableColumnsCommand{}
+}
+
+func (tableColumnsCommand) run(env environment) error {
+	w := tabwriter.NewWriter(env.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "KIND\tCOLUMN\tTYPE\tDEFAULT\tUNIT\tMEANING")
+	for _, kind := range slices.Sorted(maps.Keys(table.Schema)) {
+		for _, column := range table.Schema[kind] {
+			value := column.Default
+			if value == "" {
+				value = "(required)"
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", kind, column.Name, column.Type, value, column.Unit, column.Meaning)
+		}
+	}
+	return errors.Trace(w.Flush())
+}
+
 // tablePutCommand writes a row.
 type tablePutCommand struct {
 	flags   operatorFlags
--- a/config/settings.go
+++ b/config/settings.go
@@ -84,6 +84,7 @@
 
 // UsesTLS reports whether any section needs certificates.
 func (s *Settings) UsesTLS() bool {
-	return !(s.Callers.Plain && s.Operators.Plain && s.Daemons.Plain &&
-		s.Metrics.Plain && s.Platform.Plain && s.Engines.Plain)
+	plain := s.Callers.Plain && s.Operators.Plain && s.Daemons.Plain &&
+		s.Metrics.Plain && s.Platform.Plain && s.Engines.Plain
+	return !plain
 }
--- a/daemon/overview.go
+++ b/daemon/overview.go
@@ -77,3 +77,22 @@
 func (o overview) Explain(ctx context.Context, engine models.EngineID) []string {
 	return o.daemon.ExplainEngine(ctx, engine)
 }
+
+// Usage returns the billing windows of a workspace, of all for the empty name.
+func (o overview) Usage(ctx context.Context, workspace models.Workspace) ([]models.WorkspaceWindow, error) {
+	windows, err := o.daemon.Usage(ctx, workspace)
+	if err != nil {
+		return nil, err
+	}
+	shown := make([]models.WorkspaceWindow, 0, len(windows))
+	for _, w := range windows {
+		shown = append(shown, models.WorkspaceWindow{
+			Workspace:   w.Workspace,
+			Window:      w.Window,
+			State:       string(w.State),
+			Usage:       w.Usage,
+			Adjustments: w.Adjustments,
+		})
+	}
+	return shown, nil
+}
--- a/models/platform.go
+++ b/models/platform.go
@@ -61,3 +61,12 @@
 	Window time.Time
 	Usage  Usage
 }
+
+// WorkspaceWindow is one billing window of a workspace as it stands.
+type WorkspaceWindow struct {
+	Workspace   Workspace
+	Window      time.Time // its start, platform's time
+	State       string    // open, closed, frozen or reported
+	Usage       Usage
+	Adjustments []Adjustment
+}
--- a/peer/operator.go
+++ b/peer/operator.go
@@ -37,6 +37,9 @@
 type Overview interface {
 	Events(ctx context.Context, filter models.EventFilter) ([]models.Event, error)
 	States() map[models.EngineID]models.EngineState
+	// Usage returns the billing windows of a workspace, of all for the empty
+	// name.
+	Usage(ctx context.Context, workspace models.Workspace) ([]models.WorkspaceWindow, error)
 	// Explain tells in sentences what an engine does and why.
 	Explain(ctx context.Context, engine models.EngineID) []string
 }
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -41,6 +41,8 @@
 	h.mux.HandleFunc("GET /timeline", h.timeline)
 	h.mux.HandleFunc("GET /fleet", h.fleet)
 	h.mux.HandleFunc("GET /fleet/{engine}", h.explain)
+	h.mux.HandleFunc("GET /usage", h.usage)
+	h.mux.HandleFunc("GET /usage/{workspace}", h.usage)
 	h.mux.HandleFunc("/", h.unknown)
 	return h
 }
@@ -159,6 +161,19 @@
 	answer(w, http.StatusOK, forms)
 }
 
+func (h *Handler) usage(w http.ResponseWriter, r *http.Request) {
+	windows, err := h.overview.Usage(r.Context(), models.Workspace(r.PathValue("workspace")))
+	if err != nil {
+		refuse(w, err, nil)
+		return
+	}
+	forms := make([]windowForm, 0, len(windows))
+	for _, window := range windows {
+		forms = append(forms, windowFormOf(window))
+	}
+	answer(w, http.StatusOK, forms)
+}
+
 func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
 	answer(w, http.StatusNotFound, problem{Error: "no such path: " + r.Method + " " + r.URL.Path})
 }
--- a/peer/operator/wire.go
+++ b/peer/operator/wire.go
@@ -73,6 +73,44 @@
 	Sentence string `json:"sentence"`
 }
 
+type windowForm struct {
+	Workspace   string           `json:"workspace"`
+	Window      time.Time        `json:"window"`
+	State       string           `json:"state"`
+	Usage       usageForm        `json:"usage"`
+	Adjustments []adjustmentForm `json:"adjustments"`
+}
+
+type usageForm struct {
+	Requests     int64 `json:"requests"`
+	Prompt       int64 `json:"prompt-tokens"`
+	Cached       int64 `json:"cached-tokens"`
+	Output       int64 `json:"output-tokens"`
+	ServiceCalls int64 `json:"service-calls"`
+}
+
+type adjustmentForm struct {
+	Window time.Time `json:"window"`
+	Usage  usageForm `json:"usage"`
+}
+
+func windowFormOf(window models.WorkspaceWindow) windowForm {
+	form := windowForm{
+		Workspace:   string(window.Workspace),
+		Window:      window.Window,
+		State:       window.State,
+		Usage:       usageForm(window.Usage),
+		Adjustments: []adjustmentForm{},
+	}
+	for _, adjustment := range window.Adjustments {
+		form.Adjustments = append(form.Adjustments, adjustmentForm{
+			Window: adjustment.Window,
+			Usage:  usageForm(adjustment.Usage),
+		})
+	}
+	return form
+}
+
 func formOf(row peer.TableRow) rowForm {
 	return rowForm{Kind: row.Kind, Name: row.Name, Version: uint64(row.Version), Cells: row.Cells, Deleted: row.Deleted}
 }
