control: lagging readings decide nothing

Cause: the table's readings may lag. A meter that saw an old state of its counts after the closing moved more to the next window than was missing, and an order's loss was judged by a reading. Change: both are confirmed by a transaction without writes, on the condition of what was read. Not broken by a test: the confirmation of a lost order.

--- a/control/meter.go
+++ b/control/meter.go
@@ -220,12 +220,26 @@
 		return err
 	}
 	m.written(window, flushed, revision)
-	if len(closed) > 0 {
-		m.move(window, max(current, window+int64(m.settings.Window/time.Second)))
+	if len(closed) == 0 {
+		return nil
+	}
+	if err := m.confirm(ctx, closed[0], models.Condition{Key: countKey(window, m.daemon), Revision: revision}); err != nil {
+		m.doubt(window, record.tried)
+		return err
 	}
+	m.move(window, max(current, window+int64(m.settings.Window/time.Second)))
 	return nil
 }
 
+// confirm makes sure that the readings of a closed window and of its counts
+// did not lag: what they showed still stands, and so stands for good.
+func (m *Meter) confirm(ctx context.Context, closed models.Row, counts models.Condition) error {
+	_, err := m.table.Transact(ctx, models.Transaction{
+		Conditions: []models.Condition{{Key: closed.Key, Revision: closed.Revision}, counts},
+	})
+	return err
+}
+
 // found returns what the table has. Of a row that was cleaned up, it is what
 // was last written, as far as that may have arrived: nothing is counted twice.
 func (r countRecord) found(rows []models.Row) (tally, models.Revision, error) {
--- a/control/orders.go
+++ b/control/orders.go
@@ -151,8 +151,8 @@
 		return nil
 	}
 	// Another holder's order would hide this one in the engine's state.
-	row, err := o.read(ctx, t.key)
-	if err != nil || row.Revision != t.revision {
+	_, err = o.table.Transact(ctx, models.Transaction{Conditions: []models.Condition{{Key: t.key, Revision: t.revision}}})
+	if err != nil {
 		return lost
 	}
 	return peer.NewFailure(peer.OutcomeNotDone, "the engine did not get the order", lost)
--- a/control/usage_test.go
+++ b/control/usage_test.go
@@ -416,3 +416,61 @@
 		})
 	}
 }
+
+// lagging is a table whose readings show an older state.
+type lagging struct {
+	peer.Table
+	shown []models.Row
+}
+
+func (l *lagging) Read(ctx context.Context, keys ...models.RowKey) ([]models.Row, error) {
+	rows, err := l.Table.Read(ctx, keys...)
+	if err == nil && strings.HasPrefix(keys[0].Name, "count/") && l.shown != nil {
+		return l.shown, nil
+	}
+	return rows, err
+}
+
+func TestALaggingReadingCountsNothingTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, true)
+		platformClock := control.NewPlatformClock()
+		platformClock.Observe(clock.Now(), clock.Now(), clock.Now())
+		table := &lagging{Table: b.store}
+		meter := control.NewMeter("d", table, clock, platformClock, silence{}, windows)
+		closer := control.NewCloser(b.store, standin.NewUsage(b.store), oldAuthority{}, clock, platformClock, silence{}, windows)
+		started := clock.Now()
+		count := func() {
+			meter.Count("w", started, models.Usage{Requests: 1})
+			_ = meter.Flush(t.Context())
+		}
+		count()
+		table.shown = b.rows(t, models.PartitionUsage)
+		count()
+		wait(t, 20*time.Second)
+		closer.Step(t.Context())
+		count()
+		table.shown = nil
+		is.NoErr(meter.Flush(t.Context()))
+		is.NoErr(meter.Flush(t.Context()))
+		wait(t, 20*time.Second)
+		closer.Step(t.Context())
+		total := int64(0)
+		for _, report := range b.store.UsageReports() {
+			total += report.Usage.Requests
+			for _, adjustment := range report.Adjustments {
+				total += adjustment.Usage.Requests
+			}
+		}
+		is.Equal(total, int64(3))
+	})
+}
+
+// rows returns the rows of a partition.
+func (b bench) rows(t *testing.T, partition models.Partition) []models.Row {
+	t.Helper()
+	changes, err := b.store.Changes(t.Context(), partition, 0)
+	is.New(t).NoErr(err)
+	return changes.Rows
+}
