request: check the key before each further address of a service

Cause: a repeatable service call whose answer was lost went to the next address without a look at its key, up to seconds after its withdrawal. Found by TestSchedules (r3 ran 769 ms after the withdrawal) once the schedules withdraw keys, evict and drain engines; ruled out: the cut of token streams, which held. Change: the key is checked before each further address, and the refusal says not run only if no address was reached.

--- a/request/call.go
+++ b/request/call.go
@@ -15,8 +15,14 @@
 	}
 	backends = backends[:min(len(backends), callAttempts)]
 	for i, backend := range backends {
-		if i > 0 && !s.retries.Take() {
-			break
+		if i > 0 {
+			// The key may have been withdrawn since the attempt before.
+			if err := readmit(s.configuration, s.clock, e); err != nil {
+				return err
+			}
+			if !s.retries.Take() {
+				break
+			}
 		}
 		s.recordCall(e, backend, i)
 		done, err := s.callOnce(ctx, e, backend, i == len(backends)-1)
--- a/request/fleet_test.go
+++ b/request/fleet_test.go
@@ -297,7 +297,7 @@
 	if b.backend.Service == "reservations" {
 		claim = claimOf(call.ID)
 	}
-	b.fleet.history.Run(invariant.Run{At: b.fleet.clock.Now(), Request: call.ID, Claim: claim, Workspace: "sales", Key: "k1", Backend: b.backend.URL})
+	b.fleet.history.Run(invariant.Run{At: b.fleet.clock.Now(), Request: call.ID, Claim: claim, Workspace: "sales", Key: "k1", Backend: "service " + b.backend.URL})
 	if err := b.fleet.clock.Sleep(ctx, takes); err != nil || !answer {
 		return models.ServiceAnswer{}, peer.NewFailure(peer.OutcomeUnknown, "answer lost", err)
 	}
--- a/request/schedule_test.go
+++ b/request/schedule_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"quincewinch/invariant"
 	"quincewinch/models"
 	"quincewinch/standin/engine"
 	"quincewinch/standin/platform"
@@ -23,7 +24,10 @@
 	firstSeed = flag.Uint64("seed", 1, "seed of the first schedule")
 )
 
-const shards = 4
+const (
+	shards = 4
+	faults = 12 // kinds that disturb knows
+)
 
 // TestSchedules runs seeded schedules of requests and faults and checks every
 // promise over each.
@@ -65,9 +69,9 @@
 			at += timeout + 10*time.Second // past the deadline of a holder that is cut off
 		}
 		if r.IntN(2) == 0 {
-			route = "reservations"
+			route = []string{"reservations", "reservations", "flitches"}[r.IntN(3)]
 		}
-		if r.IntN(3) > 0 {
+		if route != "flitches" && r.IntN(3) > 0 {
 			key = route + strconv.Itoa(r.IntN(2))
 		}
 		group.Go(func() {
@@ -90,7 +94,7 @@
 		})
 	}
 	for range r.IntN(6) {
-		at, fault, undo := time.Duration(r.IntN(4000))*time.Millisecond, r.IntN(9), time.Duration(100+r.IntN(3000))*time.Millisecond
+		at, fault, undo := time.Duration(r.IntN(4000))*time.Millisecond, r.IntN(faults), time.Duration(100+r.IntN(3000))*time.Millisecond
 		which := r.IntN(len(f.order))
 		group.Go(func() {
 			pause(at)
@@ -140,6 +144,16 @@
 		f.links[which%2].cut.Store(true)
 	case 8:
 		f.service.set(func(url string) (bool, bool) { return which > 0 || url == "b", which != 1 })
+	case 9:
+		e.Evict(context.Background(), time.Second)
+		f.history.Leaving(invariant.Leaving{At: f.clock.Now(), Backend: string(e.id), Bound: time.Second})
+	case 10:
+		_ = e.Order(context.Background(), models.Order{ID: strconv.Itoa(which), Kind: models.OrderDrain})
+	case 11:
+		f.history.Withdrawal(invariant.Withdrawal{At: f.clock.Now(), Key: "k1", Secret: secret})
+		f.edit(func(config *models.Config) {
+			config.Keys = map[[32]byte]models.Key{keyHash: {ID: "k1", Workspace: "sales", Withdrawn: true}}
+		})
 	}
 }
 
@@ -158,5 +172,7 @@
 		f.links[which%2].cut.Store(which == 2) // that one never comes back
 	case 8:
 		f.service.set(nil)
+	case 10:
+		_ = e.Order(context.Background(), models.Order{ID: "resume", Kind: models.OrderResume})
 	}
 }
--- a/request/withdraw.go
+++ b/request/withdraw.go
@@ -30,19 +30,20 @@
 }
 
 // readmit checks the key of a request again, which may have waited since. It
-// comes after the claim: what is refused here has not run under any attempt.
+// comes after the claim, so that what was not started here has not run under
+// any attempt.
 func readmit(configuration peer.Configuration, clock peer.Clock, e *Exchange) error {
 	if e.KeyID == "" {
 		return nil
 	}
 	if withdrawn(configuration.Config(), e.KeyHash) {
-		return &models.Refusal{Code: models.RefusalKeyWithdrawn, Message: "the key has been withdrawn", NotRun: true}
+		return &models.Refusal{Code: models.RefusalKeyWithdrawn, Message: "the key has been withdrawn", NotRun: !e.Started}
 	}
 	err := fresh(configuration, clock, e)
 	if err == nil {
 		return nil
 	}
 	refusal := refusalOf(err)
-	refusal.NotRun = true
+	refusal.NotRun = !e.Started
 	return refusal
 }
