--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -1,8 +1,10 @@
 package demo_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"slices"
@@ -135,3 +137,51 @@
 	is.True(strings.HasSuffix(string(body), "data: [DONE]\n\n")) // whole
 	is.NoErr(<-stopped)
 }
+
+// TestEngineDiesMidStream kills the engine after its first token: the caller
+// sees one whole answer.
+func TestEngineDiesMidStream(t *testing.T) {
+	is := is.New(t)
+	running := start(t)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, running.Ready.Callers[0]+"/v1/chat/completions", strings.NewReader(question+`, "stream": true}`))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+running.Ready.Workspaces[0].Key)
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	var text strings.Builder
+	killed := 0
+	for lines.Scan() {
+		text.WriteString(content(t, lines.Text()))
+		for _, e := range running.Engines {
+			if killed == 0 && text.Len() > 0 && len(e.Received()) > 0 {
+				e.Crash()
+				killed++
+			}
+		}
+	}
+	is.NoErr(lines.Err())
+	is.Equal(killed, 1)
+	is.Equal(text.String(), engine.Answer(models.Model("catalogue"), "user: Which oak?\n", 0))
+}
+
+// content returns the text of one line of a stream.
+func content(t *testing.T, line string) string {
+	t.Helper()
+	raw, found := strings.CutPrefix(line, "data: {")
+	if !found {
+		return ""
+	}
+	var event struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte("{"+raw), &event); err != nil || len(event.Choices) == 0 {
+		t.Fatalf("no token in %q", line)
+	}
+	return event.Choices[0].Delta.Content
+}
