demo: the whole path as separate processes

Cause: the demo runs all in one process; what one daemon costs, and that it runs alone, could not be seen.

--- a/commands/demo.go
+++ b/commands/demo.go
@@ -19,6 +19,8 @@
 	readyFile  string
 	logLevel   string
 	tls        bool
+
+	settingsDirectory string
 }
 
 func registerDemo(app *kingpin.Application) (string, command) {
@@ -29,6 +31,7 @@
 	clause.Flag("ready-file", "Write where to call to this file.").StringVar(&c.readyFile)
 	clause.Flag("log-level", "debug, info, warn or error.").Default("warn").StringVar(&c.logLevel)
 	clause.Flag("tls", "Serve over TLS, with certificates made in memory; the ready file holds the authority.").BoolVar(&c.tls)
+	clause.Flag("settings-directory", "Start the stand-ins only, and write settings here for daemons to be started by hand.").StringVar(&c.settingsDirectory)
 	return clause.FullCommand(), c
 }
 
@@ -42,7 +45,7 @@
 		return err
 	}
 	clock := system.NewClock()
-	running, err := demo.Start(env.ctx, deployment, clock, logger, demo.Options{TLS: c.tls})
+	running, err := demo.Start(env.ctx, deployment, clock, logger, demo.Options{TLS: c.tls, SettingsDirectory: c.settingsDirectory})
 	if err != nil {
 		return err
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -50,6 +49,9 @@
 // Options vary the demo.
 type Options struct {
 	TLS bool // serve callers, operators, metrics and stand-ins over TLS
+	// SettingsDirectory, where set, gets a settings file for each daemon; the
+	// daemons are then started by hand, each as a process of its own.
+	SettingsDirectory string
 }
 
 // Ready tells where the running demo is reached.
@@ -201,12 +203,11 @@
 	if err != nil {
 		return err
 	}
-	platform, err := url.Parse(address)
-	if err != nil {
-		return errors.Trace(err)
+	if s.options.SettingsDirectory != "" {
+		return s.writeSettings(address)
 	}
 	for i := range DaemonCount {
-		settings, err := s.settings(i, platform)
+		settings, err := config.Parse([]byte(s.settings(i, address, loopbackPorts{}, memoryFiles())))
 		if err != nil {
 			return err
 		}
@@ -271,22 +272,6 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (s *System) settings(i int, platform *url.URL) (*config.Settings, error) {
-	plain := strconv.FormatBool(!s.options.TLS)
-	raw := `{
-		"name": "entry-` + strconv.Itoa(i+1) + `",
-		"zone": "` + string(s.deployment.Zones[i%len(s.deployment.Zones)]) + `",
-		"callers": {"address": "127.0.0.1:0", "plain": ` + plain + `},
-		"operators": {"address": "127.0.0.1:0", "plain": ` + plain + `, "key": "` + s.Ready.OperatorKey + `"},
-		"daemons": {"address": "127.0.0.1:0"},
-		"metrics": {"address": "127.0.0.1:0", "plain": ` + plain + `},
-		"platform": {"url": "` + platform.String() + `", "plain": ` + plain + `},
-		"engines": {"plain": ` + plain + `},
-		"tls": {"certificate-file": "(memory)", "key-file": "(memory)", "authority-file": "(memory)"}
-	}`
-	return config.Parse([]byte(raw))
-}
-
 func (s *System) serve(handler http.Handler) (string, error) {
 	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback))
