--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"quincewinch/control"
 	"quincewinch/metrics"
 	"quincewinch/peer"
 	"quincewinch/request"
@@ -21,7 +20,7 @@
 		metrics.NewRequests(d.registry, d.clock).Filter(),
 		d.gate.Filter(),
 		request.Authenticate(d.configuration, d.clock),
-		request.Metered(control.NewMeter(), d.clock),
+		request.Metered(d.usage.meter, d.clock),
 		limits.Filter(),
 		queue.Filter(),
 		d.claims.Filter(),
