peer/engine: keep the connection from one stream to the next

Cause: a stream was closed after its last piece, before the end of the response had been read, which ended the connection: one new connection a request, now and then. Change: the end is read with the last piece, for 500 ms at the most.

--- /dev/null
+++ b/peer/engine/client_test.go
@@ -0,0 +1,52 @@
+package engine_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/engine"
+	"quincewinch/peer/system"
+	standin "quincewinch/standin/engine"
+)
+
+func TestConnectionIsKeptFromStreamToStream(t *testing.T) {
+	is := is.New(t)
+	e := standin.New(system.NewClock(), standin.Settings{Models: []models.Model{"m"}, Cost: standin.DefaultCost()})
+	var connections atomic.Int32
+	server := httptest.NewUnstartedServer(standin.NewHandler(e))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := engine.NewClient(server.URL, server.Client())
+	for i := range 5 {
+		stream, err := client.Generate(t.Context(), models.Generation{ID: models.RequestID(strconv.Itoa(i)), Model: "m", Prompt: "x", MaxTokens: 2})
+		is.NoErr(err)
+		for done := false; !done; {
+			piece, err := stream.Next(t.Context())
+			is.NoErr(err)
+			done = piece.Done
+		}
+		is.NoErr(stream.Close())
+	}
+	is.Equal(connections.Load(), int32(1))
+}
+
+func TestUnreachableEngineNeverSawTheRequest(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := engine.NewClient(server.URL, &http.Client{}).Generate(t.Context(), models.Generation{ID: "r"})
+	is.Equal(peer.OutcomeOf(err), peer.OutcomeNotDone)
+}
--- a/peer/engine/stream.go
+++ b/peer/engine/stream.go
@@ -4,14 +4,20 @@
 	"context"
 	"encoding/json"
 	"io"
+	"time"
 
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/engine/wire"
 )
 
-// maxStreamBytes bounds what is read of one stream.
-const maxStreamBytes = 64 << 20
+const (
+	// maxStreamBytes bounds what is read of one stream.
+	maxStreamBytes = 64 << 20
+	// endTimeout is how long the end of a response is waited for after the
+	// last piece.
+	endTimeout = 500 * time.Millisecond
+)
 
 // stream reads pieces from a response's body.
 type stream struct {
@@ -33,9 +39,22 @@
 	if err := s.decoder.Decode(&form); err != nil {
 		return models.Piece{}, peer.NewFailure(peer.OutcomeUnknown, "the engine's stream broke off", err)
 	}
+	if form.Finish != nil {
+		s.end(ctx)
+	}
 	return form.Domain(), nil
 }
 
+// end reads the end of the response, so that its connection can be used again.
+func (s *stream) end(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, s.cancel)
+	defer stop()
+	var rest json.RawMessage
+	_ = s.decoder.Decode(&rest)
+}
+
 // Close implements peer.TokenStream.
 func (s *stream) Close() error {
 	s.cancel()
