control: order backend servers and give them back

Cause: nothing followed the platform's list of backend servers; evicted ones stayed in the table, and the fleet never grew or shrank. Change: the holder of the lease on servers keeps the table's rows in step with the platform's list, orders by PlanServers one order at a time, and gives back by marking a server as leaving, waiting until its requests have ended, then ordering; never below min-hot or the last of a zone. An order whose outcome is open goes out again under its identity. Cells price and cheap-price are new. The demo starts engines for orders. Found by the tests and mended: servers listed without a row were not counted, which ordered past the limit; a holder that knew nothing of the past gave back at once; too few observations ordered for their uncertainty. Broken once each and seen to fail: requests awaited, open order forgotten, arrivals forgotten, min-hot, half an hour of need, listed servers counted.

--- a/control/fleet.go
+++ b/control/fleet.go
@@ -97,6 +97,7 @@
 	authorities := f.authorities(now)
 	read := len(authorities) > 0 && f.rows.refresh(ctx) == nil
 	view := f.view(now, states)
+	f.remember(view, nil)
 	if !read {
 		return
 	}
--- a/control/fleet_world_test.go
+++ b/control/fleet_world_test.go
@@ -25,6 +25,8 @@
 	zoneCount = 2
 	model     = models.Model("catalogue")
 	leaseTime = 10 * time.Second
+	// placingLag is how many seconds late an edit is in force.
+	placingLag = 5
 )
 
 // world is a fleet of stand-ins in virtual time.
@@ -43,6 +45,11 @@
 	offered models.OfferedWork
 	load    models.OfferedWork // offered in each second, in both zones
 	answers int
+
+	askEvery int // seconds between rounds of requests
+	seconds  int
+	launched int
+	placing  []*models.Config // those that daemons still place by, oldest first
 }
 
 // newWorld returns engines in turn over two zones, a third of them for
@@ -59,6 +66,8 @@
 		history: &invariant.History{},
 		ring:    timeline.NewRing(clock, "entry-1", "zone-0", 4096, nil),
 		cost:    engine.DefaultCost(),
+
+		askEvery: 1,
 	}
 	w.leases = newLeaseTable(t, w.store, clock)
 	for i := range count {
@@ -83,6 +92,11 @@
 }
 
 func (w *world) addWith(id models.EngineID, zone models.Zone, role models.Role, loaded []models.Model) {
+	w.start(id, role, loaded)
+	w.config.Backends[id] = models.BackendServer{Engine: id, Zone: zone, ChecksFence: true}
+}
+
+func (w *world) start(id models.EngineID, role models.Role, loaded []models.Model) {
 	w.engines[id] = engine.New(w.clock, engine.Settings{
 		ID:          id,
 		Role:        role,
@@ -90,7 +104,6 @@
 		ChecksFence: true,
 		Cost:        w.cost,
 	})
-	w.config.Backends[id] = models.BackendServer{Engine: id, Zone: zone, ChecksFence: true}
 }
 
 // offer sets the work offered, in engines kept busy by prefill and by decode.
@@ -168,7 +181,9 @@
 		w.offered.PromptTokens += w.load.PromptTokens
 		w.offered.OutputTokens += w.load.OutputTokens
 		w.mu.Unlock()
-		w.ask(t)
+		if w.seconds++; w.seconds%w.askEvery == 0 {
+			w.ask(t)
+		}
 		for _, h := range holders {
 			h.Step(t.Context())
 		}
@@ -179,7 +194,14 @@
 // ask sends a request to each engine that takes one.
 func (w *world) ask(t *testing.T) {
 	t.Helper()
+	config := w.config
+	if len(w.placing) > 0 {
+		config = w.placing[0]
+	}
 	for id, e := range w.engines {
+		if config.Backends[id].Leaving {
+			continue
+		}
 		w.answers++
 		request := models.RequestID("req-" + strconv.Itoa(w.answers))
 		generation := models.Generation{ID: request, Model: model, Prompt: "Which oak?"}
@@ -187,18 +209,18 @@
 		if err != nil {
 			continue
 		}
-		go w.read(t.Context(), id, stream, generation)
+		go w.read(t.Context(), e, stream, generation)
 	}
 }
 
 // read reads an answer to its end. A break without a crash is a cut by a
 // planned change.
-func (w *world) read(ctx context.Context, id models.EngineID, stream peer.TokenStream, generation models.Generation) {
+func (w *world) read(ctx context.Context, e *engine.Engine, stream peer.TokenStream, generation models.Generation) {
 	text := ""
 	for {
 		piece, err := stream.Next(ctx)
 		if err != nil {
-			_, crashed := w.engines[id].State(ctx)
+			_, crashed := e.State(ctx)
 			cut := crashed == nil && ctx.Err() == nil
 			w.history.Answer(invariant.Answer{Request: generation.ID, Refusal: &models.Refusal{}, PlannedCut: cut})
 			return
@@ -336,17 +358,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, count)
 		w.offer(2, 4)
+		defer w.end(t)
 		test(t, w)
 		is := is.New(t)
 		is.NoErr(w.clock.Sleep(t.Context(), time.Minute)) // running requests end
 		is.Equal(len(invariant.Check(w.history)), 0)
-		for _, e := range w.engines {
-			e.Crash()
-		}
-		is.NoErr(w.clock.Sleep(t.Context(), 2*time.Hour)) // so do changes under way
 	})
 }
 
+// end ends all that runs, so that the bubble can close.
+func (w *world) end(t *testing.T) {
+	t.Helper()
+	for _, e := range w.engines {
+		e.Crash()
+	}
+	is.New(t).NoErr(w.clock.Sleep(context.Background(), 2*time.Hour)) // changes under way end too
+}
+
 // assertWorking fails unless every engine but some takes work.
 func assertWorking(t *testing.T, w *world, but ...models.EngineID) {
 	t.Helper()
--- /dev/null
+++ b/control/provisioning_test.go
@@ -0,0 +1,232 @@
+package control_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/control"
+	"quincewinch/invariant"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/standin/engine"
+	"quincewinch/standin/platform"
+	"quincewinch/table"
+)
+
+// market is the platform's ordering of backend servers over a world.
+type market struct {
+	*platform.Servers
+	world *world
+	lose  int // answers to be lost
+	lag   int // calls by which the list is late
+	lists [][]models.BackendServer
+}
+
+// List implements peer.Servers.
+func (m *market) List(ctx context.Context) ([]models.BackendServer, error) {
+	list, err := m.Servers.List(ctx)
+	m.lists = append(m.lists, list)
+	return m.lists[max(len(m.lists)-1-m.lag, 0)], err
+}
+
+// Order implements peer.Servers.
+func (m *market) Order(ctx context.Context, order models.ServerOrder) error {
+	before := len(m.world.store.ServerOrders())
+	err := m.Servers.Order(ctx, order)
+	if len(m.world.store.ServerOrders()) > before {
+		m.world.history.ServerOrder(invariant.ServerOrder{
+			At:         m.world.clock.Now(),
+			Order:      order,
+			Authorised: m.world.leases.holds(order.Fence),
+		})
+	}
+	if m.lose > 0 {
+		m.lose--
+		return peer.NewFailure(peer.OutcomeUnknown, "the answer was lost", nil)
+	}
+	return err
+}
+
+// Launch implements platform.Launcher.
+func (w *world) Launch(zone models.Zone, cheap bool) (models.BackendServer, error) {
+	w.launched++
+	id := models.EngineID("launched-" + strconv.Itoa(100+w.launched))
+	w.start(id, models.RoleBoth, nil)
+	return models.BackendServer{Engine: id, Zone: zone, URL: "http://127.0.0.1:1", Cheap: cheap, ChecksFence: true}, nil
+}
+
+// Stop implements platform.Launcher.
+func (w *world) Stop(id models.EngineID) error {
+	state, err := w.engines[id].State(context.Background())
+	if err == nil && state.Running+state.Queued > 0 {
+		w.history.Answer(invariant.Answer{Request: "running at " + models.RequestID(id), Refusal: &models.Refusal{}, PlannedCut: true})
+	}
+	w.engines[id].Crash()
+	delete(w.engines, id)
+	return nil
+}
+
+// evict takes the cheap servers of a zone.
+func (w *world) evict(zone models.Zone) int {
+	count := 0
+	for id, server := range w.config.Backends {
+		if _, runs := w.engines[id]; runs && server.Zone == zone && server.Cheap {
+			w.engines[id].Crash()
+			delete(w.engines, id)
+			w.store.RemoveServer(id)
+			count++
+		}
+	}
+	return count
+}
+
+// provisioned puts a world's configuration into the platform's table and
+// returns a daemon's fleet and ordering of servers.
+func provisioned(t *testing.T, w *world, cells string) (*control.Fleet, *control.Provisioning, *market) {
+	t.Helper()
+	is := is.New(t)
+	put := func(kind table.Kind, name, raw string) {
+		parsed, err := table.Parse(kind, []byte(raw))
+		is.NoErr(err)
+		value, err := table.Encode(parsed)
+		is.NoErr(err)
+		_, err = w.store.Transact(t.Context(), models.Transaction{Writes: []models.Write{{Key: table.Key(kind, name), Value: value}}})
+		is.NoErr(err)
+	}
+	for id, server := range w.config.Backends {
+		put(table.KindBackend, string(id), `{"zone": "`+string(server.Zone)+`", "url": "http://127.0.0.1:1", "checks-fence": true}`)
+		w.store.AddServer(server)
+	}
+	put(table.KindRoute, string(model), `{"kind": "model"}`)
+	put(table.KindModel, string(model), `{"pieces": 512, "min-hot": 8}`)
+	put(table.KindFleet, "limits", cells)
+	w.reload(t)
+	w.store.SetLauncher(w)
+	m := &market{Servers: platform.NewServers(w.store), world: w}
+	leases := w.leases.current()
+	fleet := w.holder("entry-1", leases, nil)
+	return fleet, control.NewProvisioning(control.ProvisioningPeers{
+		Table:         w.store,
+		Servers:       m,
+		Orders:        control.NewOrders(w.store, reach{world: w, daemon: "entry-1"}, m, w.clock, w.ring, control.DefaultOrderSettings()),
+		Leases:        leases,
+		Configuration: w,
+		States:        seen{world: w},
+		Clock:         w.clock,
+		Timeline:      w.ring,
+	}, fleet), m
+}
+
+// reload takes the configuration from the platform's table.
+func (w *world) reload(t *testing.T) {
+	t.Helper()
+	changes, err := w.store.Changes(t.Context(), models.PartitionConfig, 0)
+	is := is.New(t)
+	is.NoErr(err)
+	config, faults := table.Build(changes.Rows, changes.Through)
+	is.Equal(faults, nil)
+	w.config = config
+	w.placing = append(w.placing, config)
+	if len(w.placing) > placingLag {
+		w.placing = w.placing[1:]
+	}
+}
+
+// provision runs the fleet and the ordering side by side.
+func (w *world) provision(t *testing.T, seconds int, fleet *control.Fleet, provisioning *control.Provisioning) {
+	t.Helper()
+	for range seconds {
+		w.reload(t)
+		provisioning.Step(t.Context())
+		w.run(t, 1, fleet)
+	}
+}
+
+const cells = `{"spend-per-hour": 60, "max-per-zone": 16, "cost-weight": 3, "cheap-share": 0.6, "loads-per-minute": 60}`
+
+func TestServersAreOrderedForGrowth(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet, provisioning, _ := provisioned(t, w, cells)
+		w.provision(t, 60, fleet, provisioning)
+		w.offer(8, 10)
+		w.provision(t, 240, fleet, provisioning)
+		is.True(len(w.config.Backends) >= 20) // 18 kept busy, and some spare
+		is.True(len(w.config.Backends) <= 32) // the limit of two zones
+		is.Equal(len(w.engines), len(w.config.Backends))
+		is.Equal(loaded(w, model), len(w.engines)) // the new ones work too
+	})
+}
+
+func TestServersAreGivenBackGracefully(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet, provisioning, _ := provisioned(t, w, cells)
+		for _, e := range w.engines {
+			e.SetFaults(engine.Faults{Slow: time.Second}) // requests outlast the notice
+		}
+		w.askEvery = 20
+		w.offer(0.5, 1)
+		w.provision(t, 25*60, fleet, provisioning)
+		is.Equal(len(w.engines), engineCount) // not before half an hour
+		w.provision(t, 20*60, fleet, provisioning)
+		is.True(len(w.engines) < engineCount)
+		is.True(loaded(w, model) >= 8) // what min-hot asks for stays
+		is.Equal(len(w.engines), len(w.config.Backends))
+	})
+}
+
+func TestEvictedServersAreReplaced(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet, provisioning, _ := provisioned(t, w, cells)
+		w.offer(8, 10)
+		w.provision(t, 300, fleet, provisioning)
+		lost := w.evict("zone-0")
+		is.True(lost > 0)
+		is.True(len(w.engines) >= 18) // what is left bears the work
+		w.provision(t, 60, fleet, provisioning)
+		is.True(len(w.engines) >= 22)                    // and there is spare again
+		is.Equal(len(w.engines), len(w.config.Backends)) // the lost ones left the table
+	})
+}
+
+func TestLostAnswerOrdersNothingTwice(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet, provisioning, m := provisioned(t, w, cells)
+		w.provision(t, 60, fleet, provisioning)
+		m.lose, m.lag = 3, 30
+		w.offer(8, 10)
+		w.provision(t, 240, fleet, provisioning)
+		orders := w.store.ServerOrders()
+		ids := map[string]bool{}
+		count := 0
+		for _, order := range orders {
+			is.True(!ids[order.ID])
+			ids[order.ID] = true
+			count += order.Count
+		}
+		is.True(count > 0)
+		is.Equal(len(w.engines), engineCount+count)
+		is.True(len(w.engines) <= 32)
+	})
+}
+
+func TestProvisioningWithoutLeaseOrdersNothing(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet, provisioning, _ := provisioned(t, w, cells)
+		w.provision(t, 90, fleet, provisioning)
+		is.Equal(len(w.store.ServerOrders()), 0) // twelve engines do for this work
+		w.leases.move()
+		is.NoErr(w.clock.Sleep(t.Context(), leaseTime+time.Second))
+		w.offer(8, 10)
+		w.provision(t, 120, fleet, provisioning)
+		is.Equal(len(w.store.ServerOrders()), 0)
+	})
+}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -11,8 +11,8 @@
 
 const fleetStep = time.Second
 
-// startFleet keeps the engines as they ought to be, where this daemon holds
-// their leases.
+// startFleet keeps the engines as they ought to be, and orders and gives back
+// backend servers, where this daemon holds the leases on that.
 func (d *Daemon) startFleet(engines peer.Engines) {
 	d.fleet = control.NewFleet(control.FleetPeers{
 		Table:         d.platform.table,
@@ -27,6 +27,16 @@
 		Timeline:      d.ring,
 	}, control.DefaultFleetSettings(d.id, d.settings.Zone))
 	d.system.Spawn(d.fleet, fleetStep)
+	d.system.Spawn(control.NewProvisioning(control.ProvisioningPeers{
+		Table:         d.platform.table,
+		Servers:       d.platform.servers,
+		Orders:        d.orders,
+		Leases:        d.leases,
+		Configuration: d.configuration,
+		States:        d.engines,
+		Clock:         d.clock,
+		Timeline:      d.ring,
+	}, d.fleet), fleetStep)
 }
 
 // ExplainEngine tells in sentences what an engine does and why.
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -100,6 +100,7 @@
 		s.Ready.Authority = string(source.AuthorityPEM())
 	}
 	s.Ready.OperatorKey = "op-" + randomText()
+	s.Store.SetLauncher(newLauncher(s))
 	if err := s.startBackends(ctx); err != nil {
 		return nil, err
 	}
--- a/models/config.go
+++ b/models/config.go
@@ -55,6 +55,8 @@
 	CheapShare       float64 // greatest share of work on cheap backend servers, 0 to 1
 	LoadsPerMinute   float64 // loads the weight store can serve
 	MinPerRoleInZone int
+	Price            float64 // of a reserved backend server, currency units an hour
+	CheapPrice       float64 // of a cheap one
 }
 
 // ModelPlan is the row of a model that the fleet should have ready.
--- a/policy/fleet/recent.go
+++ b/policy/fleet/recent.go
@@ -5,6 +5,7 @@
 // Peak keeps the greatest figure of a span of time.
 type Peak struct {
 	span    time.Duration
+	since   time.Time
 	figures []dated // falling
 }
 
@@ -20,6 +21,9 @@
 
 // Observe takes in a figure and returns the greatest of the span.
 func (p *Peak) Observe(at time.Time, value float64) float64 {
+	if p.since.IsZero() {
+		p.since = at
+	}
 	for len(p.figures) > 0 && p.figures[len(p.figures)-1].value <= value {
 		p.figures = p.figures[:len(p.figures)-1]
 	}
@@ -29,3 +33,11 @@
 	}
 	return p.figures[0].value
 }
+
+// Seen returns for how long figures have come in, up to an instant.
+func (p *Peak) Seen(at time.Time) time.Duration {
+	if p.since.IsZero() {
+		return 0
+	}
+	return at.Sub(p.since)
+}
--- a/policy/fleet/servers.go
+++ b/policy/fleet/servers.go
@@ -78,12 +78,28 @@
 	}
 	var orders []ServerOrder
 	for _, zone := range s.Zones {
-		for _, cheap := range []bool{false, true} {
-			want := best.reserved
-			if cheap {
-				want = best.cheap
-			}
-			orders = append(orders, s.order(zone, cheap, want, need, best)...)
+		orders = append(orders, s.orders(zone, need, best)...)
+	}
+	return orders
+}
+
+// orders compares a zone's servers with what it ought to have, reserved ones
+// first. No more are ordered than it lacks in all: where it has too many of
+// one kind, those go first.
+func (s ServerSnapshot) orders(zone models.Zone, need float64, t target) []ServerOrder {
+	lacking := t.reserved + t.cheap
+	for _, server := range s.Servers {
+		if server.Zone == zone && !server.Broken {
+			lacking--
+		}
+	}
+	var orders []ServerOrder
+	for _, cheap := range []bool{false, true} {
+		order, due := s.order(zone, cheap, need, t)
+		order.Count = max(min(order.Count, lacking), 0)
+		lacking -= order.Count
+		if due && (order.Count > 0 || len(order.GiveBack) > 0) {
+			orders = append(orders, order)
 		}
 	}
 	return orders
@@ -166,8 +182,12 @@
 	return min(1, min(all*s.busy(), left)/need)
 }
 
-// order compares a zone's servers of a kind with what it ought to have.
-func (s ServerSnapshot) order(zone models.Zone, cheap bool, want int, need float64, t target) []ServerOrder {
+// order compares a zone's servers of one kind with what it ought to have.
+func (s ServerSnapshot) order(zone models.Zone, cheap bool, need float64, t target) (order ServerOrder, due bool) {
+	want := t.reserved
+	if cheap {
+		want = t.cheap
+	}
 	var working, broken []models.EngineID
 	for _, server := range s.Servers {
 		switch {
@@ -179,17 +199,14 @@
 		}
 	}
 	slices.SortFunc(working, func(a, b models.EngineID) int { return strings.Compare(string(a), string(b)) })
-	order := ServerOrder{Zone: zone, Cheap: cheap, GiveBack: broken, Why: s.why(zone, cheap, len(working), want, need, t)}
+	order = ServerOrder{Zone: zone, Cheap: cheap, GiveBack: broken, Why: s.why(zone, cheap, len(working), want, need, t)}
 	switch {
 	case len(working) < want:
 		order.Count = want - len(working)
 	case s.spare(need):
 		order.GiveBack = append(order.GiveBack, working[min(want, len(working)):]...)
 	}
-	if order.Count == 0 && len(order.GiveBack) == 0 {
-		return nil
-	}
-	return []ServerOrder{order}
+	return order, order.Count > 0 || len(order.GiveBack) > 0
 }
 
 // spare reports whether there is so much more than needed that giving back is
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -96,6 +96,13 @@
 	s.servers[server.Engine] = server
 }
 
+// RemoveServer makes a backend server vanish, as an eviction does.
+func (s *Store) RemoveServer(engine models.EngineID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.servers, engine)
+}
+
 // Counts returns the calls so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
--- a/table/config.go
+++ b/table/config.go
@@ -124,6 +124,8 @@
 		CheapShare:       cells.number("cheap-share"),
 		LoadsPerMinute:   cells.number("loads-per-minute"),
 		MinPerRoleInZone: cells.integer("min-per-role-in-zone"),
+		Price:            cells.number("price"),
+		CheapPrice:       cells.number("cheap-price"),
 	}
 }
 
--- a/table/schema.go
+++ b/table/schema.go
@@ -85,5 +85,7 @@
 		{Name: "cheap-share", Type: TypeNumber, Default: "0.5", Meaning: "greatest share of work on cheap backend servers, 0 to 1"},
 		{Name: "loads-per-minute", Type: TypeNumber, Default: "6", Unit: "1/min", Meaning: "loads that the weight store can serve"},
 		{Name: "min-per-role-in-zone", Type: TypeInteger, Default: "1", Unit: "engines", Meaning: "engines kept in each role in a zone"},
+		{Name: "price", Type: TypeNumber, Default: "1", Unit: "currency/h", Meaning: "of a reserved backend server"},
+		{Name: "cheap-price", Type: TypeNumber, Default: "0.35", Unit: "currency/h", Meaning: "of a cheap backend server"},
 	},
 }
