control: orders of backend servers in the schedules of authority

Cause: only focused tests covered orders of backend servers. Change: each daemon of the schedules orders backend servers too; the history checks them.

--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -242,6 +242,28 @@
 	return state, err
 }
 
+// machineServers is the ordering interface as a machine reaches it.
+type machineServers struct {
+	peer.Servers
+	machine *machine
+	daemon  models.DaemonID
+	store   *standin.Store
+	servers *standin.Servers
+	history *invariant.History
+}
+
+func (s machineServers) Order(ctx context.Context, order models.ServerOrder) error {
+	return s.machine.send(ctx, func() error {
+		s.history.ServerOrder(invariant.ServerOrder{
+			At:         clock.Now(),
+			Order:      order,
+			Daemon:     s.daemon,
+			Authorised: holds(s.store, zoneLease, s.daemon),
+		})
+		return s.servers.Order(context.Background(), order)
+	})
+}
+
 const zoneLease = models.LeaseName("engines/z")
 
 // holds reports whether the table shows a daemon as the holder of a lease.
@@ -253,6 +275,7 @@
 type deployment struct {
 	store    *standin.Store
 	engine   *plainEngine
+	servers  *standin.Servers
 	history  *invariant.History
 	machines []*machine
 	leases   []*control.Leases
@@ -268,6 +291,7 @@
 	history := &invariant.History{}
 	d := &deployment{
 		store:    store,
+		servers:  standin.NewServers(store),
 		history:  history,
 		engine:   &plainEngine{store: store, history: history, fenced: fenced},
 		machines: machines,
@@ -285,7 +309,8 @@
 	names := func() []models.LeaseName { return []models.LeaseName{zoneLease} }
 	leases := control.NewLeases(control.Candidate{Daemon: id, Zone: "z"}, table, m, silence{}, nil, names, control.DefaultLeaseSettings())
 	engines := oneEngine{machineEngine{machine: m, daemon: id, engine: d.engine}}
-	orders := control.NewOrders(table, engines, nil, m, silence{}, control.DefaultOrderSettings())
+	servers := machineServers{machine: m, daemon: id, store: d.store, servers: d.servers, history: d.history}
+	orders := control.NewOrders(table, engines, servers, m, silence{}, control.DefaultOrderSettings())
 	d.leases = append(d.leases, leases)
 	delay := time.Duration(i) * 300 * time.Millisecond // the first one becomes the holder
 	d.loop(ctx, m, delay, 250*time.Millisecond, func() { leases.Step(ctx) })
@@ -300,6 +325,14 @@
 		order := models.Order{ID: string(id) + "-" + strconv.Itoa(number), Kind: models.OrderRole}
 		_ = orders.Send(ctx, authority, server, order)
 	})
+	d.loop(ctx, m, delay, 1900*time.Millisecond, func() {
+		authority := leases.Authority(zoneLease)
+		if authority.Fence == 0 {
+			return
+		}
+		id := string(id) + "-servers-" + strconv.FormatInt(clock.Now().UnixNano(), 10)
+		_ = orders.SendServers(ctx, authority, models.ServerOrder{ID: id, Zone: "z", Count: 1})
+	})
 }
 
 // charge records that a daemon believes to hold the lease from now on.
