peer/caller: show that a slow reader holds no stream

A reader who takes nothing ends the write after its bound, on virtual time over a connection in memory. Seen to fail (the stream hangs) without the write deadline. Run: go test -race -count=3 ./peer/caller: ok.

--- /dev/null
+++ b/peer/caller/slow_test.go
@@ -0,0 +1,79 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer/system"
+	"quincewinch/request"
+)
+
+// pipes is a listener of one connection in memory.
+type pipes struct {
+	connections chan net.Conn
+	closed      chan struct{}
+}
+
+func (p pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.connections:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p pipes) Close() error {
+	close(p.closed)
+	return nil
+}
+
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pouring is a line that gives tokens until one is not taken in time.
+type pouring struct {
+	bound time.Duration
+	ended chan time.Duration
+}
+
+func (p pouring) Handle(ctx context.Context, e *request.Exchange) error {
+	clock := system.NewClock()
+	begin := clock.Now()
+	for {
+		taking, cancel := context.WithTimeout(ctx, p.bound)
+		err := e.Sink.Piece(taking, models.Piece{Text: " oak"})
+		cancel()
+		if err != nil {
+			p.ended <- clock.Now().Sub(begin)
+			return &models.Refusal{Code: models.RefusalCancelled}
+		}
+	}
+}
+
+func TestSlowReaderHoldsNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		line := pouring{bound: 10 * time.Second, ended: make(chan time.Duration, 1)}
+		handler := NewHandler(line, nil, system.NewClock(), func() models.RequestID { return "r" }, Settings{MaxBodyBytes: bodyLimit, Timeout: time.Minute})
+		listener := pipes{connections: make(chan net.Conn, 1), closed: make(chan struct{})}
+		server := &http.Server{Handler: handler}
+		go func() { _ = server.Serve(listener) }()
+		ours, theirs := net.Pipe()
+		listener.connections <- theirs
+		r, err := http.NewRequest(http.MethodPost, "http://entry/v1/completions", strings.NewReader(`{"model": "m", "prompt": "x", "stream": true}`))
+		is.NoErr(err)
+		is.NoErr(r.Write(ours)) // and never a read
+		is.Equal(<-line.ended, line.bound)
+		is.NoErr(server.Close())
+		is.NoErr(ours.Close())
+		_ = system.NewClock().Sleep(t.Context(), time.Minute)
+	})
+}
