request: tests of the placer, hash a prompt once; control: one hanging engine

Cause: the placer and the poller of engines had no tests of their own; each of forecast, reservation and placement hashed the prompt again; a probe that took no time at all was not counted as an answer.

Change: focused tests at the interfaces; the exchange keeps the hashes; an answer without a forecast counts as one that took as long as predicted.

--- /dev/null
+++ b/control/engines_test.go
@@ -0,0 +1,135 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/control"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+	"quincewinch/standin/engine"
+)
+
+// enginePool is some engines and the configuration that names them.
+type enginePool struct {
+	config  models.Config
+	engines map[models.EngineID]peer.Engine
+}
+
+func (p *enginePool) Config() *models.Config                         { return &p.config }
+func (p *enginePool) Evidence() models.Evidence                      { return models.Evidence{} }
+func (p *enginePool) Watch() <-chan struct{}                         { return nil }
+func (p *enginePool) Engine(server models.BackendServer) peer.Engine { return p.engines[server.Engine] }
+
+func newEnginePool(clock peer.Clock, ids ...models.EngineID) *enginePool {
+	p := &enginePool{engines: map[models.EngineID]peer.Engine{}}
+	p.config.Through = 1
+	p.config.Backends = map[models.EngineID]models.BackendServer{}
+	for _, id := range ids {
+		p.config.Backends[id] = models.BackendServer{Engine: id, Zone: "here"}
+		p.engines[id] = engine.New(clock, engine.Settings{ID: id, Models: []models.Model{"oak"}, Cost: engine.DefaultCost()})
+	}
+	return p
+}
+
+// hanging is an engine that does not answer when asked for its state.
+type hanging struct{ peer.Engine }
+
+func (h hanging) State(ctx context.Context) (models.EngineState, error) {
+	<-ctx.Done()
+	return models.EngineState{}, peer.NewFailure(peer.OutcomeUnknown, "no answer", ctx.Err())
+}
+
+// skewed is an engine whose clock goes ahead.
+type skewed struct{ peer.Engine }
+
+func (s skewed) State(ctx context.Context) (models.EngineState, error) {
+	state, err := s.Engine.State(ctx)
+	state.MeasuredAt = state.MeasuredAt.Add(time.Hour)
+	return state, err
+}
+
+func TestEngines(t *testing.T) {
+	t.Run("one that hangs holds up no other's state", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			clock := system.NewClock()
+			p := newEnginePool(clock, "a", "b")
+			p.engines["b"] = hanging{p.engines["b"]}
+			engines := control.NewEngines(p, p, clock, 5*time.Second)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			started := clock.Now()
+			engines.Step(ctx)
+			is.True(clock.Now().Sub(started) < 250*time.Millisecond) // before the next poll is due
+			states := engines.States()
+			is.Equal(len(states), 1)
+			is.Equal(states["a"].Engine, models.EngineID("a"))
+		})
+	})
+	t.Run("the engine's clock does not matter", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			clock := system.NewClock()
+			p := newEnginePool(clock, "a")
+			p.engines["a"] = skewed{p.engines["a"]}
+			engines := control.NewEngines(p, p, clock, 5*time.Second)
+			engines.Step(t.Context())
+			_, loads := engines.Loads()
+			is.True(loads["a"].MeasuredAt.Equal(clock.Now()))
+		})
+	})
+	t.Run("one that has died is forgotten", func(t *testing.T) {
+		is := is.New(t)
+		clock := system.NewClock()
+		p := newEnginePool(clock, "a")
+		engines := control.NewEngines(p, p, clock, 5*time.Second)
+		engines.Step(t.Context())
+		is.Equal(len(engines.States()), 1)
+		p.engines["a"].(*engine.Engine).Crash()
+		engines.Step(t.Context())
+		is.Equal(len(engines.States()), 0)
+	})
+}
+
+// index is a CacheIndex that keeps what it is told.
+type index struct {
+	sequence uint64
+	resets   int
+}
+
+func (i *index) CacheSequence(models.EngineID) uint64 { return i.sequence }
+func (i *index) ExpireCache()                         {}
+func (i *index) ResetCache(models.EngineID) {
+	i.resets++
+	i.sequence = 0
+}
+func (i *index) ApplyCacheEvents(_ models.EngineID, events []models.CacheEvent) {
+	i.sequence = events[len(events)-1].Sequence
+}
+
+func TestCacheFeed(t *testing.T) {
+	is := is.New(t)
+	clock := system.NewClock()
+	p := newEnginePool(clock, "a")
+	e := p.engines["a"].(*engine.Engine)
+	engines := control.NewEngines(p, p, clock, time.Second)
+	known := &index{}
+	feed := control.NewCacheFeed(p, p, engines, known)
+	step := func() {
+		engines.Step(t.Context())
+		feed.Step(t.Context())
+	}
+	is.NoErr(e.Import(t.Context(), models.KVHandle{Handle: string(make([]byte, 640))}))
+	step()
+	is.Equal(known.sequence, uint64(10)) // one event for each block
+	e.Crash()
+	e.Restart()
+	step()
+	is.Equal(known.resets, 1) // its cache is empty again
+}
--- a/policy/goodput_test.go
+++ b/policy/goodput_test.go
@@ -9,6 +9,7 @@
 
 	"quincewinch/models"
 	"quincewinch/policy/naive"
+	"quincewinch/request"
 	"quincewinch/standin/engine"
 )
 
@@ -71,7 +72,7 @@
 }
 
 func (w *world) hitShare() float64 {
-	return float64(w.cached) / float64(max(w.prompt, 1))
+	return float64(w.cached) / float64(max(w.tokens, 1))
 }
 
 func BenchmarkGoodput(b *testing.B) {
@@ -187,3 +188,34 @@
 	}
 	return float64(onTime) / float64(max(offered, 1))
 }
+
+// BenchmarkPlacement is one whole placement and its release.
+func BenchmarkPlacement(b *testing.B) {
+	for _, engines := range []int{16, 100, 600} {
+		for _, v := range variants[:2] {
+			b.Run("engines="+strconv.Itoa(engines)+"/"+v.name, func(b *testing.B) {
+				w := newWorld(1, engines, 1, eight())
+				v.equip(w)
+				w.now = w.now.Add(pollEvery)
+				d := w.daemons[0]
+				for range 500 {
+					w.arrive("w-0", d) // fills the engines and what is known of their caches
+				}
+				for _, e := range w.order {
+					e.measure()
+				}
+				d.poll()
+				exchange := w.exchange("w-0", w.prompt("w-0"))
+				b.ReportAllocs()
+				for b.Loop() {
+					fresh := *exchange // its prompt is yet to be hashed
+					placed, err := d.placer.Place(b.Context(), &fresh, nil)
+					if err != nil {
+						b.Fatal(err)
+					}
+					placed.Release(request.Result{FirstToken: true})
+				}
+			})
+		}
+	}
+}
--- a/policy/outlier/detector.go
+++ b/policy/outlier/detector.go
@@ -37,10 +37,18 @@
 // Observation is how one request fared at an engine.
 type Observation struct {
 	Failed    bool
-	Predicted time.Duration // for the whole answer as it turned out
+	Predicted time.Duration // for the whole answer as it turned out; 0: there was no forecast
 	Taken     time.Duration
 }
 
+// ratio returns the time taken against that predicted.
+func (o Observation) ratio() float64 {
+	if o.Predicted <= 0 {
+		return 1
+	}
+	return o.Taken.Seconds() / o.Predicted.Seconds()
+}
+
 // Standing tells whether an engine may get requests.
 type Standing string
 
@@ -84,11 +92,10 @@
 func (d *Detector) Observe(engine models.EngineID, seen Observation, now time.Time) bool {
 	r := d.of(engine)
 	before := r.until
-	switch {
-	case seen.Failed:
+	if seen.Failed {
 		d.failed(r, now)
-	case seen.Predicted > 0:
-		d.answered(r, seen, now)
+	} else {
+		d.answered(r, seen.ratio(), now)
 	}
 	changed := !r.until.Equal(before)
 	if changed {
@@ -104,10 +111,9 @@
 	}
 }
 
-func (d *Detector) answered(r *record, seen Observation, now time.Time) {
+func (d *Detector) answered(r *record, ratio float64, now time.Time) {
 	r.failures = 0
 	d.observed++
-	ratio := seen.Taken.Seconds() / seen.Predicted.Seconds()
 	if r.slowness == 0 {
 		r.slowness = ratio
 	}
--- a/policy/placement/cache.go
+++ b/policy/placement/cache.go
@@ -105,6 +105,9 @@
 // Longer prefixes that were thought to be there are not.
 func (c *Cache) Correct(engine models.EngineID, hashes []uint64, cached int) {
 	known := c.of(engine)
+	if known.survival == 1 {
+		return // no event was missed
+	}
 	for i := len(hashes) - 1; i >= 0 && (i+1)*prefix.BlockTokens > cached; i-- {
 		if found, ok := known.entries[hashes[i]]; ok && found.until.IsZero() && found.survival > known.survival {
 			c.remove(engine, known, hashes[i])
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -43,8 +43,8 @@
 	daemons []*simDaemon
 	started time.Time
 	tallies map[models.Workspace]*tally
-	prompt  int // tokens of the answers that finished
-	cached  int
+	tokens  int // of the prompts that were answered
+	cached  int // of these, in an engine's cache
 }
 
 // tally counts what became of a workspace's requests.
@@ -141,8 +141,8 @@
 	waiter    *request.Waiter
 }
 
-// tokens returns the work of a request.
-func (a *arrival) tokens() float64 {
+// work returns the tokens of a request.
+func (a *arrival) work() float64 {
 	return float64(a.prompt + a.output)
 }
 
@@ -162,23 +162,37 @@
 }
 
 func (w *world) arrive(workspace models.Workspace, d *simDaemon) {
-	conversation := string(workspace) + "/" + strconv.Itoa(w.offers.IntN(conversations)) + " "
-	own := strconv.FormatUint(w.offers.Uint64(), 36) + " "
 	s := shapeOf(workspace)
-	prompt := fill(conversation, s.shared) + fill(own, s.own)
-	output := s.shortest + w.offers.IntN(s.longest-s.shortest+1)
-	w.number++
+	prompt := w.prompt(workspace)
 	passed := w.now.Sub(w.started)
 	a := &arrival{
 		at:        w.now,
 		workspace: workspace,
 		prompt:    prefix.Tokens(prompt),
-		output:    output,
+		output:    s.shortest + w.offers.IntN(s.longest-s.shortest+1),
 		hashes:    prefix.Hashes(prompt),
 		daemon:    d,
 		counted:   passed >= warmUp && passed < warmUp+measured,
+		exchange:  w.exchange(workspace, prompt),
+	}
+	if a.counted {
+		w.tallies[workspace].offered++
+		w.tallies[workspace].offeredTokens += a.work()
 	}
-	a.exchange = &request.Exchange{
+	d.take(a)
+}
+
+// prompt returns a prompt of one of a workspace's conversations.
+func (w *world) prompt(workspace models.Workspace) string {
+	s := shapeOf(workspace)
+	conversation := string(workspace) + "/" + strconv.Itoa(w.offers.IntN(conversations)) + " "
+	own := strconv.FormatUint(w.offers.Uint64(), 36) + " "
+	return fill(conversation, s.shared) + fill(own, s.own)
+}
+
+func (w *world) exchange(workspace models.Workspace, prompt string) *request.Exchange {
+	w.number++
+	return &request.Exchange{
 		ID:         models.RequestID("r-" + strconv.Itoa(w.number)),
 		Received:   w.now,
 		Deadline:   w.now.Add(callerTimeout),
@@ -186,11 +200,6 @@
 		Workspace:  w.config.Workspaces[workspace],
 		Generation: &models.Generation{Model: model, Prompt: prompt},
 	}
-	if a.counted {
-		w.tallies[workspace].offered++
-		w.tallies[workspace].offeredTokens += a.tokens()
-	}
-	d.take(a)
 }
 
 // fill repeats a text to a length in tokens.
@@ -216,10 +225,10 @@
 	gap := w.now.Sub(j.first) / time.Duration(max(a.output-1, 1))
 	if a.counted && j.first.Sub(a.at) <= firstTokenAim && gap <= tokenGapAim {
 		w.tallies[a.workspace].onTime++
-		w.tallies[a.workspace].onTimeTokens += a.tokens()
+		w.tallies[a.workspace].onTimeTokens += a.work()
 	}
 	if a.counted {
-		w.prompt += a.prompt
+		w.tokens += a.prompt
 		w.cached += j.cached
 	}
 	j.placement.Release(request.Result{
--- a/request/exchange.go
+++ b/request/exchange.go
@@ -30,6 +30,7 @@
 	Usage          models.Usage // what it used so far
 	Started        bool         // a backend server may have seen it
 	reserved       *reservation // its place at an engine, until it is sent
+	hashes         []uint64     // of the prompt's prefixes, once reckoned
 }
 
 // Repeatable reports whether the request may run more than once.
--- a/request/loadplacer.go
+++ b/request/loadplacer.go
@@ -179,48 +179,14 @@
 	report.Ejected = p.detector.Ejected(p.clock.Now())
 }
 
-// CacheSequence implements control.CacheIndex.
-func (p *LoadPlacer) CacheSequence(engine models.EngineID) uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cache.Sequence(engine)
-}
-
-// ApplyCacheEvents implements control.CacheIndex.
-func (p *LoadPlacer) ApplyCacheEvents(engine models.EngineID, events []models.CacheEvent) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cache.Apply(engine, events)
-}
-
-// ResetCache implements control.CacheIndex.
-func (p *LoadPlacer) ResetCache(engine models.EngineID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cache.Reset(engine, 0)
-}
-
-// ExpireCache implements control.CacheIndex. It also forgets engines that
-// have left the configuration.
-func (p *LoadPlacer) ExpireCache() {
-	config := p.configuration.Config()
-	keep := func(engine models.EngineID) bool {
-		_, ok := config.Backends[engine]
-		return ok
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cache.Expire(p.clock.Now())
-	p.cache.Keep(keep)
-	p.detector.Keep(keep)
-	p.book.Keep(keep)
-}
-
 func (p *LoadPlacer) demand(e *Exchange, excluded []models.EngineID) placement.Demand {
+	if e.hashes == nil {
+		e.hashes = prefix.Hashes(e.Generation.Prompt)
+	}
 	return placement.Demand{
 		Model:      e.Generation.Model,
 		Prompt:     prefix.Tokens(e.Generation.Prompt),
-		Hashes:     prefix.Hashes(e.Generation.Prompt),
+		Hashes:     e.hashes,
 		Repeatable: e.Route.Repeatable && e.IdempotencyKey == "",
 		Excluded:   excluded,
 	}
@@ -289,59 +255,6 @@
 	at        time.Time
 }
 
-func (p *LoadPlacer) release(sent *sending, result Result) {
-	p.mu.Lock()
-	now := p.clock.Now()
-	p.add(sent.demand.Model, sent.engine, placement.Negative(sent.work), now)
-	whole := !result.Failed && result.Usage.Output > 0
-	if whole {
-		p.lengths.Learn(sent.workspace, sent.demand.Model, result.Usage.Output)
-		p.cache.Correct(sent.engine, sent.demand.Hashes, result.Usage.Cached)
-	}
-	changed := p.observe(sent, result, whole, now)
-	standing := p.detector.Ejected(now)[sent.engine]
-	p.mu.Unlock()
-	if changed {
-		p.recordStanding(sent, standing)
-	}
-}
-
-// observe judges the engine by a request's result. A request that its caller
-// ended says nothing of the engine. The lock is held.
-func (p *LoadPlacer) observe(sent *sending, result Result, whole bool, now time.Time) bool {
-	cancelled := sent.ctx.Err() == context.Canceled
-	if cancelled || !whole && !result.Failed {
-		return false
-	}
-	taken := result.Waited
-	if taken == 0 {
-		taken = now.Sub(sent.at)
-	}
-	predicted := sent.choice.FirstToken + time.Duration(result.Usage.Output)*sent.choice.Step
-	if sent.choice.Step == 0 {
-		predicted = taken // a probe has no forecast: an answer is enough
-	}
-	return p.detector.Observe(sent.engine, outlier.Observation{
-		Failed:    result.Failed,
-		Predicted: predicted,
-		Taken:     taken,
-	}, now)
-}
-
-func (p *LoadPlacer) recordStanding(sent *sending, out time.Duration) {
-	what, why := "engine let in again", "it answered a probe"
-	if out > 0 {
-		what = "engine taken out for " + out.Round(time.Second).String()
-		why = "its requests failed, or took much longer than predicted"
-	}
-	p.timeline.Record(models.Event{
-		Kind:   models.EventPlacement,
-		Engine: sent.engine,
-		What:   what,
-		Why:    why,
-	})
-}
-
 // add counts work at an engine. The lock is held.
 func (p *LoadPlacer) add(model models.Model, engine models.EngineID, work models.InflightWork, now time.Time) {
 	p.book.Add(engine, work, now)
