--- a/control/engines_test.go
+++ b/control/engines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 type enginePool struct {
 	config  models.Config
 	engines map[models.EngineID]peer.Engine
+	reports []models.PeerReport
 }
 
 func (p *enginePool) Config() *models.Config                         { return &p.config }
@@ -26,6 +28,8 @@
 func (p *enginePool) Watch() <-chan struct{}                         { return nil }
 func (p *enginePool) Engine(server models.BackendServer) peer.Engine { return p.engines[server.Engine] }
 
+func (p *enginePool) Reports() []models.PeerReport { return p.reports }
+
 func newEnginePool(clock peer.Clock, ids ...models.EngineID) *enginePool {
 	p := &enginePool{engines: map[models.EngineID]peer.Engine{}}
 	p.config.Through = 1
@@ -45,10 +49,10 @@
 	return models.EngineState{}, peer.NewFailure(peer.OutcomeUnknown, "no answer", ctx.Err())
 }
 
-// skewed is an engine whose clock goes ahead.
-type skewed struct{ peer.Engine }
+// fastClock is an engine whose clock goes ahead.
+type fastClock struct{ peer.Engine }
 
-func (s skewed) State(ctx context.Context) (models.EngineState, error) {
+func (s fastClock) State(ctx context.Context) (models.EngineState, error) {
 	state, err := s.Engine.State(ctx)
 	state.MeasuredAt = state.MeasuredAt.Add(time.Hour)
 	return state, err
@@ -77,13 +81,34 @@
 			is := is.New(t)
 			clock := system.NewClock()
 			p := newEnginePool(clock, "a")
-			p.engines["a"] = skewed{p.engines["a"]}
+			p.engines["a"] = fastClock{p.engines["a"]}
 			engines := control.NewEngines(p, p, clock, 5*time.Second)
 			engines.Step(t.Context())
 			_, loads := engines.Loads()
 			is.True(loads["a"].MeasuredAt.Equal(clock.Now()))
 		})
 	})
+	t.Run("in a large fleet those of other zones are learnt from reports", func(t *testing.T) {
+		is := is.New(t)
+		clock := system.NewClock()
+		var ids []models.EngineID
+		for i := range 70 {
+			ids = append(ids, models.EngineID("e-"+strconv.Itoa(i)))
+		}
+		p := newEnginePool(clock, ids...)
+		p.config.Backends["e-0"] = models.BackendServer{Engine: "e-0", Zone: "there"}
+		p.engines["e-0"] = nil // asking it would panic
+		p.reports = []models.PeerReport{{ReceivedAt: clock.Now(), Report: models.DaemonReport{
+			States: map[models.EngineID]models.EngineState{"e-0": {Engine: "e-0", Running: 7}},
+		}}}
+		engines := control.NewEngines(p, p, clock, 5*time.Second)
+		engines.Share("here", p)
+		engines.Step(t.Context())
+		is.Equal(engines.States()["e-0"].Running, 7)
+		report := models.DaemonReport{}
+		engines.Fill(&report)
+		is.Equal(len(report.States), 69) // those of its zone
+	})
 	t.Run("one that has died is forgotten", func(t *testing.T) {
 		is := is.New(t)
 		clock := system.NewClock()
