--- a/control/fleet.go
+++ b/control/fleet.go
@@ -63,6 +63,10 @@
 	waits    map[models.Model]bool // loads that were said to wait
 	work     sync.WaitGroup        // orders and checks under way
 
+	listedOf *models.Config // whose engines and zones follow
+	listed   []models.BackendServer
+	zones    []models.Zone
+
 	mu      sync.Mutex
 	watched map[models.EngineID]*watchedEngine
 	plan    planned
@@ -116,14 +120,22 @@
 	f.work.Wait()
 }
 
-// servers lists the engines of the configuration in order of name.
+// servers lists the engines of the configuration in order of name. The list is
+// made once for each configuration.
 func (f *Fleet) servers() []models.BackendServer {
-	backends := f.peers.Configuration.Config().Backends
-	servers := make([]models.BackendServer, 0, len(backends))
-	for _, id := range slices.Sorted(maps.Keys(backends)) {
-		servers = append(servers, backends[id])
+	config := f.peers.Configuration.Config()
+	if config == f.listedOf {
+		return f.listed
+	}
+	f.listedOf = config
+	f.listed = make([]models.BackendServer, 0, len(config.Backends))
+	zones := map[models.Zone]bool{}
+	for _, id := range slices.Sorted(maps.Keys(config.Backends)) {
+		f.listed = append(f.listed, config.Backends[id])
+		zones[config.Backends[id].Zone] = true
 	}
-	return servers
+	f.zones = slices.Sorted(maps.Keys(zones))
+	return f.listed
 }
 
 // reports lists the others' reports that are fresh, and this daemon's own.
@@ -142,9 +154,10 @@
 // authorities returns the leases on engines that this daemon holds, by zone.
 func (f *Fleet) authorities(now time.Time) map[models.Zone]models.Authority {
 	authorities := map[models.Zone]models.Authority{}
-	for _, server := range f.peers.Configuration.Config().Backends {
-		if authority := f.peers.Leases.Authority(models.LeaseEngines(server.Zone)); authority.Valid(now) {
-			authorities[server.Zone] = authority
+	f.servers()
+	for _, zone := range f.zones {
+		if authority := f.peers.Leases.Authority(models.LeaseEngines(zone)); authority.Valid(now) {
+			authorities[zone] = authority
 		}
 	}
 	return authorities
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -165,6 +165,9 @@
 
 // Generate implements peer.Engine.
 func (c crossed) Generate(ctx context.Context, generation models.Generation) (peer.TokenStream, error) {
+	if c.Engine == nil {
+		return nil, peer.NewFailure(peer.OutcomeNotDone, "no engine", nil)
+	}
 	stream, err := c.Engine.Generate(ctx, generation)
 	return crossedStream{stream}, err
 }
--- a/control/fleet_world_test.go
+++ b/control/fleet_world_test.go
@@ -245,7 +245,7 @@
 // leaseTable is who holds the leases on engines, with a guard row in the
 // platform's table.
 type leaseTable struct {
-	t     *testing.T
+	t     testing.TB
 	store *platform.Store
 	clock peer.Clock
 	mu    sync.Mutex
@@ -253,7 +253,7 @@
 	guard models.Condition
 }
 
-func newLeaseTable(t *testing.T, store *platform.Store, clock peer.Clock) *leaseTable {
+func newLeaseTable(t testing.TB, store *platform.Store, clock peer.Clock) *leaseTable {
 	t.Helper()
 	l := &leaseTable{t: t, store: store, clock: clock}
 	l.move()
