--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,12 @@
 
 demo:
 	go run . demo
+
+# Reruns the measurements behind docs/CAPACITY.md and prints what follows.
+.PHONY: capacity
+capacity:
+	{ go test -run '^$$' -bench . -benchtime 20x ./capacity; \
+	  go test -run '^$$' -bench Spread -benchtime 1x ./control; \
+	  go test -run '^$$' -bench Choose ./policy/placement; \
+	  go test -run '^$$' -bench PlanRoles ./policy/fleet; } > capacity/measured.txt
+	go run . capacity
--- /dev/null
+++ b/capacity/bench_test.go
@@ -0,0 +1,301 @@
+package capacity_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"google.golang.org/protobuf/proto"
+
+	"quincewinch/control"
+	"quincewinch/metrics"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/caller"
+	"quincewinch/peer/daemon"
+	"quincewinch/peer/system"
+	"quincewinch/request"
+	"quincewinch/standin/platform"
+	"quincewinch/table"
+	"quincewinch/timeline"
+)
+
+var (
+	engineSizes    = []int{16, 100, 600}
+	workspaceSizes = []int{8, 1000, 11000}
+	tokenSizes     = []int{50, 200, 800}
+	eventSizes     = []int{1000, 4000, 16000}
+)
+
+// processorTime returns the processor time of this process so far.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	is.New(b).NoErr(syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// heap returns the bytes of the heap in use after a collection.
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// instant gives all tokens of an answer at once.
+type instant struct {
+	id     models.RequestID
+	next   int
+	tokens int
+}
+
+func (s *instant) Next(context.Context) (models.Piece, error) {
+	piece := models.Piece{Request: s.id, Index: s.next, Text: " oak"}
+	if s.next == s.tokens {
+		piece = models.Piece{Request: s.id, Index: s.next, Done: true, Finish: models.Finish{Reason: models.FinishStop}}
+	}
+	s.next++
+	return piece, nil
+}
+
+func (s *instant) Close() error { return nil }
+
+// stream is the line's end without an engine: what the entry itself costs.
+func stream(tokens int) request.Handler {
+	return request.HandlerFunc(func(ctx context.Context, e *request.Exchange) error {
+		source := &instant{id: e.ID, tokens: tokens}
+		for {
+			piece, err := source.Next(ctx)
+			if err != nil {
+				return err
+			}
+			if err := e.Sink.Piece(ctx, piece); err != nil || piece.Done {
+				return err
+			}
+		}
+	})
+}
+
+type fixed struct {
+	peer.Configuration
+}
+
+const streamQuestion = `{"model": "m", "stream": true, "messages": [{"role": "user", "content": "q"}]}`
+
+// serveLine serves callers over loopback and returns the address to post to.
+func serveLine(b *testing.B, line request.Handler) string {
+	b.Helper()
+	id := func() models.RequestID { return "req" }
+	settings := caller.Settings{MaxBodyBytes: 1 << 20, Timeout: time.Minute}
+	handler := caller.NewHandler(line, fixed{}, system.NewClock(), id, settings)
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.New(b).NoErr(err)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return "http://" + listener.Addr().String() + "/v1/chat/completions"
+}
+
+// BenchmarkEntry measures the processor time of one streamed answer over
+// loopback, with TLS off and the client's share included.
+func BenchmarkEntry(b *testing.B) {
+	for _, tokens := range tokenSizes {
+		b.Run("tokens="+strconv.Itoa(tokens), func(b *testing.B) {
+			is := is.New(b)
+			line := metrics.NewRequests(prometheus.NewRegistry(), system.NewClock()).Filter()(stream(tokens))
+			url := serveLine(b, line)
+			before := processorTime(b)
+			for b.Loop() {
+				response, err := http.Post(url, "application/json", strings.NewReader(streamQuestion))
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+			}
+			spent := processorTime(b) - before
+			b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// measureReport measures the bytes of a report and the time to write and read
+// it.
+func measureReport(b *testing.B, report models.DaemonReport) {
+	b.Helper()
+	gossip := models.Gossip{Reports: []models.DaemonReport{report}}
+	var bytes int
+	for b.Loop() {
+		encoded := daemon.EncodeGossip(gossip)
+		raw, err := proto.Marshal(encoded)
+		is.New(b).NoErr(err)
+		bytes = len(raw)
+		daemon.DecodeGossip(encoded)
+	}
+	b.ReportMetric(float64(bytes), "bytes/report")
+}
+
+// BenchmarkReportEngines measures a report by the engines that it tells of.
+func BenchmarkReportEngines(b *testing.B) {
+	for _, n := range engineSizes {
+		b.Run("engines="+strconv.Itoa(n), func(b *testing.B) {
+			report := models.DaemonReport{States: map[models.EngineID]models.EngineState{}}
+			for i := range n {
+				id := models.EngineID("engine-" + strconv.Itoa(i))
+				report.States[id] = models.EngineState{Engine: id, Role: models.RoleDecode, Models: []models.Model{"catalogue"}, Running: 30, FreePieces: 900, TotalPieces: 2048, PieceTokens: 64}
+			}
+			measureReport(b, report)
+		})
+	}
+}
+
+// BenchmarkReportWorkspaces measures a report by the workspaces with work.
+func BenchmarkReportWorkspaces(b *testing.B) {
+	for _, n := range workspaceSizes {
+		b.Run("workspaces="+strconv.Itoa(n), func(b *testing.B) {
+			report := models.DaemonReport{Work: map[models.Workspace]models.WorkDone{}}
+			for i := range n {
+				report.Work[models.Workspace("workspace-"+strconv.Itoa(i))] = models.WorkDone{Requests: 1000, PromptTokens: 1e6, OutputTokens: 1e5}
+			}
+			measureReport(b, report)
+		})
+	}
+}
+
+// BenchmarkConfig measures the memory and the building of a configuration.
+func BenchmarkConfig(b *testing.B) {
+	for _, n := range workspaceSizes {
+		b.Run("workspaces="+strconv.Itoa(n), func(b *testing.B) {
+			rows := make([]models.Row, 0, n)
+			for i := range n {
+				rows = append(rows, models.Row{
+					Key:      table.Key(table.KindWorkspace, "workspace-"+strconv.Itoa(i)),
+					Revision: models.Revision(i + 1),
+					Value:    []byte(`{"weight": 1}`),
+				})
+			}
+			before := heap()
+			var config *models.Config
+			for b.Loop() {
+				config, _ = table.Build(rows, models.Revision(n))
+			}
+			b.ReportMetric(max(heap()-before, 0), "heap-bytes")
+			runtime.KeepAlive(config)
+			runtime.KeepAlive(rows)
+		})
+	}
+}
+
+// BenchmarkScrape measures the series of Prometheus by workspaces.
+func BenchmarkScrape(b *testing.B) {
+	for _, n := range workspaceSizes {
+		b.Run("workspaces="+strconv.Itoa(n), func(b *testing.B) {
+			is := is.New(b)
+			before := heap()
+			registry := prometheus.NewRegistry()
+			filter := metrics.NewRequests(registry, system.NewClock()).Filter()
+			handler := filter(request.HandlerFunc(func(ctx context.Context, e *request.Exchange) error {
+				return e.Sink.Piece(ctx, models.Piece{Text: "oak"})
+			}))
+			for i := range n {
+				e := &request.Exchange{Sink: discard{}}
+				e.Workspace.Name = models.Workspace("workspace-" + strconv.Itoa(i))
+				is.NoErr(handler.Handle(b.Context(), e))
+			}
+			held := max(heap()-before, 0)
+			scrape := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+			var size int
+			for b.Loop() {
+				w := &counter{header: http.Header{}}
+				scrape.ServeHTTP(w, &http.Request{Method: http.MethodGet, Header: http.Header{}})
+				size = w.bytes
+			}
+			b.ReportMetric(held, "heap-bytes")
+			b.ReportMetric(float64(size), "bytes/scrape")
+			runtime.KeepAlive(handler)
+		})
+	}
+}
+
+type discard struct{}
+
+func (discard) Piece(context.Context, models.Piece) error          { return nil }
+func (discard) Answer(context.Context, models.ServiceAnswer) error { return nil }
+
+// counter is a response that only counts.
+type counter struct {
+	header http.Header
+	bytes  int
+}
+
+func (c *counter) Header() http.Header { return c.header }
+func (c *counter) WriteHeader(int)     {}
+func (c *counter) Write(raw []byte) (int, error) {
+	c.bytes += len(raw)
+	return len(raw), nil
+}
+
+// BenchmarkTimeline measures the memory of a ring by its events, and one
+// event's cost.
+func BenchmarkTimeline(b *testing.B) {
+	for _, n := range eventSizes {
+		b.Run("events="+strconv.Itoa(n), func(b *testing.B) {
+			before := heap()
+			ring := timeline.NewRing(system.NewClock(), "entry-1", "a", n, nil)
+			i := 0
+			for b.Loop() {
+				i++
+				ring.Record(models.Event{Kind: models.EventPlacement, Request: models.RequestID(strconv.Itoa(i)), What: "placed on engine catalogue-" + strconv.Itoa(i%600), Why: "least time expected of engines compared: " + strconv.Itoa(i)})
+			}
+			for range n {
+				ring.Record(models.Event{Kind: models.EventPlacement, What: "placed on engine " + strconv.Itoa(i), Why: strings.Repeat("w", 100)})
+			}
+			b.ReportMetric(max(heap()-before, 0), "heap-bytes")
+			runtime.KeepAlive(ring)
+		})
+	}
+}
+
+// BenchmarkMeter measures the flush of counters by the workspaces in it.
+func BenchmarkMeter(b *testing.B) {
+	for _, n := range workspaceSizes {
+		b.Run("workspaces="+strconv.Itoa(n), func(b *testing.B) {
+			is := is.New(b)
+			clock := system.NewClock()
+			store := platform.NewStore(clock)
+			platformClock := control.NewPlatformClock()
+			platformClock.Observe(clock.Now(), clock.Now(), clock.Now())
+			ring := timeline.NewRing(clock, "entry-1", "a", 16, nil)
+			meter := control.NewMeter("entry-1", store, clock, platformClock, ring, control.DefaultUsageSettings())
+			for b.Loop() {
+				for i := range n {
+					meter.Count(models.Workspace("workspace-"+strconv.Itoa(i)), clock.Now(), models.Usage{Requests: 1, Prompt: 500, Output: 50})
+				}
+				is.NoErr(meter.Flush(b.Context()))
+			}
+			b.ReportMetric(float64(stored(b, store)), "row-bytes")
+		})
+	}
+}
+
+// stored returns the bytes of the counters' rows.
+func stored(b *testing.B, store *platform.Store) int {
+	b.Helper()
+	changes, err := store.Changes(b.Context(), models.PartitionUsage, 0)
+	is.New(b).NoErr(err)
+	total := 0
+	for _, row := range changes.Rows {
+		total += len(row.Value)
+	}
+	return total
+}
--- /dev/null
+++ b/capacity/control_bench_test.go
@@ -0,0 +1,127 @@
+package capacity_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/control"
+	"quincewinch/models"
+	"quincewinch/peer/system"
+	"quincewinch/request"
+	"quincewinch/standin/platform"
+	"quincewinch/timeline"
+)
+
+const (
+	leaseSteps = 400
+	leaseStep  = 250 * time.Millisecond
+)
+
+var (
+	leaseSizes  = []int{2, 8, 32}
+	streamSizes = []int{64, 256, 1024}
+)
+
+// handClock is moved by the benchmark.
+type handClock struct {
+	system.Clock
+	now time.Time
+}
+
+func (c *handClock) Now() time.Time { return c.now }
+
+// alone hears of no other daemon.
+type alone struct{}
+
+func (alone) Reports() []models.PeerReport { return nil }
+
+// BenchmarkLeases measures what the holder of a number of leases asks of the
+// table, by a clock that the benchmark moves.
+func BenchmarkLeases(b *testing.B) {
+	for _, n := range leaseSizes {
+		b.Run("leases="+strconv.Itoa(n), func(b *testing.B) {
+			names := make([]models.LeaseName, 0, n)
+			for i := range n {
+				names = append(names, models.LeaseName("lease-"+strconv.Itoa(i)))
+			}
+			var reads, writes, seconds float64
+			for b.Loop() {
+				clock := &handClock{now: time.Unix(1_800_000_000, 0)}
+				store := platform.NewStore(clock)
+				ring := timeline.NewRing(clock, "entry-1", "a", 16, nil)
+				self := control.Candidate{Daemon: "entry-1", Zone: "a"}
+				leases := control.NewLeases(self, store, clock, ring, alone{}, func() []models.LeaseName { return names }, control.DefaultLeaseSettings())
+				for range leaseSteps {
+					leases.Step(b.Context())
+					clock.now = clock.now.Add(leaseStep)
+				}
+				counts := store.Counts()
+				reads, writes = float64(counts.Reads), float64(counts.Writes)
+				seconds = (leaseSteps * leaseStep).Seconds()
+				is.New(b).True(leases.Authority(names[0]).Valid(clock.now)) // the leases are held
+			}
+			b.ReportMetric(reads/seconds, "reads/s")
+			b.ReportMetric(writes/seconds, "writes/s")
+		})
+	}
+}
+
+// BenchmarkStreams measures the memory of streams under way over loopback,
+// the client's share included, which is about what the daemon's own connection
+// to the engine takes.
+func BenchmarkStreams(b *testing.B) {
+	for _, n := range streamSizes {
+		b.Run("streams="+strconv.Itoa(n), func(b *testing.B) {
+			is := is.New(b)
+			end := make(chan struct{})
+			url := serveLine(b, waiting(end))
+			var bytes float64
+			for b.Loop() {
+				before := inUse()
+				bodies := make([]io.Closer, 0, n)
+				for range n {
+					response, err := http.Post(url, "application/json", strings.NewReader(streamQuestion)) //nolint:bodyclose // closed below
+					is.NoErr(err)
+					bodies = append(bodies, response.Body)
+				}
+				bytes = max(inUse()-before, 0)
+				for _, body := range bodies {
+					is.NoErr(body.Close())
+				}
+			}
+			close(end)
+			b.ReportMetric(bytes, "held-bytes")
+		})
+	}
+}
+
+// waiting is a line whose streams give a token and then wait for the caller to
+// go.
+func waiting(end <-chan struct{}) request.Handler {
+	return request.HandlerFunc(func(ctx context.Context, e *request.Exchange) error {
+		if err := e.Sink.Piece(ctx, models.Piece{Request: e.ID, Text: " oak"}); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-end:
+		}
+		return nil
+	})
+}
+
+// inUse returns the bytes of heap and stacks in use.
+func inUse() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -65,6 +65,6 @@
 		registerWorkspaceList, registerWorkspaceCreate,
 		registerKeyList, registerKeyGive, registerKeyWithdraw,
 		registerTableColumns, registerTableList, registerTablePut, registerTableDelete,
-		registerFleetList, registerFleetExplain, registerTimeline, registerUsage,
+		registerFleetList, registerFleetExplain, registerTimeline, registerUsage, registerCapacity,
 	}
 }
