standin: one way to answer for both stand-ins over HTTP

Cause: the handlers of engine and platform held the same 45 lines of decoding, answering and statuses; the tests of demo read answers in two places.

Change: standin/reply; a lost answer ends the connection in one place; one send in the tests of demo.

Conclusion: the stand-ins speak alike.

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -42,6 +42,13 @@
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewBufferString(body))
 	is.NoErr(err)
 	r.Header.Set("Authorization", "Bearer "+key)
+	return send(t, r)
+}
+
+// send sends a request and returns the status and the answer.
+func send(t *testing.T, r *http.Request) (int, string) {
+	t.Helper()
+	is := is.New(t)
 	response, err := http.DefaultClient.Do(r)
 	is.NoErr(err)
 	defer response.Body.Close()
@@ -92,12 +99,7 @@
 	is.NoErr(err)
 	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set("Idempotency-Key", idempotency)
-	response, err := http.DefaultClient.Do(r)
-	is.NoErr(err)
-	defer response.Body.Close()
-	raw, err := io.ReadAll(response.Body)
-	is.NoErr(err)
-	return response.StatusCode, string(raw)
+	return send(t, r)
 }
 
 func TestReservationRunsOnceOverAllDaemons(t *testing.T) {
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/engine/wire"
+	"quincewinch/standin/reply"
 )
 
 // Handler serves an engine over HTTP.
@@ -38,7 +38,7 @@
 
 func (h *Handler) generate(w http.ResponseWriter, r *http.Request) {
 	var form wire.Generation
-	if !decode(w, r, &form) {
+	if !reply.Decode(w, r, &form) {
 		return
 	}
 	stream, err := h.engine.Generate(r.Context(), form.Domain())
@@ -48,7 +48,7 @@
 func (h *Handler) resume(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
 	if err != nil {
-		answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad token index", err))
+		reply.Answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad token index", err))
 		return
 	}
 	stream, err := h.engine.Resume(r.Context(), models.RequestID(r.PathValue("id")), from)
@@ -56,49 +56,49 @@
 }
 
 func (h *Handler) cancel(w http.ResponseWriter, r *http.Request) {
-	answer(w, struct{}{}, h.engine.Cancel(r.Context(), models.RequestID(r.PathValue("id"))))
+	reply.Answer(w, struct{}{}, h.engine.Cancel(r.Context(), models.RequestID(r.PathValue("id"))))
 }
 
 func (h *Handler) export(w http.ResponseWriter, r *http.Request) {
 	handle, err := h.engine.Export(r.Context(), models.RequestID(r.PathValue("id")))
-	answer(w, wire.FromKVHandle(handle), err)
+	reply.Answer(w, wire.FromKVHandle(handle), err)
 }
 
 func (h *Handler) imports(w http.ResponseWriter, r *http.Request) {
 	var form wire.KVHandle
-	if !decode(w, r, &form) {
+	if !reply.Decode(w, r, &form) {
 		return
 	}
-	answer(w, struct{}{}, h.engine.Import(r.Context(), form.Domain()))
+	reply.Answer(w, struct{}{}, h.engine.Import(r.Context(), form.Domain()))
 }
 
 func (h *Handler) state(w http.ResponseWriter, r *http.Request) {
 	state, err := h.engine.State(r.Context())
-	answer(w, wire.FromState(state), err)
+	reply.Answer(w, wire.FromState(state), err)
 }
 
 func (h *Handler) order(w http.ResponseWriter, r *http.Request) {
 	var form wire.Order
-	if !decode(w, r, &form) {
+	if !reply.Decode(w, r, &form) {
 		return
 	}
-	answer(w, struct{}{}, h.engine.Order(r.Context(), form.Domain()))
+	reply.Answer(w, struct{}{}, h.engine.Order(r.Context(), form.Domain()))
 }
 
 func (h *Handler) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad sequence number", err))
+		reply.Answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad sequence number", err))
 		return
 	}
 	events, err := h.engine.CacheEvents(r.Context(), after)
-	answer(w, wire.FromCacheEvents(events), err)
+	reply.Answer(w, wire.FromCacheEvents(events), err)
 }
 
 // pour writes a stream's pieces, one a line.
 func pour(w http.ResponseWriter, r *http.Request, stream peer.TokenStream, err error) {
 	if err != nil {
-		answer(w, nil, err)
+		reply.Answer(w, nil, err)
 		return
 	}
 	defer stream.Close()
@@ -120,36 +120,3 @@
 		}
 	}
 }
-
-func decode(w http.ResponseWriter, r *http.Request, form any) bool {
-	if err := json.NewDecoder(r.Body).Decode(form); err != nil {
-		answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad body", err))
-		return false
-	}
-	return true
-}
-
-func answer(w http.ResponseWriter, form any, err error) {
-	var failure *peer.Failure
-	if errors.As(err, &failure) {
-		if failure.Outcome == peer.OutcomeUnknown {
-			panic(http.ErrAbortHandler)
-		}
-		w.WriteHeader(status(failure.Outcome))
-		form = wire.Problem{Outcome: string(failure.Outcome), Message: failure.Error()}
-	}
-	_ = json.NewEncoder(w).Encode(form)
-}
-
-func status(outcome peer.Outcome) int {
-	switch outcome {
-	case peer.OutcomeConflict, peer.OutcomeStale:
-		return http.StatusConflict
-	case peer.OutcomeMissing:
-		return http.StatusNotFound
-	case peer.OutcomeNotDone:
-		return http.StatusServiceUnavailable
-	default:
-		return http.StatusBadRequest
-	}
-}
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -1,8 +1,6 @@
 package platform
 
 import (
-	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +8,7 @@
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/platform/wire"
+	"quincewinch/standin/reply"
 )
 
 // Handler serves a store over the platform's HTTP protocol.
@@ -47,7 +46,7 @@
 
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) {
 	var form wire.ReadRequest
-	if !decode(w, r, &form) {
+	if !reply.Decode(w, r, &form) {
 		return
 	}
 	var keys []models.RowKey
@@ -55,13 +54,13 @@
 		keys = append(keys, key.Model())
 	}
 	rows, err := h.store.Read(r.Context(), keys...)
-	answer(w, wire.Changes{Rows: wire.FromRows(rows)}, err)
+	reply.Answer(w, wire.Changes{Rows: wire.FromRows(rows)}, err)
 }
 
 func (h *Handler) changes(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad revision", err))
+		reply.Answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad revision", err))
 		return
 	}
 	partition := models.Partition(r.URL.Query().Get("partition"))
@@ -71,20 +70,16 @@
 		Through:      uint64(changes.Through),
 		PlatformTime: changes.PlatformTime,
 	}
-	answer(w, form, err)
+	reply.Answer(w, form, err)
 }
 
 func (h *Handler) transact(w http.ResponseWriter, r *http.Request) {
 	var form wire.Transaction
-	if !decode(w, r, &form) {
+	if !reply.Decode(w, r, &form) {
 		return
 	}
 	revision, err := h.store.Transact(r.Context(), form.Model())
-	if err != nil && peer.OutcomeOf(err) == peer.OutcomeUnknown {
-		// A lost answer: the connection ends without one.
-		panic(http.ErrAbortHandler)
-	}
-	answer(w, wire.Committed{Revision: uint64(revision)}, err)
+	reply.Answer(w, wire.Committed{Revision: uint64(revision)}, err)
 }
 
 func (h *Handler) object(w http.ResponseWriter, r *http.Request) {
@@ -93,19 +88,19 @@
 	case http.MethodGet:
 		value, err := h.store.Get(r.Context(), name)
 		if err != nil {
-			answer(w, nil, err)
+			reply.Answer(w, nil, err)
 			return
 		}
 		_, _ = w.Write(value)
 	case http.MethodPut:
 		value, err := io.ReadAll(r.Body)
 		if err != nil {
-			answer(w, nil, peer.NewFailure(peer.OutcomeNotDone, "the body broke off", err))
+			reply.Answer(w, nil, peer.NewFailure(peer.OutcomeNotDone, "the body broke off", err))
 			return
 		}
-		answer(w, struct{}{}, h.store.Put(r.Context(), name, value))
+		reply.Answer(w, struct{}{}, h.store.Put(r.Context(), name, value))
 	case http.MethodDelete:
-		answer(w, struct{}{}, h.store.Delete(r.Context(), name))
+		reply.Answer(w, struct{}{}, h.store.Delete(r.Context(), name))
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
@@ -113,32 +108,29 @@
 
 func (h *Handler) vms(w http.ResponseWriter, r *http.Request) {
 	vms, err := h.store.List(r.Context())
-	answer(w, wire.FromVMs(vms), err)
+	reply.Answer(w, wire.FromVMs(vms), err)
 }
 
 func (h *Handler) listServers(w http.ResponseWriter, r *http.Request) {
 	servers, err := h.servers.List(r.Context())
-	answer(w, wire.FromServers(servers), err)
+	reply.Answer(w, wire.FromServers(servers), err)
 }
 
 func (h *Handler) orderServers(w http.ResponseWriter, r *http.Request) {
 	var form wire.ServerOrder
-	if !decode(w, r, &form) {
+	if !reply.Decode(w, r, &form) {
 		return
 	}
-	answer(w, struct{}{}, h.servers.Order(r.Context(), form.Model()))
+	reply.Answer(w, struct{}{}, h.servers.Order(r.Context(), form.Model()))
 }
 
 func (h *Handler) reportUsage(w http.ResponseWriter, r *http.Request) {
 	var form wire.UsageReport
-	if !decode(w, r, &form) {
+	if !reply.Decode(w, r, &form) {
 		return
 	}
 	err := h.usage.Report(r.Context(), form.Model())
-	if err != nil && peer.OutcomeOf(err) == peer.OutcomeUnknown {
-		panic(http.ErrAbortHandler)
-	}
-	answer(w, struct{}{}, err)
+	reply.Answer(w, struct{}{}, err)
 }
 
 func (h *Handler) acceptedUsage(w http.ResponseWriter, r *http.Request) {
@@ -146,36 +138,5 @@
 	if err == nil && !ok {
 		err = peer.NewFailure(peer.OutcomeMissing, "no such report", nil)
 	}
-	answer(w, wire.FromUsageReport(report), err)
-}
-
-func decode(w http.ResponseWriter, r *http.Request, form any) bool {
-	if err := json.NewDecoder(r.Body).Decode(form); err != nil {
-		answer(w, nil, peer.NewFailure(peer.OutcomeRefused, "bad body", err))
-		return false
-	}
-	return true
-}
-
-func answer(w http.ResponseWriter, form any, err error) {
-	w.Header().Set("Content-Type", "application/json")
-	var failure *peer.Failure
-	if errors.As(err, &failure) {
-		w.WriteHeader(status(failure.Outcome))
-		form = wire.Problem{Outcome: string(failure.Outcome), Message: failure.Error()}
-	}
-	_ = json.NewEncoder(w).Encode(form)
-}
-
-func status(outcome peer.Outcome) int {
-	switch outcome {
-	case peer.OutcomeConflict, peer.OutcomeStale:
-		return http.StatusConflict
-	case peer.OutcomeRefused:
-		return http.StatusBadRequest
-	case peer.OutcomeMissing:
-		return http.StatusNotFound
-	default:
-		return http.StatusServiceUnavailable
-	}
+	reply.Answer(w, wire.FromUsageReport(report), err)
 }
