--- a/request/send_test.go
+++ b/request/send_test.go
@@ -301,28 +301,32 @@
 	})
 }
 
-// TestRetriesAtThirtyPercentFailure loads engines of which three in ten fail
-// each start.
-func TestRetriesAtThirtyPercentFailure(t *testing.T) {
-	bubble(t, func(t *testing.T, is *is.I) {
-		const requests = 1000
-		f := newFleet(2, 10)
-		for _, id := range f.order[:3] {
-			f.engines[id].set(true, false)
-		}
-		for i := range requests {
-			_ = f.ask(t.Context(), i%2, "r"+strconv.Itoa(i), "catalogue", "", prompt, &answerSink{})
-		}
-		runs := 0
-		for _, e := range f.engines {
-			runs += len(e.Received())
-		}
-		extra := float64(runs-requests) / requests
-		t.Logf("%.1f%% retries at 30%% engine failure", 100*extra)
-		is.True(extra <= 0.10)
-		is.True(extra > 0) // some were made
-		kept(t, f)
-	})
+// TestRetriesUnderFailure loads engines of which some fail each start: three in
+// ten, and all of them, which is where a retry storm would begin.
+func TestRetriesUnderFailure(t *testing.T) {
+	const requests = 1000
+	for _, failing := range []int{3, 10} {
+		t.Run(strconv.Itoa(10*failing)+"%", func(t *testing.T) {
+			bubble(t, func(t *testing.T, is *is.I) {
+				f := newFleet(2, 10)
+				for _, id := range f.order[:failing] {
+					f.engines[id].set(true, false)
+				}
+				for i := range requests {
+					_ = f.ask(t.Context(), i%2, "r"+strconv.Itoa(i), "catalogue", "", prompt, &answerSink{})
+				}
+				runs := 0
+				for _, e := range f.engines {
+					runs += len(e.Received())
+				}
+				extra := float64(runs-requests) / requests
+				t.Logf("%.1f%% retries at %d%% engine failure", 100*extra, 10*failing)
+				is.True(extra <= 0.10)
+				is.True(extra > 0) // some were made
+				kept(t, f)
+			})
+		})
+	}
 }
 
 func TestRetryBudget(t *testing.T) {
