--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -26,6 +26,7 @@
 	seed := xxhash.Sum64String(string(d.id))
 	placer := request.NewLoadPlacer(d.configuration, d.engines, reports, d.ring, d.clock, d.settings.Zone, seed)
 	reports.RegisterReportSource(placer)
+	d.system.Spawn(placer, d.settings.Engines.Poll)
 	d.system.Spawn(control.NewCacheFeed(engines, d.configuration, d.engines, placer), d.settings.Engines.Poll)
 	return placer
 }
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -379,6 +379,7 @@
 }
 
 func (d *simDaemon) readCache() {
+	d.load.Step(context.Background())
 	for _, e := range d.world.order {
 		d.load.ApplyCacheEvents(e.server.Engine, e.eventsAfter(d.load.CacheSequence(e.server.Engine)))
 	}
--- a/request/loadplacer.go
+++ b/request/loadplacer.go
@@ -53,7 +53,8 @@
 	lengths   *placement.Lengths
 	detector  *outlier.Detector
 	others    *demand.Tracker[models.Model]
-	started   *demand.Tracker[models.Workspace] // by other daemons
+	started   *demand.Tracker[models.Workspace]       // by other daemons
+	elsewhere map[models.EngineID]models.InflightWork // at other daemons
 	own       *demand.Tracker[models.Model]
 	sent      map[models.Model]demand.Totals
 	snapshots map[models.Model]*snapshot
--- a/request/loadsnapshot.go
+++ b/request/loadsnapshot.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -26,17 +27,16 @@
 	s := &snapshot{config: config, version: version, ejection: p.detector.Changes(), builtAt: now}
 	engines := usable(config, loads, model)
 	standings := p.detector.Standings(engines, now)
-	elsewhere := p.elsewhere()
 	var candidates []placement.Candidate
 	for _, engine := range engines {
 		switch standings[engine] {
 		case outlier.In:
-			candidates = append(candidates, p.candidate(config.Backends[engine], loads[engine], elsewhere[engine]))
+			candidates = append(candidates, p.candidate(config.Backends[engine], loads[engine]))
 		case outlier.Probe:
 			s.probes = append(s.probes, engine)
 		}
 	}
-	s.Snapshot = placement.NewSnapshot(p.zone, candidates, p.rates(model, now), now)
+	s.Snapshot = placement.NewSnapshot(p.zone, candidates, p.rates(model), now)
 	p.snapshots[model] = s
 	return s
 }
@@ -63,44 +63,42 @@
 	return engines
 }
 
-func (p *LoadPlacer) candidate(server models.BackendServer, load placement.Load, elsewhere models.InflightWork) placement.Candidate {
+func (p *LoadPlacer) candidate(server models.BackendServer, load placement.Load) placement.Candidate {
 	return placement.Candidate{
 		Server:    server,
 		Load:      load,
 		Own:       p.book.Open(server.Engine),
 		Unseen:    p.book.Since(server.Engine, load.MeasuredAt),
-		Elsewhere: elsewhere,
+		Elsewhere: p.elsewhere[server.Engine],
 		Slowness:  p.detector.Slowness(server.Engine),
 	}
 }
 
-// elsewhere returns what the other daemons last said they have under way.
-func (p *LoadPlacer) elsewhere() map[models.EngineID]models.InflightWork {
-	all := map[models.EngineID]models.InflightWork{}
-	for _, report := range p.reports.Reports() {
-		for engine, work := range report.Report.Inflight {
-			all[engine] = placement.Sum(all[engine], work)
-		}
-	}
-	return all
-}
-
 // self names this daemon among the daemons of a tracker.
 const self = models.DaemonID("")
 
-// rates returns how many requests a second this daemon and the others send to
-// engines for a model. The lock is held.
-func (p *LoadPlacer) rates(model models.Model, now time.Time) placement.Rates {
-	p.own.Observe(self, now, maps.Clone(p.sent))
-	return placement.Rates{Own: p.own.Rate(self, model).Requests, Others: p.othersRate(model)}
+// Step implements control.Task: it takes in the other daemons' reports, away
+// from the requests' way.
+func (p *LoadPlacer) Step(context.Context) {
+	reports := p.reports.Reports()
+	elsewhere := map[models.EngineID]models.InflightWork{}
+	for _, report := range reports {
+		for engine, work := range report.Report.Inflight {
+			elsewhere[engine] = placement.Sum(elsewhere[engine], work)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.elsewhere = elsewhere
+	p.observeReports(reports)
+	p.own.Observe(self, p.clock.Now(), maps.Clone(p.sent))
 }
 
-// othersRate returns how many requests a second the other daemons send to
-// engines for a model: those offered, less the share that they refuse. The
+// observeReports takes in the rates at which other daemons meet requests. The
 // lock is held.
-func (p *LoadPlacer) othersRate(model models.Model) float64 {
+func (p *LoadPlacer) observeReports(reports []models.PeerReport) {
 	kept := map[models.DaemonID]bool{}
-	for _, report := range p.reports.Reports() {
+	for _, report := range reports {
 		daemon := report.Report.Daemon
 		offered := map[models.Model]demand.Totals{}
 		for name, work := range report.Report.Offered {
@@ -116,9 +114,15 @@
 	}
 	p.others.Keep(kept)
 	p.started.Keep(kept)
-	rate := p.others.Sum(model).Requests
+}
+
+// rates returns how many requests a second this daemon and the others send to
+// engines for a model: of the others those offered, less the share that they
+// refuse. The lock is held.
+func (p *LoadPlacer) rates(model models.Model) placement.Rates {
+	others := p.others.Sum(model).Requests
 	if all := p.started.Total(); all.Requests > 0 {
-		rate *= all.Tokens / all.Requests
+		others *= all.Tokens / all.Requests
 	}
-	return rate
+	return placement.Rates{Own: p.own.Rate(self, model).Requests, Others: others}
 }
