control: plan without servers under an eviction notice

Cause: a server under notice counted as working until it vanished. Broken once and seen to fail: the notice ignored in the plan of servers.

--- a/control/fleet_models.go
+++ b/control/fleet_models.go
@@ -78,7 +78,8 @@
 	for _, server := range f.servers() {
 		row, known := desired[server.Engine]
 		state, present := view.states[server.Engine]
-		if !view.reached[server.Zone] || server.Leaving || !known || row.Step == models.StepBroken {
+		leaves := server.Leaving || !state.EvictionAt.IsZero()
+		if !view.reached[server.Zone] || leaves || !known || row.Step == models.StepBroken {
 			continue
 		}
 		steady := present && row.Step == models.StepSteady && !state.Changing && !state.Draining
--- a/control/fleet_plan.go
+++ b/control/fleet_plan.go
@@ -75,7 +75,8 @@
 	view := roleView{groups: groups, splits: map[string]fleet.Split{}, reached: reached, states: states, rates: groupRates(nil, states)[""]}
 	for _, server := range f.servers() {
 		row, known := desired[server.Engine]
-		if !reached[server.Zone] || groups[server.Engine] == "" || known && row.Step == models.StepBroken || server.Leaving {
+		leaves := server.Leaving || !states[server.Engine].EvictionAt.IsZero()
+		if !reached[server.Zone] || groups[server.Engine] == "" || known && row.Step == models.StepBroken || leaves {
 			continue
 		}
 		e := planEngine(server, row, states, groups[server.Engine])
--- a/control/provisioning.go
+++ b/control/provisioning.go
@@ -208,12 +208,13 @@
 		snapshot.Recent = math.Inf(1) // what was needed before is not known
 	}
 	zones := map[models.Zone]bool{}
+	states := p.peers.States.States()
 	known := maps.Clone(p.listed) // some may have no row yet
 	maps.Copy(known, config.Backends)
 	for _, id := range slices.Sorted(maps.Keys(known)) {
 		server := known[id]
 		zones[server.Zone] = true
-		if server.Leaving || p.gone(id) {
+		if server.Leaving || p.gone(id) || !states[id].EvictionAt.IsZero() {
 			continue
 		}
 		row, _ := p.fleet.rows.get(id)
--- a/control/provisioning_test.go
+++ b/control/provisioning_test.go
@@ -195,6 +195,26 @@
 	})
 }
 
+func TestEvictionNoticeBringsReplacements(t *testing.T) {
+	inBubble(t, engineCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		fleet, provisioning, _ := provisioned(t, w, cells)
+		w.offer(8, 10)
+		w.provision(t, 120, fleet, provisioning)
+		before := len(w.store.ServerOrders())
+		noticed := 0
+		for id, server := range w.config.Backends {
+			if server.Cheap && server.Zone == "zone-0" {
+				w.engines[id].Evict(t.Context(), time.Hour)
+				noticed++
+			}
+		}
+		is.True(noticed > 0)
+		w.provision(t, 10, fleet, provisioning)
+		is.True(len(w.store.ServerOrders()) > before) // ordered while the old ones still run
+	})
+}
+
 func TestLostAnswerOrdersNothingTwice(t *testing.T) {
 	inBubble(t, engineCount, func(t *testing.T, w *world) {
 		is := is.New(t)
