--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -71,6 +72,11 @@
 	return m.daemon.exchange.traffic.Bytes()
 }
 
+// UsageBehind returns how long a billing window has waited for its report.
+func (m measured) UsageBehind() time.Duration {
+	return m.daemon.usage.closer.Behind()
+}
+
 // LiveDaemons returns how many other daemons this one hears of.
 func (m measured) LiveDaemons() int {
 	return len(m.daemon.exchange.gossip.Reports())
--- a/metrics/state.go
+++ b/metrics/state.go
@@ -18,6 +18,9 @@
 	Authority(name models.LeaseName) models.Authority
 	ExchangeBytes() (sent, received int64)
 	LiveDaemons() int
+	// UsageBehind is how long the oldest window that ought to be reported has
+	// waited, as the holder of the lease on billing windows knows it.
+	UsageBehind() time.Duration
 }
 
 // StateCollector reads a process's state at each scrape.
@@ -34,6 +37,7 @@
 	proof   *prometheus.Desc
 	bytes   *prometheus.Desc
 	daemons *prometheus.Desc
+	behind  *prometheus.Desc
 }
 
 // NewStateCollector returns a collector of a state.
@@ -53,6 +57,7 @@
 		config:  desc("config_revision", "Revision of the configuration in force."),
 		proof:   desc("key_evidence_age_seconds", "Age of the evidence that no withdrawal of a key was missed.", "source"),
 		bytes:   desc("exchange_bytes_total", "Bytes exchanged with other daemons.", "direction"),
+		behind:  desc("usage_behind_seconds", "How long the oldest billing window that ought to be reported has waited, as the holder of its lease knows."),
 		daemons: desc("live_daemons", "Other daemons that this one hears of."),
 	}
 }
@@ -79,6 +84,7 @@
 		gauge(c.proof, now.Sub(evidence.At).Seconds(), string(evidence.Source))
 	}
 	gauge(c.daemons, float64(c.state.LiveDaemons()))
+	gauge(c.behind, c.state.UsageBehind().Seconds())
 	sent, received := c.state.ExchangeBytes()
 	metrics <- prometheus.MustNewConstMetric(c.bytes, prometheus.CounterValue, float64(sent), "sent")
 	metrics <- prometheus.MustNewConstMetric(c.bytes, prometheus.CounterValue, float64(received), "received")
