operator: one way to answer with a list

Cause: four handlers held the same loop from items to forms.

Change: answerList.

Measured: tests of commands, which call each of the four, pass.

Conclusion: a further list is one line.

--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -61,15 +61,7 @@
 
 func (h *Handler) rows(w http.ResponseWriter, r *http.Request) {
 	rows, err := h.editor.Rows(r.Context(), r.PathValue("kind"))
-	if err != nil {
-		refuse(w, err, nil)
-		return
-	}
-	forms := make([]rowForm, 0, len(rows))
-	for _, row := range rows {
-		forms = append(forms, formOf(row))
-	}
-	answer(w, http.StatusOK, forms)
+	answerList(w, rows, err, formOf)
 }
 
 func (h *Handler) put(w http.ResponseWriter, r *http.Request) {
@@ -137,15 +129,7 @@
 		Kind:      models.EventKind(query.Get("kind")),
 		Limit:     limit,
 	})
-	if err != nil {
-		refuse(w, err, nil)
-		return
-	}
-	forms := make([]eventForm, 0, len(events))
-	for _, event := range events {
-		forms = append(forms, eventFormOf(event))
-	}
-	answer(w, http.StatusOK, forms)
+	answerList(w, events, err, eventFormOf)
 }
 
 func (h *Handler) fleet(w http.ResponseWriter, _ *http.Request) {
@@ -154,24 +138,13 @@
 
 func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
 	engine := models.EngineID(r.PathValue("engine"))
-	forms := []sentenceForm{}
-	for _, sentence := range h.overview.Explain(r.Context(), engine) {
-		forms = append(forms, sentenceForm{Sentence: sentence})
-	}
-	answer(w, http.StatusOK, forms)
+	form := func(sentence string) sentenceForm { return sentenceForm{Sentence: sentence} }
+	answerList(w, h.overview.Explain(r.Context(), engine), nil, form)
 }
 
 func (h *Handler) usage(w http.ResponseWriter, r *http.Request) {
 	windows, err := h.overview.Usage(r.Context(), models.Workspace(r.PathValue("workspace")))
-	if err != nil {
-		refuse(w, err, nil)
-		return
-	}
-	forms := make([]windowForm, 0, len(windows))
-	for _, window := range windows {
-		forms = append(forms, windowFormOf(window))
-	}
-	answer(w, http.StatusOK, forms)
+	answerList(w, windows, err, windowFormOf)
 }
 
 func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
@@ -218,6 +191,19 @@
 	return http.StatusServiceUnavailable
 }
 
+// answerList answers with the form of each item, or with a refusal.
+func answerList[T, F any](w http.ResponseWriter, items []T, err error, form func(T) F) {
+	if err != nil {
+		refuse(w, err, nil)
+		return
+	}
+	forms := make([]F, 0, len(items))
+	for _, item := range items {
+		forms = append(forms, form(item))
+	}
+	answer(w, http.StatusOK, forms)
+}
+
 func answer(w http.ResponseWriter, status int, form any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
