control: what was cancelled after lost answers is tried under another identity

Cause: a closing, freezing or record of an order whose answers were lost and which the table's client had cancelled kept its identity, so that each further try found the cancellation: the window stood still, and the order could not be sent, until the lease changed hands. Change: each try has an identity of its own.

--- a/control/orders.go
+++ b/control/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +43,8 @@
 	busy   map[models.RowKey]bool
 	seen   map[models.RowKey]sighting
 	closed map[models.RowKey]models.Revision // records that took no effect
+
+	records uint64 // tried so far
 }
 
 // sighting is when this daemon first saw a record.
@@ -199,9 +200,8 @@
 	if !started.Before(t.until) {
 		return ticket{}, notDone("too little is left of the authority to send an order")
 	}
-	name := row.Key.Name + "/" + id + "/" + strconv.FormatUint(uint64(row.Revision), 10)
 	revision, err := o.table.Transact(ctx, models.Transaction{
-		ID:         name + "/" + strconv.FormatUint(authority.Fence, 10),
+		ID:         row.Key.Name + "/" + id + "/" + number(authority.Fence) + "/" + number(o.nextRecord()),
 		Conditions: []models.Condition{authority.Guard, {Key: row.Key, Revision: row.Revision}},
 		Writes:     []models.Write{{Key: row.Key, Value: value}},
 	})
@@ -213,6 +213,15 @@
 	return t, nil
 }
 
+// nextRecord numbers the records tried: one that was cancelled after lost
+// answers stays so, and is tried again under another identity.
+func (o *Orders) nextRecord() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records++
+	return o.records
+}
+
 // read returns an order's row, one of revision 0 where there is none.
 func (o *Orders) read(ctx context.Context, key models.RowKey) (models.Row, error) {
 	rows, err := o.table.Read(ctx, key)
@@ -286,7 +295,7 @@
 		Engine: order.Engine,
 		Lease:  t.authority.Lease,
 		What:   string(order.Kind) + " order " + order.ID + " taken by the engine",
-		Why:    "sent under fencing number " + strconv.FormatUint(order.Fence, 10),
+		Why:    "sent under fencing number " + number(order.Fence),
 		Cause:  order.ID,
 	}
 	if err != nil {
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -11,6 +11,7 @@
 	"quincewinch/control"
 	"quincewinch/models"
 	"quincewinch/peer"
+	"quincewinch/peer/platform"
 	"quincewinch/peer/system"
 	standinengine "quincewinch/standin/engine"
 	standin "quincewinch/standin/platform"
@@ -72,6 +73,18 @@
 	return control.NewOrders(b.store, oneEngine{b.engine}, b.servers, clock, silence{}, control.DefaultOrderSettings())
 }
 
+// cancelling returns the table as a client tries it again, with faults that
+// hold writes up until they are cancelled.
+func (b bench) cancelling() peer.Table {
+	b.store.SetFaults(standin.Faults{Late: func(transaction models.Transaction) time.Duration {
+		if len(transaction.Writes) == 1 {
+			return 0 // the cancellation
+		}
+		return 30 * time.Second
+	}})
+	return platform.NewRetryTable(b.store, clock, platform.DefaultRetrySettings(time.Second, 1))
+}
+
 func drain(id string) models.Order {
 	return models.Order{ID: id, Kind: models.OrderDrain}
 }
@@ -144,6 +157,17 @@
 		outcome(t, b.orders().Send(t.Context(), authority, server, drain("b")), peer.OutcomeNotDone)
 		b.taken(t, "a")
 	})
+	run("an order whose record was cancelled can be sent again", func(t *testing.T, b bench) {
+		is := is.New(t)
+		authority := b.takeOver(t, 1)
+		table := b.cancelling()
+		sender := control.NewOrders(table, oneEngine{b.engine}, b.servers, clock, silence{}, control.DefaultOrderSettings())
+		outcome(t, sender.Send(t.Context(), authority, server, drain("a")), peer.OutcomeNotDone)
+		b.store.SetFaults(standin.Faults{})
+		is.NoErr(sender.Send(t.Context(), authority, server, drain("a")))
+		b.taken(t, "a")
+		wait(t, time.Minute) // for what is late
+	})
 	run("a successor waits out what may be under way", func(t *testing.T, b bench) {
 		old := b.takeOver(t, 1)
 		is := is.New(t)
--- a/control/usage_close.go
+++ b/control/usage_close.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -39,6 +38,7 @@
 	fence   uint64 // of the authority under which the rest was read
 	through models.Revision
 	rows    map[models.RowKey]models.Row
+	writes  uint64          // tried so far
 	sent    map[string]bool // reports accepted, of windows not yet reported
 	behind  time.Duration   // how late the oldest window is that is not reported
 }
@@ -241,8 +241,11 @@
 	if value == nil {
 		value = []byte("{}")
 	}
+	// A write that was cancelled after lost answers stays so: each try has an
+	// identity of its own.
+	c.writes++
 	revision, err := c.table.Transact(ctx, models.Transaction{
-		ID:         key.Name + "/" + strconv.FormatUint(authority.Fence, 10),
+		ID:         key.Name + "/" + number(authority.Fence) + "/" + number(c.writes),
 		Conditions: []models.Condition{authority.Guard, {Key: key}},
 		Writes:     []models.Write{{Key: key, Value: value}},
 	})
