--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -35,15 +35,16 @@
 func beats(w *world, random *rand.Rand) []*beat {
 	var all []*beat
 	for _, n := range w.nodes {
-		for task, interval := range map[Task]time.Duration{
-			n.configuration: 500 * time.Millisecond,
-			n.membership:    250 * time.Millisecond,
-			n.gossip:        500 * time.Millisecond,
-			n.spread:        100 * time.Millisecond,
-			n.editor:        250 * time.Millisecond,
+		for _, b := range []beat{
+			{task: n.configuration, interval: 500 * time.Millisecond},
+			{task: n.membership, interval: 250 * time.Millisecond},
+			{task: n.gossip, interval: 500 * time.Millisecond},
+			{task: n.spread, interval: 100 * time.Millisecond},
+			{task: n.editor, interval: 250 * time.Millisecond},
 		} {
-			phase := time.Duration(random.Int64N(int64(interval)))
-			all = append(all, &beat{task: task, interval: interval, next: w.clock.now.Add(phase)})
+			phase := time.Duration(random.Int64N(int64(b.interval)))
+			b.next = w.clock.now.Add(phase)
+			all = append(all, &b)
 		}
 	}
 	return all
