daemon: metrics of the fleet's plan

Change: engines by role, engines that the expected work keeps busy by phase, and the share of it served, by group of models; seen at /metrics of the demo.

--- a/control/fleet_outlook.go
+++ b/control/fleet_outlook.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 
 	"quincewinch/models"
@@ -65,3 +66,28 @@
 	}
 	return true
 }
+
+// GroupOutlook is what is planned for the engines that serve the same models.
+type GroupOutlook struct {
+	Group       string
+	Split       fleet.Split // engines by role, those that change in their new one
+	Expected    fleet.Work  // engines that the work keeps busy
+	ServedShare float64     // of the expected work, 0 to 1
+}
+
+// Groups returns what is planned for each group, by the latest plan.
+func (f *Fleet) Groups() []GroupOutlook {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var groups []GroupOutlook
+	for _, name := range slices.Sorted(maps.Keys(f.plan.splits)) {
+		split, forecast := f.plan.splits[name], f.plan.forecasts[name]
+		groups = append(groups, GroupOutlook{
+			Group:       name,
+			Split:       split,
+			Expected:    forecast.Mean,
+			ServedShare: split.ServedShare(forecast.Mean),
+		})
+	}
+	return groups
+}
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -55,6 +55,10 @@
 		is.True(strings.Contains(text, "reports role prefill"))
 		is.True(strings.Contains(text, "4 for prefill, 8 for decode"))
 		is.True(strings.Contains(text, "the step is steady"))
+		groups := fleet.Groups()
+		is.Equal(len(groups), 1)
+		is.Equal(groups[0].Split.Prefill, 4)
+		is.Equal(groups[0].ServedShare, 1.0)
 	})
 }
 
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -26,6 +26,7 @@
 		Clock:         d.clock,
 		Timeline:      d.ring,
 	}, control.DefaultFleetSettings(d.id, d.settings.Zone))
+	d.registry.MustRegister(newFleetMetrics(d.fleet))
 	d.system.Spawn(d.fleet, fleetStep)
 	d.system.Spawn(control.NewProvisioning(control.ProvisioningPeers{
 		Table:         d.platform.table,
