--- a/commands/docs_test.go
+++ b/commands/docs_test.go
@@ -45,26 +45,39 @@
 	return list
 }
 
-func TestCommandsOnThePages(t *testing.T) {
+// startDemo starts the demo and points the commands at it.
+func startDemo(t *testing.T) {
+	t.Helper()
 	is := is.New(t)
 	deployment, err := demo.Find("tamarind")
 	is.NoErr(err)
 	running, err := demo.Start(t.Context(), deployment, system.NewClock(), zap.NewNop(), demo.Options{})
 	is.NoErr(err)
-	defer func() { is.NoErr(running.Stop(context.Background())) }()
+	t.Cleanup(func() { is.NoErr(running.Stop(context.Background())) })
 	t.Setenv("QUINCEWINCH_ADDRESS", running.Ready.Operators[0])
 	t.Setenv("QUINCEWINCH_OPERATOR_KEY", running.Ready.OperatorKey)
+}
+
+// run carries out a command and returns what it printed and its status.
+func run(args ...string) (stdout, stderr string, status int) {
+	var out, problems bytes.Buffer
+	status = commands.Run(args, &out, &problems)
+	return out.String(), problems.String(), status
+}
+
+func TestCommandsOnThePages(t *testing.T) {
+	is := is.New(t)
+	startDemo(t)
 	pages, err := filepath.Glob("../docs/*.md")
 	is.NoErr(err)
 	for _, page := range pages {
 		for _, example := range examples(t, page) {
 			t.Run(filepath.Base(page)+": "+example, func(t *testing.T) {
 				is := is.New(t)
-				var stdout, stderr bytes.Buffer
-				status := commands.Run(words(example), &stdout, &stderr)
-				is.Equal(stderr.String(), "")
+				stdout, stderr, status := run(words(example)...)
+				is.Equal(stderr, "")
 				is.Equal(status, 0)
-				is.True(stdout.Len() > 0) // it prints something
+				is.True(stdout != "") // it prints something
 			})
 		}
 	}
@@ -74,11 +87,11 @@
 func expectOnPage(t *testing.T, page string, args ...string) {
 	t.Helper()
 	is := is.New(t)
-	var stdout, stderr bytes.Buffer
-	is.Equal(commands.Run(args, &stdout, &stderr), 0)
+	stdout, _, status := run(args...)
+	is.Equal(status, 0)
 	raw, err := os.ReadFile(page)
 	is.NoErr(err)
-	for line := range strings.Lines(stdout.String()) {
+	for line := range strings.Lines(stdout) {
 		is.True(strings.Contains(string(raw), line)) // the page has the line
 	}
 }
@@ -101,9 +114,9 @@
 		"engines": {"plain": true}
 	}`
 	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
-	var stdout, stderr bytes.Buffer
-	is.Equal(commands.Run([]string{"check-settings", path}, &stdout, &stderr), 1)
+	_, stderr, status := run("check-settings", path)
+	is.Equal(status, 1)
 	for _, fault := range []string{"zone: missing field", "callers.address: bad address", "operators.colour: unknown field"} {
-		is.True(strings.Contains(stderr.String(), fault)) // names the fault
+		is.True(strings.Contains(stderr, fault)) // names the fault
 	}
 }
