platform: a transaction that was cancelled can be tried again

Cause: a cancelled marker shut its identity for good, also to a caller that tries the same transaction again after not-done; orders, closings and the fleet's rows stood still until the lease changed hands. Change: a later call goes on from the cancelled marker's revision; late attempts of the earlier call stay shut out. Seen to fail without it: TestTransact/what was cancelled can be tried again.

--- a/peer/platform/retry.go
+++ b/peer/platform/retry.go
@@ -103,20 +103,26 @@
 	if transaction.ID == "" {
 		return t.transactUnmarked(ctx, transaction)
 	}
-	marked := withMarker(transaction, markerCommitted)
+	var base models.Revision // of a marker that an earlier call cancelled
 	doubt := false
 	for attempt := 1; ; attempt++ {
 		if doubt {
-			if revision, known, err := t.look(ctx, transaction.ID); known {
+			if revision, known, err := t.look(ctx, transaction.ID, base); known {
 				return revision, err
 			}
 		}
-		revision, err := t.commit(ctx, marked)
+		revision, err := t.commit(ctx, withMarker(transaction, markerCommitted, base))
 		switch {
 		case err == nil:
 			return revision, nil
+		case peer.OutcomeOf(err) == peer.OutcomeConflict && doubt:
+			return t.settle(ctx, transaction.ID, base, err)
 		case peer.OutcomeOf(err) == peer.OutcomeConflict:
-			return t.conflicted(ctx, transaction.ID, doubt, err)
+			if cancelled := t.cancelled(ctx, transaction.ID); cancelled > base {
+				base = cancelled
+				continue
+			}
+			return t.conflicted(ctx, transaction.ID, base, err)
 		case !passing(err) && !doubt:
 			return 0, err
 		}
@@ -127,7 +133,7 @@
 		if !doubt {
 			return 0, err
 		}
-		return t.settle(ctx, transaction.ID, err)
+		return t.settle(ctx, transaction.ID, base, err)
 	}
 }
 
@@ -143,11 +149,8 @@
 // conflicted tells an attempt that met its own marker from one whose
 // conditions do not hold. Revisions only grow, so a condition that failed
 // fails for every other attempt too.
-func (t *RetryTable) conflicted(ctx context.Context, id string, doubt bool, conflict error) (models.Revision, error) {
-	if doubt {
-		return t.settle(ctx, id, conflict)
-	}
-	revision, known, err := t.look(ctx, id)
+func (t *RetryTable) conflicted(ctx context.Context, id string, base models.Revision, conflict error) (models.Revision, error) {
+	revision, known, err := t.look(ctx, id, base)
 	if known {
 		return revision, err
 	}
@@ -159,12 +162,12 @@
 
 // settle cancels a transaction in doubt, or finds that it was committed.
 // Cause is what to report where it was not.
-func (t *RetryTable) settle(ctx context.Context, id string, cause error) (models.Revision, error) {
-	_, err := t.commit(ctx, withMarker(models.Transaction{ID: id}, markerCancelled))
+func (t *RetryTable) settle(ctx context.Context, id string, base models.Revision, cause error) (models.Revision, error) {
+	_, err := t.commit(ctx, withMarker(models.Transaction{ID: id}, markerCancelled, base))
 	if err == nil {
 		return 0, definite(cause)
 	}
-	if revision, known, err := t.look(ctx, id); known {
+	if revision, known, err := t.look(ctx, id, base); known {
 		if err != nil && peer.OutcomeOf(err) == peer.OutcomeNotDone {
 			return 0, definite(cause)
 		}
@@ -174,8 +177,34 @@
 }
 
 // look reads a transaction's marker. Known tells that the marker decides; the
-// error is then its outcome.
-func (t *RetryTable) look(ctx context.Context, id string) (models.Revision, bool, error) {
+// error is then its outcome. A marker of the base revision decides nothing.
+func (t *RetryTable) look(ctx context.Context, id string, base models.Revision) (models.Revision, bool, error) {
+	marker, err := t.marker(ctx, id)
+	if err != nil || marker.Revision <= base {
+		return 0, false, err
+	}
+	switch {
+	case marker.Deleted:
+		return 0, true, peer.NewFailure(peer.OutcomeUnknown, "the marker of transaction "+id+" was cleaned up", nil)
+	case string(marker.Value) == markerCancelled:
+		return 0, true, peer.NewFailure(peer.OutcomeNotDone, "transaction "+id+" was cancelled", nil)
+	}
+	return marker.Revision, true, nil
+}
+
+// cancelled returns the revision of a marker that an earlier call of the same
+// transaction cancelled, zero if there is none. On the condition of that
+// revision it can be tried again; attempts of the earlier call stay shut out.
+func (t *RetryTable) cancelled(ctx context.Context, id string) models.Revision {
+	marker, err := t.marker(ctx, id)
+	if err != nil || marker.Deleted || string(marker.Value) != markerCancelled {
+		return 0
+	}
+	return marker.Revision
+}
+
+// marker reads a transaction's marker, one of revision 0 if there is none.
+func (t *RetryTable) marker(ctx context.Context, id string) (models.Row, error) {
 	var rows []models.Row
 	err := t.attempt(ctx, func(ctx context.Context) error {
 		var err error
@@ -183,15 +212,9 @@
 		return err
 	})
 	if err != nil || len(rows) == 0 {
-		return 0, false, err
-	}
-	switch {
-	case rows[0].Deleted:
-		return 0, true, peer.NewFailure(peer.OutcomeUnknown, "the marker of transaction "+id+" was cleaned up", nil)
-	case string(rows[0].Value) == markerCancelled:
-		return 0, true, peer.NewFailure(peer.OutcomeNotDone, "transaction "+id+" was cancelled", nil)
+		return models.Row{}, err
 	}
-	return rows[0].Revision, true, nil
+	return rows[0], nil
 }
 
 func (t *RetryTable) commit(ctx context.Context, transaction models.Transaction) (models.Revision, error) {
--- a/peer/platform/retry_test.go
+++ b/peer/platform/retry_test.go
@@ -118,6 +118,24 @@
 			truthful(t, store, "a", 0, err)
 		})
 	})
+	t.Run("what was cancelled can be tried again", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store, table := retrying(1)
+			store.SetFaults(standin.Faults{Late: func(x models.Transaction) time.Duration {
+				if len(x.Writes) > 1 {
+					return 30 * time.Second
+				}
+				return 0
+			}})
+			_, err := put(table, "a")
+			is.Equal(peer.OutcomeOf(err), peer.OutcomeNotDone)
+			store.SetFaults(standin.Faults{})
+			revision, err := put(table, "a")
+			is.NoErr(err)
+			truthful(t, store, "a", revision, err)
+		})
+	})
 	t.Run("a table that stays down is not done", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
@@ -166,6 +184,9 @@
 			store.SetFaults(trouble(random))
 			id := strconv.FormatUint(seed, 10)
 			revision, err := put(table, id)
+			if err != nil && seed%2 == 0 {
+				revision, err = put(table, id) // the same one again
+			}
 			truthful(t, store, id, revision, err)
 			outcome := "done"
 			if err != nil {
