config: daemons exchange once a second

Cause: an idle daemon exchanged 8 to 10 KB/s each way and took 3.8% of a core, of which the exchange was about a third of the profile. Changes are pushed, so the regular exchange need not be fast; fairness and limits were measured with reports a second apart all along.

--- a/config/fields.go
+++ b/config/fields.go
@@ -39,7 +39,7 @@
 	{"operators.plain", `false`, false, "", "serve operators without TLS", flag(func(s *Settings) *bool { return &s.Operators.Plain })},
 	{"daemons.address", ``, true, "IP:port", "where the other daemons reach this one", address(func(s *Settings) *netip.AddrPort { return &s.Daemons.Address })},
 	{"daemons.plain", `false`, false, "", "speak with the other daemons without TLS", flag(func(s *Settings) *bool { return &s.Daemons.Plain })},
-	{"daemons.interval", `"500ms"`, false, "duration", "between two exchanges with another daemon", duration(func(s *Settings) *time.Duration { return &s.Daemons.Interval })},
+	{"daemons.interval", `"1s"`, false, "duration", "between two exchanges with another daemon", duration(func(s *Settings) *time.Duration { return &s.Daemons.Interval })},
 	{"metrics.address", ``, true, "IP:port", "where metrics and health are served", address(func(s *Settings) *netip.AddrPort { return &s.Metrics.Address })},
 	{"metrics.plain", `false`, false, "", "serve metrics without TLS", flag(func(s *Settings) *bool { return &s.Metrics.Plain })},
 	{"platform.url", ``, true, "URL", "the platform's services", platformURL},
