--- a/Makefile
+++ b/Makefile
@@ -1,20 +1,24 @@
 # Development commands. `make check` is the whole test command.
 
-GOLANGCI_VERSION := v2.15.0
+GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
+PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+PROTOC_GEN_GO_GRPC := google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2
 TOOLS := $(CURDIR)/.tools
 
 export PATH := $(TOOLS):$(PATH)
 
-.PHONY: tools check format-check lint build vet test generated generated-check bench demo
+.PHONY: tools check format-check lint build vet test generated generated-check bench demo capacity
 
-tools: $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+# The tools are installed again when their versions above change.
+tools: $(TOOLS)/installed
 
-$(TOOLS)/golangci-lint-$(GOLANGCI_VERSION):
+$(TOOLS)/installed: Makefile
 	mkdir -p $(TOOLS)
-	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	for tool in $(GOLANGCI) $(BUF) $(PROTOC_GEN_GO) $(PROTOC_GEN_GO_GRPC); do GOBIN=$(TOOLS) go install $$tool || exit 1; done
 	touch $@
 
-check: tools format-check vet lint build test
+check: tools format-check generated-check vet lint build test
 
 format-check:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { echo "not formatted:"; gofmt -l $$(git ls-files '*.go'); exit 1; }
@@ -29,11 +33,9 @@
 	go build ./...
 
 test:
-	go test -race -count=1 ./...
+	go test -race -count=1 -timeout 40m ./...
 
-# Both need buf, protoc-gen-go and protoc-gen-go-grpc on the PATH; `check`
-# leaves them out, since a fresh machine has none of them.
-generated:
+generated: tools
 	cd peer/daemon && buf generate
 
 generated-check: generated
@@ -46,7 +48,6 @@
 	go run . demo
 
 # Reruns the measurements behind docs/CAPACITY.md and prints what follows.
-.PHONY: capacity
 capacity:
 	{ go test -run '^$$' -bench . -benchtime 20x ./capacity; \
 	  go test -run '^$$' -bench Spread -benchtime 1x ./control; \
