peer/system: a sleep of nothing takes no timer

Cause: under the race detector, a timer that has fired before it is waited for inside a synctest bubble crashes the detector (tsan_rtl.cpp:346, epoch == kEpochLast, or a SIGSEGV in runtime.maybeRunChan under Clock.Sleep with d=0). Seen once in ./request and once in ./control (TestAuthorityInManySchedules, after 190 s), with no test failing by itself. Ruled out: load, since it comes up within 0.2 s in a test of nothing but Sleep(ctx, 0).

--- a/peer/system/clock.go
+++ b/peer/system/clock.go
@@ -22,8 +22,13 @@
 	return time.Now()
 }
 
-// Sleep waits for d or until ctx ends.
+// Sleep waits for d or until ctx ends. No wait takes no timer: on the virtual
+// time of a test, a timer that has fired before it is waited for crashes the
+// race detector.
 func (Clock) Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
