--- a/policy/fair/queue_test.go
+++ b/policy/fair/queue_test.go
@@ -1,6 +1,7 @@
 package fair_test
 
 import (
+	"flag"
 	"math"
 	"strconv"
 	"testing"
@@ -14,6 +15,14 @@
 	"quincewinch/policy/naive"
 )
 
+// TestMain fixes the seed, so that each run draws the same.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
 var start = time.Unix(1000, 0)
 
 func ticket(workspace models.Workspace, weight, tokens float64) *fair.Ticket {
