--- a/demo/tls_test.go
+++ b/demo/tls_test.go
@@ -37,7 +37,7 @@
 	is.NoErr(err)
 
 	_, err = http.DefaultClient.Do(r) //nolint:bodyclose // there is no answer
-	is.True(err != nil) // nobody trusts it unasked
+	is.True(err != nil)               // nobody trusts it unasked
 	response, err := trusting(t, running.Ready.Authority).Do(r)
 	is.NoErr(err)
 	is.NoErr(response.Body.Close())
