demo: one way to open a stream in the tests

Cause: two tests of demo held the same lines that ask for a streamed answer.

Change: openStream.

Measured: both tests pass.

Conclusion: the tests differ only where they mean to.

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -121,14 +121,22 @@
 	is.True(running.Services["reservations"].Bookings()[0].Header.Get("Authorization") == "")
 }
 
-func TestPlannedStopCutsNoStream(t *testing.T) {
+// openStream asks the first daemon for a streamed answer.
+func openStream(t *testing.T, running *demo.System) *http.Response {
+	t.Helper()
 	is := is.New(t)
-	running := start(t)
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, running.Ready.Callers[0]+"/v1/chat/completions", strings.NewReader(question+`, "stream": true}`))
 	is.NoErr(err)
 	r.Header.Set("Authorization", "Bearer "+running.Ready.Workspaces[0].Key)
 	response, err := http.DefaultClient.Do(r)
 	is.NoErr(err)
+	return response
+}
+
+func TestPlannedStopCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	running := start(t)
+	response := openStream(t, running)
 	defer response.Body.Close()
 	stopping := running.Daemons[0]
 	running.Daemons = running.Daemons[1:]
@@ -145,11 +153,7 @@
 func TestEngineDiesMidStream(t *testing.T) {
 	is := is.New(t)
 	running := start(t)
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, running.Ready.Callers[0]+"/v1/chat/completions", strings.NewReader(question+`, "stream": true}`))
-	is.NoErr(err)
-	r.Header.Set("Authorization", "Bearer "+running.Ready.Workspaces[0].Key)
-	response, err := http.DefaultClient.Do(r)
-	is.NoErr(err)
+	response := openStream(t, running)
 	defer response.Body.Close()
 	lines := bufio.NewScanner(response.Body)
 	var text strings.Builder
