platform: a request passes through on the users' platform

Cause: the users want the system on their platform; the daemon of the stand-ins speaks another interface and reads bodies.

Change: package platform decodes the platform's names; relay passes requests on unchanged; routing follows configuration and registrations in the store; balance and policy/serving place prompts by what engines keep; the command entry runs it under deploy/system.toml. request.Chain moves to lib/pipeline, the settings' parser serves two kinds of settings.

Conclusion: the path stands; each daemon knows only its own load, and prompts queue at the engines that read for others.

--- /dev/null
+++ b/balance/placement.go
@@ -0,0 +1,116 @@
+package balance
+
+import (
+	"time"
+
+	"quincewinch/models"
+	"quincewinch/relay"
+)
+
+// placement implements relay.Placement.
+type placement struct {
+	balancer  *Balancer
+	target    *state
+	prefiller *state // nil: the target reads the prompt
+	reader    *state // reads the prompt; nil for a plain service
+	reading   int    // prompt tokens that the reader has to read
+	ahead     int    // those ahead of them, at placement
+	predicted time.Duration
+	urgency   int
+	placedAt  time.Time
+	read      bool
+	freed     bool // the prefiller is done
+	ended     bool
+}
+
+// Target implements relay.Placement.
+func (p *placement) Target() models.Upstream {
+	return p.target.upstream
+}
+
+// Prefiller implements relay.Placement.
+func (p *placement) Prefiller() (models.Upstream, bool) {
+	if p.prefiller == nil {
+		return models.Upstream{}, false
+	}
+	return p.prefiller.upstream, true
+}
+
+// Predicted implements relay.Placement.
+func (p *placement) Predicted() time.Duration {
+	return p.predicted
+}
+
+// Reading implements relay.Placement.
+func (p *placement) Reading() int {
+	return p.reading
+}
+
+// Urgency implements relay.Placement.
+func (p *placement) Urgency() int {
+	return p.urgency
+}
+
+// Prefilled implements relay.Placement.
+func (p *placement) Prefilled() {
+	now := p.balancer.clock.Now()
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	p.readDone(now)
+	p.freePrefiller()
+}
+
+// Answered implements relay.Placement.
+func (p *placement) Answered(*models.UpstreamLoad) {
+	now := p.balancer.clock.Now()
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	p.target.unanswered = 0
+	p.readDone(now)
+}
+
+// readDone notes that the prompt has been read. The lock is held.
+func (p *placement) readDone(now time.Time) {
+	if p.read || p.reader == nil {
+		return
+	}
+	p.read = true
+	p.reader.reading -= p.reading
+	p.balancer.rate(p.reader.upstream).Observe(p.ahead+p.reading, now.Sub(p.placedAt))
+}
+
+func (p *placement) freePrefiller() {
+	if p.prefiller == nil || p.freed {
+		return
+	}
+	p.freed = true
+	p.prefiller.running--
+}
+
+// End implements relay.Placement.
+func (p *placement) End(result relay.Result) {
+	now := p.balancer.clock.Now()
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	p.target.running--
+	if !p.read && p.reader != nil {
+		p.read = true
+		p.reader.reading -= p.reading
+	}
+	p.freePrefiller()
+	switch result {
+	case relay.ResultUnreachable:
+		p.target.unreachable(now)
+	case relay.ResultFailed:
+		p.target.fail(now)
+	case relay.ResultRejected:
+		p.target.heldUntil = now.Add(fullHold)
+	case relay.ResultMoved:
+		p.target.heldUntil = now.Add(longestHold)
+	case relay.ResultServed, relay.ResultCancelled:
+	}
+}
--- /dev/null
+++ b/balance/prompt.go
@@ -0,0 +1,130 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quincewinch/models"
+	"quincewinch/policy/serving"
+	"quincewinch/relay"
+)
+
+const (
+	// cacheShare is the part of an engine's memory that is taken to keep parts
+	// of prompts; running requests use the rest.
+	cacheShare = 0.6
+	// bitsPerByte converts the rates of links.
+	bitsPerByte = 8
+	// bitsPerMegabit converts the rates of links.
+	bitsPerMegabit = 1e6
+)
+
+// placePrompt places a request for a model engine. The lock is held.
+func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*state, now time.Time) (relay.Placement, error) {
+	orders := promptOrder(e.Prompt, candidates)
+	engines := make([]serving.Engine, len(candidates))
+	for i, s := range candidates {
+		engines[i] = b.engine(e, s, orders[i], now)
+	}
+	choice, ok := serving.Choose(serving.Request{
+		Zone:   b.settings.Zone,
+		Tokens: promptTokens(e.Prompt),
+		Fetch:  fetchRate(e.Service.Engine),
+	}, engines)
+	if !ok {
+		return nil, &models.Refusal{
+			Code:       models.RefusalNoBackend,
+			Message:    "no engine of the service generates answers now",
+			NotRun:     true,
+			RetryAfter: emptyRetryAfter,
+		}
+	}
+	return b.holdPrompt(e, candidates, choice, now), nil
+}
+
+func (b *Balancer) holdPrompt(e *relay.Exchange, candidates []*state, choice serving.Choice, now time.Time) *placement {
+	p := b.hold(candidates[choice.Target], now)
+	p.predicted = choice.Predicted
+	p.urgency = min(max(e.Rank, 0), mostUrgency)
+	capacity := int(float64(e.Service.Engine.Capacity) * cacheShare)
+	p.reader = p.target
+	if choice.Prefiller >= 0 {
+		p.prefiller = candidates[choice.Prefiller]
+		p.prefiller.running++
+		p.prefiller.cache.use(e.Prompt.Parts, capacity, now)
+		p.reader = p.prefiller
+	}
+	p.target.cache.use(e.Prompt.Parts, capacity, now)
+	p.reading = choice.Reading
+	p.ahead = p.reader.reading
+	p.reader.reading += p.reading
+	return p
+}
+
+// engine returns an engine as the policy sees it. The lock is held.
+func (b *Balancer) engine(e *relay.Exchange, s *state, order int, now time.Time) serving.Engine {
+	rate := b.rate(s.upstream).TokensPerSecond()
+	return serving.Engine{
+		Zone:    s.upstream.Zone,
+		Role:    s.upstream.Role,
+		Slots:   s.upstream.Slots,
+		Running: s.running,
+		Backlog: time.Duration(float64(s.reading) / rate * float64(time.Second)),
+		Rate:    rate,
+		Cached:  s.cache.leading(e.Prompt.Parts),
+		Order:   order,
+		Penalty: time.Duration(s.recentFailures(now) * float64(failurePenalty)),
+	}
+}
+
+// promptTokens returns the tokens of a prompt; its parts go before the number
+// that the caller states.
+func promptTokens(prompt models.Prompt) int {
+	total := 0
+	for _, part := range prompt.Parts {
+		total += part.Tokens
+	}
+	return max(total, prompt.Tokens)
+}
+
+// fetchRate returns how many tokens of KV cache an engine fetches in a second.
+func fetchRate(limits *models.EngineLimits) float64 {
+	if limits.TokenBytes <= 0 {
+		return 0
+	}
+	return limits.LinkMbps * bitsPerMegabit / bitsPerByte / float64(limits.TokenBytes)
+}
+
+// promptOrder returns the place of each candidate in the order of engines that
+// the shared part of a prompt prefers: the same in all daemons, and changed
+// little by an engine that comes or goes (rendezvous hashing).
+func promptOrder(prompt models.Prompt, candidates []*state) []int {
+	key := sharedKey(prompt)
+	ranked := make([]int, len(candidates))
+	weights := make([]uint64, len(candidates))
+	for i, s := range candidates {
+		ranked[i] = i
+		weights[i] = xxhash.Sum64String(key + "\x00" + string(s.upstream.ID))
+	}
+	slices.SortFunc(ranked, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	orders := make([]int, len(candidates))
+	places := map[models.Role]int{}
+	for _, i := range ranked {
+		role := candidates[i].upstream.Role
+		orders[i] = places[role]
+		places[role]++
+	}
+	return orders
+}
+
+// sharedKey names the part of a prompt that others share: all but its last
+// part, which is its own.
+func sharedKey(prompt models.Prompt) string {
+	if len(prompt.Parts) > 1 {
+		return prompt.Parts[len(prompt.Parts)-2].ID
+	}
+	return prompt.Parts[0].ID
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -61,7 +61,7 @@
 	app.Command("table", "The table's rows.")
 	app.Command("fleet", "The engines.")
 	return []func(*kingpin.Application) (string, command){
-		registerServe, registerDemo, registerCheckSettings, registerSettings, registerCompare,
+		registerServe, registerEntry, registerDemo, registerCheckSettings, registerSettings, registerCompare,
 		registerWorkspaceList, registerWorkspaceCreate,
 		registerKeyList, registerKeyGive, registerKeyWithdraw,
 		registerTableColumns, registerTableList, registerTablePut, registerTableDelete,
--- /dev/null
+++ b/commands/entry.go
@@ -0,0 +1,49 @@
+package commands
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"quincewinch/config"
+	"quincewinch/entry"
+	"quincewinch/lib/logfmt"
+	"quincewinch/peer/system"
+)
+
+// logLines is how many lines of the log may wait to be written: some seconds
+// of the busiest VM.
+const logLines = 4096
+
+// entryCommand runs one daemon on the users' platform until it is told to
+// stop.
+type entryCommand struct {
+	settings string
+}
+
+func registerEntry(app *kingpin.Application) (string, command) {
+	c := &entryCommand{}
+	clause := app.Command("entry", "Run a daemon that passes requests on unchanged on the users' platform.")
+	clause.Flag("settings", "Settings file.").Envar("QUINCEWINCH_CONFIG").Required().StringVar(&c.settings)
+	return clause.FullCommand(), c
+}
+
+func (c *entryCommand) run(env environment) error {
+	settings, err := config.LoadEntry(c.settings)
+	if err != nil {
+		return err
+	}
+	lines := logfmt.NewWriter(env.stdout, logLines)
+	defer lines.Close()
+	logger, err := logfmt.New(settings.Log.Level, lines)
+	if err != nil {
+		return err
+	}
+	d := entry.New(settings, logger, system.NewClock())
+	if err := d.Start(); err != nil {
+		return err
+	}
+	<-env.ctx.Done()
+	d.Stop(context.WithoutCancel(env.ctx))
+	return nil
+}
--- a/config/fields.go
+++ b/config/fields.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"net/url"
-	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,20 +12,10 @@
 	"quincewinch/models"
 )
 
-// Field describes one field of the settings file.
-type Field struct {
-	Path     string // sections and name, with dots
-	Default  string // in JSON
-	Required bool
-	Unit     string
-	Meaning  string
-	set      func(s *Settings, raw json.RawMessage) error
-}
-
 // Fields lists each field of the settings file in order.
-var Fields = []Field{
+var Fields = []Field[Settings]{
 	{"name", ``, true, "", "name of this daemon, in logs and on the time line", text(func(s *Settings) *string { return &s.Name })},
-	{"zone", ``, true, "", "availability zone of this VM", zone},
+	{"zone", ``, true, "", "availability zone of this VM", zone(func(s *Settings) *models.Zone { return &s.Zone })},
 	{"callers.address", ``, true, "IP:port", "where callers are served", address(func(s *Settings) *netip.AddrPort { return &s.Callers.Address })},
 	{"callers.plain", `false`, false, "", "serve callers without TLS", flag(func(s *Settings) *bool { return &s.Callers.Plain })},
 	{"callers.max-body-bytes", `4194304`, false, "bytes", "greatest body of a request", count(func(s *Settings) *int { return &s.Callers.MaxBodyBytes })},
@@ -53,22 +41,14 @@
 	{"tls.certificate-file", `""`, false, "path", "this daemon's certificate, PEM", text(func(s *Settings) *string { return &s.TLS.CertificateFile })},
 	{"tls.key-file", `""`, false, "path", "the certificate's key, PEM", text(func(s *Settings) *string { return &s.TLS.KeyFile })},
 	{"tls.authority-file", `""`, false, "path", "authority of daemons, engines and platform, PEM", text(func(s *Settings) *string { return &s.TLS.AuthorityFile })},
-	{"log.level", `"info"`, false, "", "debug, info, warn or error", level},
-}
-
-// Faults are all faults of a settings file.
-type Faults []string
-
-// Error lists the faults, one a line.
-func (f Faults) Error() string {
-	return strings.Join(f, "\n")
+	{"log.level", `"info"`, false, "", "debug, info, warn or error", level(func(s *Settings) *string { return &s.Log.Level })},
 }
 
 // Load reads and checks a settings file.
 func Load(path string) (*Settings, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := read(path)
 	if err != nil {
-		return nil, errors.Annotate(err, "cannot read the settings")
+		return nil, err
 	}
 	return Parse(raw)
 }
@@ -76,28 +56,9 @@
 // Parse checks settings in JSON. Its error is of type Faults and names every
 // fault with its path in the file.
 func Parse(raw []byte) (*Settings, error) {
-	var tree map[string]json.RawMessage
-	if err := json.Unmarshal(raw, &tree); err != nil {
-		return nil, Faults{"the settings are no JSON object: " + err.Error()}
-	}
-	values, faults := flatten(tree)
-	s := &Settings{}
-	for _, field := range Fields {
-		value, given := values[field.Path]
-		delete(values, field.Path)
-		switch {
-		case !given && field.Required:
-			faults = append(faults, field.Path+": missing field")
-			continue
-		case !given:
-			value = json.RawMessage(field.Default)
-		}
-		if err := field.set(s, value); err != nil {
-			faults = append(faults, field.Path+": "+err.Error())
-		}
-	}
-	for path := range values {
-		faults = append(faults, path+": unknown field")
+	s, faults := parse(Fields, raw)
+	if s == nil {
+		return nil, faults
 	}
 	faults = append(faults, s.check()...)
 	if len(faults) > 0 {
@@ -132,127 +93,6 @@
 	return faults
 }
 
-// flatten returns the values of a settings file by path.
-func flatten(tree map[string]json.RawMessage) (map[string]json.RawMessage, Faults) {
-	values := map[string]json.RawMessage{}
-	var faults Faults
-	for name, raw := range tree {
-		if !isSection(name) {
-			values[name] = raw
-			continue
-		}
-		var section map[string]json.RawMessage
-		if err := json.Unmarshal(raw, &section); err != nil {
-			faults = append(faults, name+": must be a section, a JSON object")
-			continue
-		}
-		for field, value := range section {
-			values[name+"."+field] = value
-		}
-	}
-	return values, faults
-}
-
-func isSection(name string) bool {
-	return slices.ContainsFunc(Fields, func(f Field) bool {
-		return strings.HasPrefix(f.Path, name+".")
-	})
-}
-
-func text(field func(*Settings) *string) func(*Settings, json.RawMessage) error {
-	return func(s *Settings, raw json.RawMessage) error {
-		if err := json.Unmarshal(raw, field(s)); err != nil {
-			return errors.New("must be a text")
-		}
-		return nil
-	}
-}
-
-func flag(field func(*Settings) *bool) func(*Settings, json.RawMessage) error {
-	return func(s *Settings, raw json.RawMessage) error {
-		if err := json.Unmarshal(raw, field(s)); err != nil {
-			return errors.New("must be true or false")
-		}
-		return nil
-	}
-}
-
-func count(field func(*Settings) *int) func(*Settings, json.RawMessage) error {
-	return func(s *Settings, raw json.RawMessage) error {
-		if err := json.Unmarshal(raw, field(s)); err != nil || *field(s) <= 0 {
-			return errors.New("must be a whole number over 0")
-		}
-		return nil
-	}
-}
-
-func address(field func(*Settings) *netip.AddrPort) func(*Settings, json.RawMessage) error {
-	return func(s *Settings, raw json.RawMessage) error {
-		if err := json.Unmarshal(raw, field(s)); err != nil {
-			return errors.New("bad address: must be IP:port")
-		}
-		return nil
-	}
-}
-
-func duration(field func(*Settings) *time.Duration) func(*Settings, json.RawMessage) error {
-	return func(s *Settings, raw json.RawMessage) error {
-		var value string
-		if err := json.Unmarshal(raw, &value); err != nil {
-			return errors.New("bad duration: must be a text such as \"5s\"")
-		}
-		d, err := time.ParseDuration(value)
-		if err != nil || d <= 0 {
-			return errors.New("bad duration: must be over 0, such as \"5s\"")
-		}
-		*field(s) = d
-		return nil
-	}
-}
-
-// secret takes a text, or the name of the file or environment variable that
-// holds it.
-func secret(field func(*Settings) *string) func(*Settings, json.RawMessage) error {
-	return func(s *Settings, raw json.RawMessage) error {
-		var value string
-		if err := json.Unmarshal(raw, &value); err == nil {
-			return keep(field(s), value)
-		}
-		var source struct {
-			File        string `json:"file"`
-			Environment string `json:"environment"`
-		}
-		if err := json.Unmarshal(raw, &source); err != nil {
-			return errors.New("must be a text, {\"file\": PATH} or {\"environment\": NAME}")
-		}
-		if source.Environment != "" {
-			return keep(field(s), os.Getenv(source.Environment))
-		}
-		content, err := os.ReadFile(source.File)
-		if err != nil {
-			return errors.New("cannot read the secret's file")
-		}
-		return keep(field(s), strings.TrimSpace(string(content)))
-	}
-}
-
-func keep(field *string, value string) error {
-	if value == "" {
-		return errors.New("must not be empty")
-	}
-	*field = value
-	return nil
-}
-
-func zone(s *Settings, raw json.RawMessage) error {
-	var value string
-	if err := json.Unmarshal(raw, &value); err != nil || value == "" {
-		return errors.New("must be a text")
-	}
-	s.Zone = models.Zone(value)
-	return nil
-}
-
 func platformURL(s *Settings, raw json.RawMessage) error {
 	var value string
 	if err := json.Unmarshal(raw, &value); err != nil {
@@ -265,13 +105,3 @@
 	s.Platform.URL = u
 	return nil
 }
-
-func level(s *Settings, raw json.RawMessage) error {
-	if err := json.Unmarshal(raw, &s.Log.Level); err != nil {
-		return errors.New("must be a text")
-	}
-	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level) {
-		return errors.New("must be debug, info, warn or error")
-	}
-	return nil
-}
--- /dev/null
+++ b/entry/transport.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// watchPause is the time between two calls that follow changes; they wait
+	// in the store.
+	watchPause = time.Millisecond
+	// leaveShare is the part of the grace time in which callers may still start
+	// requests, and after that the part in which running ones end.
+	leaveShare = 2
+	// upstreamDial bounds a new connection to a backend server: they are about
+	// a millisecond away, and one lost packet takes a second.
+	upstreamDial = 400 * time.Millisecond
+	// storeDial bounds a new connection to the store.
+	storeDial = 500 * time.Millisecond
+	// unackedTimeout is how long sent bytes may go unacknowledged until a
+	// connection counts as silent.
+	unackedTimeout = 1500 * time.Millisecond
+	// keepAliveInterval and keepAliveProbes find connections that went silent
+	// while nothing was sent.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 3
+	// upstreamIdle is how long a connection to a backend server is kept
+	// unused.
+	upstreamIdle = 1500 * time.Millisecond
+	// idleConnections bounds the unused connections to one backend server.
+	idleConnections = 32
+	// storeIdle is how long a connection to the store is kept unused.
+	storeIdle = 5 * time.Second
+)
+
+// dialer returns a dialer whose connections fail soon after the other end went
+// silent.
+func dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveInterval,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
+		},
+		Control: func(_, _ string, connection syscall.RawConn) error {
+			var failed error
+			err := connection.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+}
+
+// upstreamTransport connects to backend servers.
+func upstreamTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:           dialer(upstreamDial).DialContext,
+		DisableCompression:    true,
+		MaxIdleConnsPerHost:   idleConnections,
+		IdleConnTimeout:       upstreamIdle,
+		ExpectContinueTimeout: time.Second,
+	}
+}
+
+// storeClient calls the store.
+func storeClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer(storeDial).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     storeIdle,
+	}}
+}
+
+// dutyClient makes the calls of the lease holder. Its connections are reset
+// when they are closed: what a cut network holds back is then lost, and cannot
+// arrive after a successor's calls.
+func dutyClient() *http.Client {
+	d := dialer(storeDial)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			if tcp, ok := connection.(*net.TCPConn); ok {
+				err = tcp.SetLinger(0)
+			}
+			return connection, err
+		},
+		DisableCompression: true,
+		IdleConnTimeout:    storeIdle,
+	}}
+}
--- /dev/null
+++ b/relay/record.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"quincewinch/peer"
+)
+
+const (
+	namespace  = "quincewinch"
+	subsystem  = "relay"
+	codeServed = "served"
+)
+
+// Buckets in seconds, around the objectives of 150 ms to 800 ms.
+var latencyBuckets = []float64{0.01, 0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.2, 2.5, 5}
+
+// Recorder writes one line in the log for each request, and measures it.
+type Recorder struct {
+	clock   peer.Clock
+	logger  *zap.Logger
+	ended   *prometheus.CounterVec
+	first   *prometheus.HistogramVec
+	sends   *prometheus.CounterVec
+	running prometheus.Gauge
+}
+
+// NewRecorder returns a recorder whose measures are registered.
+func NewRecorder(registry prometheus.Registerer, clock peer.Clock, logger *zap.Logger) *Recorder {
+	r := &Recorder{
+		clock:  clock,
+		logger: logger,
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "requests_total",
+			Help: "Requests that ended, by route and by the code of their refusal, or served.",
+		}, []string{"route", "code"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "first_answer_seconds",
+			Help:    "Time from a request's arrival to its answer, of a stream to the first event.",
+			Buckets: latencyBuckets,
+		}, []string{"route"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "sends_total",
+			Help: "Requests sent to backend servers, by service; more than requests where some were sent again.",
+		}, []string{"service"}),
+		running: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "requests_running",
+			Help: "Requests between arrival and end.",
+		}),
+	}
+	registry.MustRegister(r.ended, r.first, r.sends, r.running)
+	return r
+}
+
+// Filter returns the filter that records.
+func (r *Recorder) Filter() Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, e *Exchange) error {
+			r.running.Inc()
+			defer r.running.Dec()
+			err := next.Handle(ctx, e)
+			r.note(e, err)
+			return err
+		})
+	}
+}
+
+func (r *Recorder) note(e *Exchange, err error) {
+	code := codeServed
+	fields := r.fields(e)
+	if err != nil {
+		refusal := RefusalOf(err)
+		code = string(refusal.Code)
+		fields = append(fields,
+			zap.String("why", refusal.Message),
+			zap.Bool("not-run", refusal.NotRun),
+			zap.Duration("retry-after", refusal.RetryAfter),
+		)
+	}
+	r.ended.WithLabelValues(e.Route.Name, code).Inc()
+	if e.Trace.FirstAfter > 0 {
+		r.first.WithLabelValues(e.Route.Name).Observe(e.Trace.FirstAfter.Seconds())
+	}
+	if e.Trace.Sends > 0 {
+		r.sends.WithLabelValues(string(e.Service.Name)).Add(float64(e.Trace.Sends))
+	}
+	r.logger.Info("request ended", append(fields, zap.String("outcome", code))...)
+}
+
+// fields are the inputs that decided on a request, and what became of it.
+func (r *Recorder) fields(e *Exchange) []zap.Field {
+	version := uint64(0)
+	if e.Routing != nil {
+		version = e.Routing.Version
+	}
+	return []zap.Field{
+		zap.String("request", string(e.ID)),
+		zap.String("route", e.Route.Name),
+		zap.String("workspace", string(e.Workspace)),
+		zap.Uint64("config", version),
+		zap.Int("rank", e.Rank),
+		zap.Int("tokens", e.Prompt.Tokens),
+		zap.String("engine", string(e.Trace.Engine)),
+		zap.String("prefiller", string(e.Trace.Prefiller)),
+		zap.Int("sends", e.Trace.Sends),
+		zap.Int("rejections", e.Trace.Rejections),
+		zap.Int("status", e.Trace.Status),
+		zap.Int("events", e.Trace.Events),
+		zap.Int("reading", e.Trace.Reading),
+		milliseconds("predicted-ms", e.Trace.Predicted),
+		milliseconds("first-ms", e.Trace.FirstAfter),
+		milliseconds("took-ms", r.clock.Now().Sub(e.Received)),
+		milliseconds("patience-ms", e.Patience),
+		zap.String("last-failure", e.Trace.Last),
+	}
+}
+
+func milliseconds(key string, d time.Duration) zap.Field {
+	return zap.Int64(key, d.Milliseconds())
+}
--- /dev/null
+++ b/relay/sender.go
@@ -0,0 +1,245 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+)
+
+const (
+	// mostRejections is how many backend servers may turn a request away until
+	// it is refused: each is an arrival that the retry budget pays for.
+	mostRejections = 2
+	// mostUnreachable is how many backend servers may be found unreachable for
+	// one request; each costs up to the dial timeout.
+	mostUnreachable = 3
+	// leastTimeLeft is the least time for which a request is sent: below it no
+	// backend server can answer.
+	leastTimeLeft = 5 * time.Millisecond
+	// rejectedRetryAfter is when a caller should come back whose request was
+	// turned away by full backend servers: they finish some within that time.
+	rejectedRetryAfter = 250 * time.Millisecond
+)
+
+// Placer chooses backend servers. It is safe for concurrent use.
+type Placer interface {
+	// Place chooses a backend server that is not in tried, and holds room for
+	// the request there until the placement ends. Its error is a
+	// *models.Refusal.
+	Place(e *Exchange, tried map[models.EngineID]bool) (Placement, error)
+	// MayRepeat takes one repeated request for a service from the budget.
+	MayRepeat(service models.ServiceName) bool
+}
+
+// Placement is a place that a request was given.
+type Placement interface {
+	// Target runs the request.
+	Target() models.Upstream
+	// Prefiller fills KV cache with the prompt first; false: the target does.
+	Prefiller() (models.Upstream, bool)
+	// Predicted is the expected time to the answer or its first event.
+	Predicted() time.Duration
+	// Reading is how many prompt tokens are expected to be read.
+	Reading() int
+	// Urgency orders the request among others at the engine, 0 first.
+	Urgency() int
+	// Prefilled tells that the prefiller is done.
+	Prefilled()
+	// Answered tells that the answer, or its first event, is here.
+	Answered(load *models.UpstreamLoad)
+	// End gives the room back.
+	End(result Result)
+}
+
+// Result is how a request fared at its target.
+type Result string
+
+// Results at a target.
+const (
+	ResultServed      Result = "served"
+	ResultRejected    Result = "rejected"    // it states that the request did not run
+	ResultMoved       Result = "moved"       // its address is another's by now
+	ResultUnreachable Result = "unreachable" // nothing was sent
+	ResultFailed      Result = "failed"      // it failed, or its answer was lost
+	ResultCancelled   Result = "cancelled"   // the caller left or the time was over
+)
+
+// Sender is the last filter: it sends a request to backend servers until one
+// has answered.
+type Sender struct {
+	upstreams peer.Upstreams
+	placer    Placer
+	clock     peer.Clock
+}
+
+// NewSender returns a sender over a placer.
+func NewSender(upstreams peer.Upstreams, placer Placer, clock peer.Clock) *Sender {
+	return &Sender{upstreams: upstreams, placer: placer, clock: clock}
+}
+
+// Handle implements Handler.
+func (s *Sender) Handle(ctx context.Context, e *Exchange) error {
+	d := &delivery{sender: s, exchange: e, tried: map[models.EngineID]bool{}}
+	d.events.lastID = e.Call.ResumeAfter
+	ctx, cancel := context.WithTimeout(ctx, e.Deadline.Sub(s.clock.Now()))
+	defer cancel()
+	return d.run(ctx)
+}
+
+// delivery is one request on its way to an answer.
+type delivery struct {
+	sender      *Sender
+	exchange    *Exchange
+	tried       map[models.EngineID]bool
+	ran         int // backend servers that may have run it
+	rejections  int
+	unreachable int
+	begun       bool // the caller has status and header
+	events      eventSplitter
+	// kept is a backend server's own failure, passed on where nothing better
+	// comes.
+	kept *wholeAnswer
+}
+
+func (d *delivery) run(ctx context.Context) error {
+	for {
+		placement, err := d.sender.placer.Place(d.exchange, d.tried)
+		if err != nil {
+			return d.conclude(ctx, err)
+		}
+		result, err := d.attempt(ctx, placement)
+		placement.End(result)
+		if err == nil {
+			return nil
+		}
+		d.exchange.Trace.Last = err.Error()
+		if ctx.Err() != nil || !d.mayGoOn(result) {
+			return d.conclude(ctx, err)
+		}
+	}
+}
+
+// attempt sends the request to one backend server, and passes its answer on.
+func (d *delivery) attempt(ctx context.Context, placement Placement) (Result, error) {
+	e := d.exchange
+	target := placement.Target()
+	d.tried[target.ID] = true
+	e.Trace.Engine = target.ID
+	e.Trace.Predicted = placement.Predicted()
+	e.Trace.Reading = placement.Reading()
+	e.Trace.Prefiller = ""
+	call := e.Call
+	call.Urgency = placement.Urgency()
+	call.ResumeAfter = d.events.lastID
+	if source, ok := d.prefill(ctx, placement, call); ok {
+		call.KVSource = &source
+	}
+	call.TimeLeft = e.Deadline.Sub(d.sender.clock.Now())
+	if call.TimeLeft < leastTimeLeft {
+		return ResultCancelled, errors.New("no time is left")
+	}
+	e.Trace.Sends++
+	answer, err := d.sender.upstreams.Send(ctx, target, call)
+	if err != nil {
+		return d.unanswered(ctx, err)
+	}
+	defer answer.Body.Close()
+	if answer.NotRun {
+		placement.Answered(answer.Load)
+		return d.rejected(answer)
+	}
+	d.ran++
+	if e.Route.Stream && answer.Status < firstFailure {
+		return d.stream(ctx, placement, answer)
+	}
+	return d.whole(ctx, placement, answer)
+}
+
+// prefill has the prompt's KV cache filled elsewhere, where the placement says
+// so. Where that fails, the target fills it itself.
+func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) (models.KVSource, bool) {
+	prefiller, ok := placement.Prefiller()
+	if !ok {
+		return models.KVSource{}, false
+	}
+	call.TimeLeft = d.exchange.Deadline.Sub(d.sender.clock.Now())
+	if call.TimeLeft < leastTimeLeft {
+		return models.KVSource{}, false
+	}
+	d.exchange.Trace.Prefiller = prefiller.ID
+	source, answer, err := d.sender.upstreams.Prefill(ctx, prefiller, call)
+	placement.Prefilled()
+	switch {
+	case err != nil:
+		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": " + err.Error()
+		return models.KVSource{}, false
+	case source.Handle == "":
+		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": status " + statusText(answer.Status)
+		return models.KVSource{}, false
+	}
+	return source, true
+}
+
+func (d *delivery) unanswered(ctx context.Context, err error) (Result, error) {
+	if peer.OutcomeOf(err) == peer.OutcomeNotDone {
+		if ctx.Err() == nil {
+			d.unreachable++
+		}
+		return ResultUnreachable, err
+	}
+	d.ran++
+	if ctx.Err() != nil {
+		return ResultCancelled, err
+	}
+	return ResultFailed, err
+}
+
+func (d *delivery) rejected(answer peer.UpstreamAnswer) (Result, error) {
+	d.rejections++
+	d.exchange.Trace.Rejections++
+	if answer.Moved {
+		return ResultMoved, errors.New("another backend server has the address")
+	}
+	return ResultRejected, errors.Errorf("the backend server turned the request away with status %d", answer.Status)
+}
+
+// mayGoOn reports whether the request may be sent once more.
+func (d *delivery) mayGoOn(result Result) bool {
+	e := d.exchange
+	switch result {
+	case ResultUnreachable:
+		return d.unreachable < mostUnreachable
+	case ResultRejected, ResultMoved:
+		return d.rejections < mostRejections && d.sender.placer.MayRepeat(e.Service.Name)
+	case ResultFailed:
+		return e.Route.Repeatable && d.ran < e.Route.Attempts && d.sender.placer.MayRepeat(e.Service.Name)
+	}
+	return false
+}
+
+// conclude gives the request its final answer after a failure.
+func (d *delivery) conclude(ctx context.Context, err error) error {
+	if d.kept != nil && !d.begun && ctx.Err() == nil {
+		return d.deliver(ctx, *d.kept)
+	}
+	notRun := d.ran == 0
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return &models.Refusal{Code: models.RefusalCancelled, Message: "the caller has gone", NotRun: notRun}
+	}
+	if ctx.Err() != nil {
+		return &models.Refusal{Code: models.RefusalDeadline, Message: "no answer within the request's time: " + err.Error(), NotRun: notRun}
+	}
+	refusal := RefusalOf(err)
+	if refusal.Code == models.RefusalInternal {
+		refusal = &models.Refusal{Code: models.RefusalBackendFailed, Message: err.Error()}
+	}
+	refusal.NotRun = notRun
+	if notRun && refusal.RetryAfter == 0 {
+		refusal.RetryAfter = rejectedRetryAfter
+	}
+	return refusal
+}
--- a/request/exchange.go
+++ b/request/exchange.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"quincewinch/lib/pipeline"
 	"quincewinch/models"
 )
 
@@ -46,26 +47,15 @@
 }
 
 // Handler handles a request. Its error is a *models.Refusal.
-type Handler interface {
-	Handle(ctx context.Context, exchange *Exchange) error
-}
+type Handler = pipeline.Handler[Exchange]
 
 // HandlerFunc is a function that handles a request.
-type HandlerFunc func(ctx context.Context, exchange *Exchange) error
-
-// Handle implements Handler.
-func (f HandlerFunc) Handle(ctx context.Context, exchange *Exchange) error {
-	return f(ctx, exchange)
-}
+type HandlerFunc = pipeline.HandlerFunc[Exchange]
 
 // Filter is one step: it handles a request itself or hands it on to next.
-type Filter func(next Handler) Handler
+type Filter = pipeline.Filter[Exchange]
 
 // Chain returns a handler that takes requests through filters in order.
 func Chain(last Handler, filters ...Filter) Handler {
-	handler := last
-	for i := len(filters) - 1; i >= 0; i-- {
-		handler = filters[i](handler)
-	}
-	return handler
+	return pipeline.Chain(last, filters...)
 }
--- /dev/null
+++ b/routing/fleet.go
@@ -0,0 +1,183 @@
+package routing
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+)
+
+const (
+	// returnTime is how long registrations that lapsed while the store was away
+	// may take to be back after its return.
+	returnTime = 2 * time.Second
+	// doubtTime is how long after the store failed a missing registration is
+	// put down to that.
+	doubtTime = 3 * time.Second
+)
+
+// Fleet follows the registrations of the backend servers.
+type Fleet struct {
+	source  peer.UpstreamSource
+	clock   peer.Clock
+	logger  *zap.Logger
+	wait    time.Duration
+	current atomic.Pointer[Snapshot]
+	link    link
+
+	// Used by Step alone.
+	through  models.Revision
+	known    map[models.EngineID]registration
+	failedAt time.Time // when the store last failed; zero: never
+}
+
+// registration is a backend server, and when it is to be dropped where its
+// registration is missing.
+type registration struct {
+	upstream models.Upstream
+	lapsesAt time.Time // zero: it is registered
+}
+
+// Snapshot is the fleet at one moment, read-only.
+type Snapshot struct {
+	ByID      map[models.EngineID]models.Upstream
+	ByService map[models.ServiceName][]models.Upstream // those that take new work, by identity
+}
+
+// NewFleet returns a follower that has read nothing yet.
+func NewFleet(source peer.UpstreamSource, clock peer.Clock, logger *zap.Logger, wait time.Duration) *Fleet {
+	return &Fleet{
+		source: source,
+		clock:  clock,
+		logger: logger,
+		wait:   wait,
+		link:   link{name: "registrations", logger: logger, clock: clock},
+		known:  map[models.EngineID]registration{},
+	}
+}
+
+// Snapshot returns the fleet, nil before it was first read.
+func (f *Fleet) Snapshot() *Snapshot {
+	return f.current.Load()
+}
+
+// Step waits for one piece of news.
+func (f *Fleet) Step(ctx context.Context) {
+	changes, err := f.source.Follow(ctx, f.through, f.waitTime())
+	now := f.clock.Now()
+	if err != nil {
+		f.failedAt = now
+		f.link.failed(err)
+		_ = f.clock.Sleep(ctx, retryPause)
+		return
+	}
+	f.link.reached()
+	if changes.All && changes.Through < f.through {
+		return // a lagging copy
+	}
+	f.take(changes, now)
+	f.through = max(f.through, changes.Through)
+	changed := f.drop(now)
+	if changed || len(changes.Present) > 0 || len(changes.Removed) > 0 || f.Snapshot() == nil {
+		f.publish()
+	}
+}
+
+// waitTime is shorter while a registration is about to be dropped.
+func (f *Fleet) waitTime() time.Duration {
+	now := f.clock.Now()
+	wait := f.wait
+	for _, r := range f.known {
+		if !r.lapsesAt.IsZero() {
+			wait = min(wait, max(r.lapsesAt.Sub(now), time.Millisecond))
+		}
+	}
+	return wait
+}
+
+func (f *Fleet) take(changes models.UpstreamChanges, now time.Time) {
+	present := map[models.EngineID]bool{}
+	for _, upstream := range changes.Present {
+		present[upstream.ID] = true
+		f.register(upstream)
+	}
+	for _, id := range changes.Removed {
+		f.miss(id, now)
+	}
+	if !changes.All {
+		return
+	}
+	for id := range f.known {
+		if !present[id] {
+			f.miss(id, now)
+		}
+	}
+}
+
+func (f *Fleet) register(upstream models.Upstream) {
+	before, ok := f.known[upstream.ID]
+	f.known[upstream.ID] = registration{upstream: upstream}
+	if ok && before.upstream == upstream && before.lapsesAt.IsZero() {
+		return
+	}
+	f.logger.Info("backend server registered",
+		zap.String("engine", string(upstream.ID)),
+		zap.String("service", string(upstream.Service)),
+		zap.String("address", upstream.Address.String()),
+		zap.String("zone", string(upstream.Zone)),
+		zap.String("role", string(upstream.Role)),
+		zap.Bool("draining", upstream.Draining),
+		zap.Bool("cheap", upstream.Cheap),
+	)
+}
+
+// miss notes that a registration is gone. What lapsed while the store was away
+// has time to come back.
+func (f *Fleet) miss(id models.EngineID, now time.Time) {
+	r, ok := f.known[id]
+	if !ok || !r.lapsesAt.IsZero() {
+		return
+	}
+	r.lapsesAt = now
+	if !f.failedAt.IsZero() && now.Sub(f.failedAt) < doubtTime && !r.upstream.Draining {
+		r.lapsesAt = now.Add(returnTime)
+	}
+	f.known[id] = r
+}
+
+// drop removes the registrations whose time is over.
+func (f *Fleet) drop(now time.Time) bool {
+	dropped := false
+	for id, r := range f.known {
+		if r.lapsesAt.IsZero() || now.Before(r.lapsesAt) {
+			continue
+		}
+		delete(f.known, id)
+		dropped = true
+		f.logger.Info("backend server gone", zap.String("engine", string(id)), zap.String("why", "its registration is missing"))
+	}
+	return dropped
+}
+
+func (f *Fleet) publish() {
+	snapshot := &Snapshot{
+		ByID:      map[models.EngineID]models.Upstream{},
+		ByService: map[models.ServiceName][]models.Upstream{},
+	}
+	for id, r := range f.known {
+		snapshot.ByID[id] = r.upstream
+		if !r.upstream.Draining {
+			snapshot.ByService[r.upstream.Service] = append(snapshot.ByService[r.upstream.Service], r.upstream)
+		}
+	}
+	for _, upstreams := range snapshot.ByService {
+		slices.SortFunc(upstreams, func(a, b models.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
+	f.current.Store(snapshot)
+}
--- /dev/null
+++ b/routing/watch.go
@@ -0,0 +1,107 @@
+// Package routing keeps what requests are passed on by: the operators'
+// configuration and the backend servers that there are, both followed in the
+// platform's store.
+package routing
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+)
+
+// retryPause is the time between two tries while the store cannot be reached:
+// a watch must be back well within the time in which a change has to be in
+// force.
+const retryPause = 200 * time.Millisecond
+
+// Configuration follows the operators' configuration. It never goes back to an
+// older version.
+type Configuration struct {
+	source  peer.RoutingSource
+	clock   peer.Clock
+	logger  *zap.Logger
+	wait    time.Duration
+	current atomic.Pointer[models.Routing]
+	link    link
+	through models.Revision // used by Step alone
+}
+
+// NewConfiguration returns a follower that has read nothing yet. Each call of
+// the source waits up to wait for news.
+func NewConfiguration(source peer.RoutingSource, clock peer.Clock, logger *zap.Logger, wait time.Duration) *Configuration {
+	return &Configuration{
+		source: source,
+		clock:  clock,
+		logger: logger,
+		wait:   wait,
+		link:   link{name: "configuration", logger: logger, clock: clock},
+	}
+}
+
+// Routing returns the configuration in force, nil before the first one.
+func (c *Configuration) Routing() *models.Routing {
+	return c.current.Load()
+}
+
+// Step waits for one piece of news.
+func (c *Configuration) Step(ctx context.Context) {
+	routing, through, err := c.source.Follow(ctx, c.through, c.wait)
+	if err != nil {
+		c.link.failed(err)
+		// Ends early only when the process stops.
+		_ = c.clock.Sleep(ctx, retryPause)
+		return
+	}
+	c.link.reached()
+	c.through = max(c.through, through)
+	c.take(routing)
+	if routing == nil && c.Routing() == nil {
+		_ = c.clock.Sleep(ctx, retryPause)
+	}
+}
+
+func (c *Configuration) take(routing *models.Routing) {
+	if routing == nil {
+		return
+	}
+	current := c.Routing()
+	if current != nil && routing.Version <= current.Version {
+		return
+	}
+	c.current.Store(routing)
+	c.logger.Info("configuration in force",
+		zap.Uint64("version", routing.Version),
+		zap.Int("routes", len(routing.Routes)),
+		zap.Int("services", len(routing.Services)),
+		zap.Int("keys", len(routing.Keys)),
+	)
+}
+
+// link logs when a dependency is lost and when it is back.
+type link struct {
+	name   string
+	logger *zap.Logger
+	clock  peer.Clock
+	lostAt time.Time
+}
+
+func (l *link) failed(err error) {
+	if !l.lostAt.IsZero() {
+		return
+	}
+	l.lostAt = l.clock.Now()
+	l.logger.Warn("store lost", zap.String("for", l.name), zap.Error(err))
+}
+
+func (l *link) reached() {
+	if l.lostAt.IsZero() {
+		return
+	}
+	l.logger.Info("store regained", zap.String("for", l.name), zap.Duration("lost-for", l.clock.Now().Sub(l.lostAt)))
+	l.lostAt = time.Time{}
+}
