balance: the daemons tell each other what they have under way

Cause: each of seven daemons placed prompts by its own load alone: those that read for others queued for seconds, and shared parts were read again everywhere.

Ruled out: a slow first token of the engines themselves; small prompts came within 10 ms of the prediction.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -56,6 +57,12 @@
 	budgets map[models.ServiceName]*retry.Budget
 	rates   map[rateKey]*serving.Rate
 	daemons int // that share the retry budget, this one included
+
+	capacity map[models.ServiceName]int // tokens of KV cache of one engine
+	shares   map[models.DaemonID]received
+	others   map[models.EngineID]models.ServerLoad // sum of all shares
+	unshared []models.SentPrompt
+	changed  bool // since the last share
 }
 
 // rateKey names engines that read prompts equally fast, but for their own
@@ -77,6 +84,9 @@
 		budgets:  map[models.ServiceName]*retry.Budget{},
 		rates:    map[rateKey]*serving.Rate{},
 		daemons:  1,
+		capacity: map[models.ServiceName]int{},
+		shares:   map[models.DaemonID]received{},
+		others:   map[models.EngineID]models.ServerLoad{},
 	}
 }
 
@@ -120,6 +130,7 @@
 	if len(tried) == 0 {
 		b.budget(e.Service.Name).Request(now)
 	}
+	b.sumShares(now)
 	candidates := b.candidates(snapshot, e.Service.Name, tried, now)
 	if len(candidates) == 0 {
 		return nil, &models.Refusal{
@@ -172,7 +183,14 @@
 }
 
 // Step forgets backend servers that are gone.
-func (b *Balancer) forget(snapshot *routing.Snapshot, now time.Time) {
+func (b *Balancer) Step(context.Context) {
+	now := b.clock.Now()
+	snapshot := b.fleet.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for id, s := range b.states {
 		if _, ok := snapshot.ByID[id]; ok {
 			s.seenAt = now
@@ -202,7 +220,7 @@
 	chosen := candidates[b.random.IntN(len(candidates))]
 	for range callChoices - 1 {
 		other := candidates[b.random.IntN(len(candidates))]
-		if other.callCost(b.settings.Zone, now) < chosen.callCost(b.settings.Zone, now) {
+		if b.callCost(other, now) < b.callCost(chosen, now) {
 			chosen = other
 		}
 	}
@@ -212,5 +230,15 @@
 // hold takes room at a backend server. The lock is held.
 func (b *Balancer) hold(s *state, now time.Time) *placement {
 	s.running++
+	b.changed = true
 	return &placement{balancer: b, target: s, placedAt: now}
 }
+
+// callCost is the load of a plain service's backend server. The lock is held.
+func (b *Balancer) callCost(s *state, now time.Time) float64 {
+	cost := float64(s.running+b.others[s.upstream.ID].Running) + failureCost*s.recentFailures(now)
+	if s.upstream.Zone != b.settings.Zone {
+		cost += zoneCost
+	}
+	return cost
+}
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -75,6 +75,7 @@
 		return
 	}
 	p.read = true
+	p.balancer.changed = true
 	p.reader.reading -= p.reading
 	p.balancer.rate(p.reader.upstream).Observe(p.ahead+p.reading, now.Sub(p.placedAt))
 }
@@ -96,6 +97,7 @@
 		return
 	}
 	p.ended = true
+	p.balancer.changed = true
 	p.target.running--
 	if !p.read && p.reader != nil {
 		p.read = true
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -49,17 +49,20 @@
 	p := b.hold(candidates[choice.Target], now)
 	p.predicted = choice.Predicted
 	p.urgency = min(max(e.Rank, 0), mostUrgency)
-	capacity := int(float64(e.Service.Engine.Capacity) * cacheShare)
+	b.capacity[e.Service.Name] = e.Service.Engine.Capacity
+	capacity := cacheTokens(e.Service.Engine.Capacity)
 	p.reader = p.target
 	if choice.Prefiller >= 0 {
 		p.prefiller = candidates[choice.Prefiller]
 		p.prefiller.running++
 		p.prefiller.cache.use(e.Prompt.Parts, capacity, now)
+		b.noteSent(p.prefiller.upstream.ID, e.Prompt.Parts)
 		p.reader = p.prefiller
 	}
 	p.target.cache.use(e.Prompt.Parts, capacity, now)
+	b.noteSent(p.target.upstream.ID, e.Prompt.Parts)
 	p.reading = choice.Reading
-	p.ahead = p.reader.reading
+	p.ahead = p.reader.reading + b.others[p.reader.upstream.ID].Reading
 	p.reader.reading += p.reading
 	return p
 }
@@ -67,12 +70,13 @@
 // engine returns an engine as the policy sees it. The lock is held.
 func (b *Balancer) engine(e *relay.Exchange, s *state, order int, now time.Time) serving.Engine {
 	rate := b.rate(s.upstream).TokensPerSecond()
+	others := b.others[s.upstream.ID]
 	return serving.Engine{
 		Zone:    s.upstream.Zone,
 		Role:    s.upstream.Role,
 		Slots:   s.upstream.Slots,
-		Running: s.running,
-		Backlog: time.Duration(float64(s.reading) / rate * float64(time.Second)),
+		Running: s.running + others.Running,
+		Backlog: time.Duration(float64(s.reading+others.Reading) / rate * float64(time.Second)),
 		Rate:    rate,
 		Cached:  s.cache.leading(e.Prompt.Parts),
 		Order:   order,
@@ -80,6 +84,11 @@
 	}
 }
 
+// cacheTokens is how many tokens of parts an engine of a capacity keeps.
+func cacheTokens(capacity int) int {
+	return int(float64(capacity) * cacheShare)
+}
+
 // promptTokens returns the tokens of a prompt; its parts go before the number
 // that the caller states.
 func promptTokens(prompt models.Prompt) int {
--- a/balance/state.go
+++ b/balance/state.go
@@ -69,12 +69,3 @@
 	s.heldUntil = now.Add(hold)
 	s.fail(now)
 }
-
-// callCost is the load of a plain service's backend server.
-func (s *state) callCost(zone models.Zone, now time.Time) float64 {
-	cost := float64(s.running) + failureCost*s.recentFailures(now)
-	if s.upstream.Zone != zone {
-		cost += zoneCost
-	}
-	return cost
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,7 @@
 	fleet         *routing.Fleet
 	balancer      *balance.Balancer
 	front         *http.Server
+	sharing       sharing
 	servers       []*http.Server
 	stopping      atomic.Bool
 }
@@ -65,9 +66,13 @@
 			Window:  d.settings.Retries.Window,
 		},
 	}, xxhash.Sum64String(d.settings.Name))
+	if err := d.startSharing(store); err != nil {
+		return err
+	}
 	if err := d.listen(d.line()); err != nil {
 		return err
 	}
+	d.system.Spawn(d.balancer, forgetStep)
 	d.system.Spawn(d.configuration, watchPause)
 	d.system.Spawn(d.fleet, watchPause)
 	d.logger.Info("daemon started", zap.String("vm", d.settings.Name), zap.String("zone", string(d.settings.Zone)))
@@ -149,5 +154,6 @@
 		}
 	}
 	d.system.Stop()
+	d.stopSharing(ctx)
 	d.logger.Info("daemon stopped")
 }
--- /dev/null
+++ b/entry/sharing.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quincewinch/balance"
+	"quincewinch/membership"
+	"quincewinch/models"
+	peerdaemon "quincewinch/peer/daemon"
+	"quincewinch/platform"
+	"quincewinch/table"
+)
+
+const (
+	// shareTimeout bounds one share: daemons are milliseconds apart, and a
+	// later share says more than a late one.
+	shareTimeout = 500 * time.Millisecond
+	// shareInterval is how often it is looked whether there is news to share.
+	shareInterval = 25 * time.Millisecond
+	// memberInterval is how often it is looked whether registrations are due.
+	memberInterval = 250 * time.Millisecond
+	// forgetStep is the time between two looks for backend servers that are
+	// gone.
+	forgetStep = 5 * time.Second
+)
+
+// sharing is this daemon's part in what the daemons tell each other.
+type sharing struct {
+	traffic peerdaemon.Traffic
+	members *membership.Members
+	client  *peerdaemon.Client
+	server  *peerdaemon.Server
+	sharer  *balance.Sharer
+}
+
+// startSharing listens for the other daemons and starts telling them.
+func (d *Daemon) startSharing(store *platform.Store) error {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.settings.Daemons))
+	if err != nil {
+		return errors.Annotate(err, "cannot listen for the other daemons")
+	}
+	s := &d.sharing
+	self := table.Member{ID: models.DaemonID(d.settings.Name), Zone: d.settings.Zone, Address: d.settings.Daemons}
+	s.members = membership.New(self, store, d.clock, d.logger)
+	credentials := insecure.NewCredentials()
+	s.client = peerdaemon.NewClient(credentials, shareTimeout, &s.traffic)
+	s.server = peerdaemon.NewShareServer(shareReceiver{d}, credentials, &s.traffic)
+	sender := models.LoadShare{From: self.ID, Zone: self.Zone, Address: self.Address}
+	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.clock, d.logger)
+	go func() {
+		if err := s.server.Serve(listener); err != nil {
+			d.logger.Error("listener for daemons ended", zap.Error(err))
+		}
+	}()
+	d.system.Spawn(s.members, memberInterval)
+	d.system.Spawn(s.sharer, shareInterval)
+	return nil
+}
+
+// stopSharing ends the exchange with the other daemons.
+func (d *Daemon) stopSharing(ctx context.Context) {
+	d.sharing.sharer.Leave(ctx)
+	d.sharing.members.Leave(ctx)
+	d.sharing.server.Stop()
+	d.sharing.client.Close()
+}
+
+// shareReceiver implements peerdaemon.ShareReceiver.
+type shareReceiver struct {
+	daemon *Daemon
+}
+
+// ReceiveShare takes in what another daemon tells.
+func (r shareReceiver) ReceiveShare(share models.LoadShare) {
+	members := r.daemon.sharing.members
+	members.Heard(share.From, share.Zone, share.Address)
+	if share.Leaving {
+		members.Gone(share.From)
+	}
+	r.daemon.balancer.ReceiveShare(share)
+}
--- /dev/null
+++ b/models/share.go
@@ -0,0 +1,27 @@
+package models
+
+import "net/netip"
+
+// LoadShare is what a daemon tells the others about its requests at backend
+// servers.
+type LoadShare struct {
+	From     DaemonID
+	Zone     Zone
+	Address  netip.AddrPort // where the sender listens for shares
+	Sequence uint64         // grows with each share of one process
+	Leaving  bool           // the sender is about to stop
+	Loads    map[EngineID]ServerLoad
+	Prompts  []SentPrompt // since the previous share
+}
+
+// ServerLoad is what a daemon has under way at one backend server.
+type ServerLoad struct {
+	Running int // requests that have not ended
+	Reading int // prompt tokens that have not been read
+}
+
+// SentPrompt is a prompt whose parts a backend server keeps from now on.
+type SentPrompt struct {
+	Server EngineID
+	Parts  []PromptPart
+}
--- a/peer/daemon/client.go
+++ b/peer/daemon/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 
 	"quincewinch/models"
@@ -19,6 +20,20 @@
 // MaxMessageBytes bounds one message between daemons.
 const MaxMessageBytes = 32 << 20
 
+const (
+	// firstReconnect and longestReconnect bound the wait before a lost
+	// connection is tried again: a partition is over within seconds, and load
+	// that is not shared is placed badly.
+	firstReconnect   = 100 * time.Millisecond
+	longestReconnect = 2 * time.Second
+	// reconnectFactor is how much longer each wait is than the one before.
+	reconnectFactor = 1.6
+	// reconnectJitter spreads the waits of many daemons.
+	reconnectJitter = 0.2
+	// connectTimeout bounds one try to connect.
+	connectTimeout = time.Second
+)
+
 // Client reaches the other daemons over one connection each. It implements
 // peer.Daemons.
 type Client struct {
@@ -86,6 +101,17 @@
 	}
 }
 
+// Drop closes the connection to an address, which may have gone silent. The
+// next call makes a new one.
+func (c *Client) Drop(address netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connection, ok := c.connections[address]; ok {
+		_ = connection.Close()
+		delete(c.connections, address)
+	}
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.Keep(nil)
@@ -101,6 +127,15 @@
 		"passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithStatsHandler(c.traffic),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  firstReconnect,
+				Multiplier: reconnectFactor,
+				Jitter:     reconnectJitter,
+				MaxDelay:   longestReconnect,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 	)
 	if err != nil {
--- a/peer/daemon/server.go
+++ b/peer/daemon/server.go
@@ -6,7 +6,9 @@
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
 
 	"quincewinch/models"
 	"quincewinch/peer/daemon/proto"
@@ -24,13 +26,27 @@
 type Server struct {
 	proto.UnimplementedDaemonsServer
 	receiver Receiver
+	shares   ShareReceiver
 	server   *grpc.Server
 }
 
 // NewServer returns a server that does not listen yet.
 func NewServer(receiver Receiver, credentials credentials.TransportCredentials, traffic *Traffic) *Server {
+	s := newServer(credentials, traffic)
+	s.receiver = receiver
+	return s
+}
+
+// NewShareServer returns a server that takes in shares only, and does not
+// listen yet.
+func NewShareServer(shares ShareReceiver, credentials credentials.TransportCredentials, traffic *Traffic) *Server {
+	s := newServer(credentials, traffic)
+	s.shares = shares
+	return s
+}
+
+func newServer(credentials credentials.TransportCredentials, traffic *Traffic) *Server {
 	s := &Server{
-		receiver: receiver,
 		server: grpc.NewServer(
 			grpc.Creds(credentials),
 			grpc.MaxRecvMsgSize(MaxMessageBytes),
@@ -53,11 +69,17 @@
 
 // Exchange implements proto.DaemonsServer.
 func (s *Server) Exchange(_ context.Context, form *proto.Gossip) (*proto.Gossip, error) {
+	if s.receiver == nil {
+		return nil, status.Error(codes.Unimplemented, "this daemon takes in shares only")
+	}
 	return EncodeGossip(s.receiver.Receive(DecodeGossip(form))), nil
 }
 
 // Events implements proto.DaemonsServer.
 func (s *Server) Events(_ context.Context, form *proto.EventFilter) (*proto.EventList, error) {
+	if s.receiver == nil {
+		return nil, status.Error(codes.Unimplemented, "this daemon takes in shares only")
+	}
 	list := &proto.EventList{}
 	for _, event := range s.receiver.Events(decodeFilter(form)) {
 		list.Events = append(list.Events, encodeEvent(event))
