billing: each window is frozen once and reported under the lease

Change: daemons write their counts into rows of their own, the holder of the lease freezes the sum under the lease's guard and reports it; a released lease stays free for its duration, as nobody checks fencing numbers.

--- /dev/null
+++ b/billing/counter.go
@@ -0,0 +1,145 @@
+// Package billing counts the requests that backend servers began to run, and
+// reports each billing window once. Counts of one daemon go into rows of its
+// own; the holder of the lease adds them up, freezes the sum, and reports it.
+package billing
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+)
+
+const (
+	// settleTime is how long after a window's end its counts are written: a
+	// request counts when its first event is here, which tells of its start.
+	settleTime = 250 * time.Millisecond
+	// keptWindows is how many past windows a daemon still counts for.
+	keptWindows = 4
+	// flushesPerWindow is how often counts are written while a window lasts: a
+	// daemon that is killed loses no more than that part of it.
+	flushesPerWindow = 4
+)
+
+// Counter counts requests by window and workspace. It implements
+// relay.UsageMeter.
+type Counter struct {
+	daemon models.DaemonID
+	table  peer.Table
+	clock  peer.Clock
+	logger *zap.Logger
+	window time.Duration
+
+	mu      sync.Mutex
+	windows map[int64]*count
+	writes  uint64
+}
+
+// count is what a daemon counted in one window.
+type count struct {
+	requests  map[models.Workspace]int64
+	changed   bool // since the last write
+	writtenAt time.Time
+}
+
+// NewCounter returns a counter of windows of a length. Daemon names this
+// process, not its VM: two processes never write the same row.
+func NewCounter(daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, window time.Duration) *Counter {
+	return &Counter{
+		daemon:  daemon,
+		table:   table,
+		clock:   clock,
+		logger:  logger,
+		window:  window,
+		windows: map[int64]*count{},
+	}
+}
+
+// Count counts a request that a backend server began to run.
+func (c *Counter) Count(workspace models.Workspace, at time.Time) {
+	number := windowOf(at, c.window)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.windows[number]
+	if !ok {
+		w = &count{requests: map[models.Workspace]int64{}, writtenAt: at}
+		c.windows[number] = w
+	}
+	w.requests[workspace]++
+	w.changed = true
+}
+
+// Step writes counts that are due.
+func (c *Counter) Step(ctx context.Context) {
+	for number, requests := range c.due(c.clock.Now(), false) {
+		c.write(ctx, number, requests)
+	}
+}
+
+// Flush writes all counts, at a planned stop.
+func (c *Counter) Flush(ctx context.Context) {
+	for number, requests := range c.due(c.clock.Now(), true) {
+		c.write(ctx, number, requests)
+	}
+}
+
+func (c *Counter) due(now time.Time, all bool) map[int64]map[models.Workspace]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	due := map[int64]map[models.Workspace]int64{}
+	for number, w := range c.windows {
+		if windowOf(now, c.window)-number > keptWindows {
+			delete(c.windows, number)
+			continue
+		}
+		over := !now.Before(windowEnd(number, c.window).Add(settleTime))
+		stale := now.Sub(w.writtenAt) >= c.window/flushesPerWindow
+		if w.changed && (all || over || stale) {
+			due[number] = maps.Clone(w.requests)
+			w.changed = false
+			w.writtenAt = now
+		}
+	}
+	return due
+}
+
+// write puts a window's counts so far into a row of its own. A row written
+// before, or one that a lost call writes late, is told from it by its number.
+func (c *Counter) write(ctx context.Context, number int64, requests map[models.Workspace]int64) {
+	c.mu.Lock()
+	c.writes++
+	name := countName(number, c.daemon, c.writes)
+	c.mu.Unlock()
+	value, err := encodeCounts(requests)
+	if err != nil {
+		c.logger.Error("counts of a window not encoded", zap.Error(err))
+		return
+	}
+	key := models.RowKey{Partition: models.PartitionUsage, Name: name}
+	_, err = c.table.Transact(ctx, models.Transaction{Writes: []models.Write{{Key: key, Value: value}}})
+	if err == nil {
+		return
+	}
+	c.logger.Warn("counts of a window not written, to be tried again", zap.Int64("window", number), zap.Error(err))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.windows[number]; ok {
+		w.changed = true
+	}
+}
+
+// windowOf returns the number of the window that a time is in, counted from
+// the start of 1970.
+func windowOf(at time.Time, length time.Duration) int64 {
+	return at.UnixNano() / int64(length)
+}
+
+// windowEnd returns the end of a window.
+func windowEnd(number int64, length time.Duration) time.Time {
+	return time.Unix(0, (number+1)*int64(length))
+}
--- a/control/lease.go
+++ b/control/lease.go
@@ -22,6 +22,10 @@
 	Timeout   time.Duration // of one call of the table
 	RankDelay time.Duration // a candidate lets each one before it go first; longer than Read
 	Rebalance time.Duration // until a lease moves to a better holder
+	// AfterRelease is how long a released lease stays free, so that a receiver
+	// which does not check fencing numbers never sees two holders take turns
+	// within a lease's duration.
+	AfterRelease time.Duration
 }
 
 // DefaultLeaseSettings returns the settings of a daemon.
--- a/control/lease_watch.go
+++ b/control/lease_watch.go
@@ -209,7 +209,7 @@
 	case w.holder == 0:
 		return w.since, "nobody had held it"
 	case w.state.Released:
-		return w.since, string(w.state.Holder) + " had released it"
+		return w.since.Add(l.settings.AfterRelease), string(w.state.Holder) + " had released it"
 	}
 	wait := max(w.state.Duration, l.settings.Duration) + l.settings.Margin
 	return w.since.Add(wait), string(w.state.Holder) + " had not renewed it for " + wait.String()
--- /dev/null
+++ b/entry/duties.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"crypto/rand"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quincewinch/billing"
+	"quincewinch/control"
+	"quincewinch/models"
+	"quincewinch/platform"
+)
+
+const (
+	// leaseSafety is the part of a lease's duration before whose end its holder
+	// stops.
+	leaseSafety = 6
+	// leaseMargin is the part of a lease's duration that others wait beyond it.
+	leaseMargin = 10
+	// leaseRenewals is how often a lease is renewed in its duration.
+	leaseRenewals = 3
+	// dutyStep is the time between two steps of leases and duties.
+	dutyStep = 250 * time.Millisecond
+)
+
+// duties is what one daemon does for all, under a lease.
+type duties struct {
+	leases  *control.Leases
+	counter *billing.Counter
+}
+
+// startDuties takes part in the lease, and counts for the billing windows.
+func (d *Daemon) startDuties(store *platform.Store) {
+	process := models.DaemonID(d.settings.Name + "-" + rand.Text())
+	names := []models.LeaseName{models.LeaseUsage}
+	d.duties.leases = control.NewLeases(
+		control.Candidate{Daemon: process, Zone: d.settings.Zone},
+		store, d.clock, eventLog{d.logger}, nil,
+		func() []models.LeaseName { return names },
+		leaseSettings(d.settings.Lease, d.settings.Store.Timeout),
+	)
+	d.duties.counter = billing.NewCounter(process, store, d.clock, d.logger, d.settings.Duties.UsageWindow)
+	if !d.settings.Duties.Usage {
+		return
+	}
+	interfaceOf := platform.NewDuties(d.settings.Duties.Address, dutyClient(), d.clock, d.settings.Name)
+	closer := billing.NewCloser(store, d.duties.leases, interfaceOf, d.clock, d.logger, d.settings.Duties.UsageWindow, d.settings.Duties.UsageLatest)
+	d.system.Spawn(d.duties.leases, dutyStep)
+	d.system.Spawn(d.duties.counter, dutyStep)
+	d.system.Spawn(closer, dutyStep)
+}
+
+// leaseSettings derives the times of leases from their duration.
+func leaseSettings(duration, timeout time.Duration) control.LeaseSettings {
+	return control.LeaseSettings{
+		Duration:     duration,
+		Safety:       duration / leaseSafety,
+		Margin:       duration / leaseMargin,
+		Renew:        duration / leaseRenewals,
+		Read:         duration / leaseRenewals,
+		Timeout:      timeout,
+		AfterRelease: duration,
+	}
+}
+
+// eventLog writes events to the log. It implements peer.Timeline.
+type eventLog struct {
+	logger *zap.Logger
+}
+
+// Record implements peer.Timeline.
+func (l eventLog) Record(event models.Event) {
+	l.logger.Info(event.What,
+		zap.String("kind", string(event.Kind)),
+		zap.String("lease", string(event.Lease)),
+		zap.String("why", event.Why),
+	)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,7 @@
 	balancer      *balance.Balancer
 	front         *http.Server
 	sharing       sharing
+	duties        duties
 	servers       []*http.Server
 	stopping      atomic.Bool
 }
@@ -69,6 +70,7 @@
 	if err := d.startSharing(store); err != nil {
 		return err
 	}
+	d.startDuties(store)
 	if err := d.listen(d.line()); err != nil {
 		return err
 	}
@@ -83,7 +85,7 @@
 func (d *Daemon) line() relay.Handler {
 	upstreams := platform.NewUpstreams(upstreamTransport())
 	return relay.Chain(
-		relay.NewSender(upstreams, d.balancer, d.clock),
+		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.clock),
 		relay.NewRecorder(d.registry, d.clock, d.logger).Filter(),
 		relay.Locate(d.configuration, d.clock),
 	)
@@ -144,6 +146,7 @@
 func (d *Daemon) Stop(ctx context.Context) {
 	d.stopping.Store(true)
 	d.logger.Info("daemon stops", zap.String("why", "it was told to"))
+	d.duties.leases.Release(ctx)
 	// The wait ends early only with ctx.
 	_ = d.clock.Sleep(ctx, d.settings.Callers.Grace/leaveShare)
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.Grace/leaveShare)
@@ -153,6 +156,7 @@
 			d.logger.Warn("connections were cut at the end of the grace time", zap.Error(err))
 		}
 	}
+	d.duties.counter.Flush(ctx)
 	d.system.Stop()
 	d.stopSharing(ctx)
 	d.logger.Info("daemon stopped")
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -46,6 +46,7 @@
 		return ResultFailed, errors.Annotate(err, "the answer broke off")
 	}
 	placement.Answered(answer.Load)
+	d.count()
 	if len(body) > wholeBytes {
 		return d.large(ctx, answer, body)
 	}
@@ -121,6 +122,7 @@
 		if len(events) > 0 {
 			if first {
 				placement.Answered(answer.Load)
+				d.count()
 				first = false
 			}
 			if !d.begun {
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -68,17 +68,23 @@
 	ResultCancelled   Result = "cancelled"   // the caller left or the time was over
 )
 
+// UsageMeter counts requests that backend servers began to run.
+type UsageMeter interface {
+	Count(workspace models.Workspace, at time.Time)
+}
+
 // Sender is the last filter: it sends a request to backend servers until one
 // has answered.
 type Sender struct {
 	upstreams peer.Upstreams
 	placer    Placer
+	meter     UsageMeter
 	clock     peer.Clock
 }
 
 // NewSender returns a sender over a placer.
-func NewSender(upstreams peer.Upstreams, placer Placer, clock peer.Clock) *Sender {
-	return &Sender{upstreams: upstreams, placer: placer, clock: clock}
+func NewSender(upstreams peer.Upstreams, placer Placer, meter UsageMeter, clock peer.Clock) *Sender {
+	return &Sender{upstreams: upstreams, placer: placer, meter: meter, clock: clock}
 }
 
 // Handle implements Handler.
@@ -99,6 +105,7 @@
 	rejections  int
 	unreachable int
 	begun       bool // the caller has status and header
+	counted     bool // for billing
 	events      eventSplitter
 	// kept is a backend server's own failure, passed on where nothing better
 	// comes.
@@ -221,6 +228,15 @@
 	return false
 }
 
+// count bills the request, once, however often it is sent.
+func (d *delivery) count() {
+	if d.counted || d.exchange.Workspace == "" {
+		return
+	}
+	d.counted = true
+	d.sender.meter.Count(d.exchange.Workspace, d.sender.clock.Now())
+}
+
 // conclude gives the request its final answer after a failure.
 func (d *delivery) conclude(ctx context.Context, err error) error {
 	if d.kept != nil && !d.begun && ctx.Err() == nil {
