supply: cheap engines carry the load, one reserved one a zone stays

Change: the holder of the lease on servers orders cheap engines up to the platform's limit in each zone and gives reserved ones back.

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -10,6 +10,7 @@
 	"quincewinch/control"
 	"quincewinch/models"
 	"quincewinch/platform"
+	"quincewinch/supply"
 )
 
 const (
@@ -33,7 +34,13 @@
 // startDuties takes part in the lease, and counts for the billing windows.
 func (d *Daemon) startDuties(store *platform.Store) {
 	process := models.DaemonID(d.settings.Name + "-" + rand.Text())
-	names := []models.LeaseName{models.LeaseUsage}
+	var names []models.LeaseName
+	if d.settings.Duties.Usage {
+		names = append(names, models.LeaseUsage)
+	}
+	if d.settings.Duties.Supply {
+		names = append(names, models.LeaseServers)
+	}
 	d.duties.leases = control.NewLeases(
 		control.Candidate{Daemon: process, Zone: d.settings.Zone},
 		store, d.clock, eventLog{d.logger}, nil,
@@ -41,14 +48,20 @@
 		leaseSettings(d.settings.Lease, d.settings.Store.Timeout),
 	)
 	d.duties.counter = billing.NewCounter(process, store, d.clock, d.logger, d.settings.Duties.UsageWindow)
-	if !d.settings.Duties.Usage {
+	if len(names) == 0 {
 		return
 	}
-	interfaceOf := platform.NewDuties(d.settings.Duties.Address, dutyClient(), d.clock, d.settings.Name)
-	closer := billing.NewCloser(store, d.duties.leases, interfaceOf, d.clock, d.logger, d.settings.Duties.UsageWindow, d.settings.Duties.UsageLatest)
 	d.system.Spawn(d.duties.leases, dutyStep)
-	d.system.Spawn(d.duties.counter, dutyStep)
-	d.system.Spawn(closer, dutyStep)
+	calls := platform.NewDuties(d.settings.Duties.Address, dutyClient(), d.clock, d.settings.Name)
+	if d.settings.Duties.Usage {
+		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.logger, d.settings.Duties.UsageWindow, d.settings.Duties.UsageLatest)
+		d.system.Spawn(d.duties.counter, dutyStep)
+		d.system.Spawn(closer, dutyStep)
+	}
+	if d.settings.Duties.Supply {
+		manager := supply.NewManager(d.configuration.Routing, d.fleet.Snapshot, d.settings.Zones, d.duties.leases, calls, d.clock, d.logger)
+		d.system.Spawn(manager, dutyStep)
+	}
 }
 
 // leaseSettings derives the times of leases from their duration.
