--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -97,6 +97,13 @@
 	b.daemons = max(n, 1)
 }
 
+// SetRetries changes the retry budget of all services.
+func (b *Balancer) SetRetries(settings retry.Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settings.Retries = settings
+}
+
 // MayRepeat implements relay.Placer.
 func (b *Balancer) MayRepeat(service models.ServiceName) bool {
 	now := b.clock.Now()
@@ -110,14 +117,10 @@
 func (b *Balancer) budget(service models.ServiceName) *retry.Budget {
 	budget, ok := b.budgets[service]
 	if !ok {
-		budget = retry.NewBudget(retry.Settings{
-			Ratio:   b.settings.Retries.Ratio * ownShare,
-			Reserve: 0,
-			Window:  b.settings.Retries.Window,
-		})
+		budget = retry.NewBudget(retry.Settings{Window: b.settings.Retries.Window})
 		b.budgets[service] = budget
 	}
-	budget.SetReserve(b.settings.Retries.Reserve * ownShare / float64(b.daemons))
+	budget.SetLimits(b.settings.Retries.Ratio*ownShare, b.settings.Retries.Reserve*ownShare/float64(b.daemons))
 	return budget
 }
 
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -29,6 +32,9 @@
 }
 
 func (c *entryCommand) run(env environment) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	settings, err := config.LoadEntry(c.settings)
 	if err != nil {
 		return err
@@ -43,7 +49,15 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	<-env.ctx.Done()
-	d.Stop(context.WithoutCancel(env.ctx))
-	return nil
+	reloader := entry.NewReloader(d, func() (*config.Entry, error) { return config.LoadEntry(c.settings) })
+	d.Spawn(reloader, entry.ReloadInterval)
+	for {
+		select {
+		case <-hangups:
+			reloader.Step(env.ctx)
+		case <-env.ctx.Done():
+			d.Stop(context.WithoutCancel(env.ctx))
+			return nil
+		}
+	}
 }
--- a/config/entry.go
+++ b/config/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"reflect"
 	"slices"
 	"time"
 
@@ -151,3 +152,17 @@
 		return nil
 	}
 }
+
+// Equal reports whether both settings say the same.
+func (s *Entry) Equal(other *Entry) bool {
+	return reflect.DeepEqual(s, other)
+}
+
+// SameListeners reports whether both settings have the same identity and the
+// same addresses, which a running process cannot change.
+func (s *Entry) SameListeners(other *Entry) bool {
+	return s.Name == other.Name && s.Zone == other.Zone &&
+		s.Callers.Address == other.Callers.Address && s.Readiness == other.Readiness &&
+		s.Daemons == other.Daemons && s.Metrics == other.Metrics &&
+		s.Store.Address == other.Store.Address && s.Duties.Address == other.Duties.Address
+}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -33,33 +33,34 @@
 
 // startDuties takes part in the lease, and counts for the billing windows.
 func (d *Daemon) startDuties(store *platform.Store) {
-	process := models.DaemonID(d.settings.Name + "-" + rand.Text())
+	settings := d.settings.Load()
+	process := models.DaemonID(settings.Name + "-" + rand.Text())
 	var names []models.LeaseName
-	if d.settings.Duties.Usage {
+	if settings.Duties.Usage {
 		names = append(names, models.LeaseUsage)
 	}
-	if d.settings.Duties.Supply {
+	if settings.Duties.Supply {
 		names = append(names, models.LeaseServers)
 	}
 	d.duties.leases = control.NewLeases(
-		control.Candidate{Daemon: process, Zone: d.settings.Zone},
+		control.Candidate{Daemon: process, Zone: settings.Zone},
 		store, d.clock, eventLog{d.logger}, nil,
 		func() []models.LeaseName { return names },
-		leaseSettings(d.settings.Lease, d.settings.Store.Timeout),
+		leaseSettings(settings.Lease, settings.Store.Timeout),
 	)
-	d.duties.counter = billing.NewCounter(process, store, d.clock, d.logger, d.settings.Duties.UsageWindow)
+	d.duties.counter = billing.NewCounter(process, store, d.clock, d.logger, settings.Duties.UsageWindow)
 	if len(names) == 0 {
 		return
 	}
 	d.system.Spawn(d.duties.leases, dutyStep)
-	calls := platform.NewDuties(d.settings.Duties.Address, dutyClient(), d.clock, d.settings.Name)
-	if d.settings.Duties.Usage {
-		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.logger, d.settings.Duties.UsageWindow, d.settings.Duties.UsageLatest)
+	calls := platform.NewDuties(settings.Duties.Address, dutyClient(), d.clock, settings.Name)
+	if settings.Duties.Usage {
+		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.logger, settings.Duties.UsageWindow, settings.Duties.UsageLatest)
 		d.system.Spawn(d.duties.counter, dutyStep)
 		d.system.Spawn(closer, dutyStep)
 	}
-	if d.settings.Duties.Supply {
-		manager := supply.NewManager(d.configuration.Routing, d.fleet.Snapshot, d.settings.Zones, d.duties.leases, calls, d.clock, d.logger)
+	if settings.Duties.Supply {
+		manager := supply.NewManager(d.configuration.Routing, d.fleet.Snapshot, settings.Zones, d.duties.leases, calls, d.clock, d.logger)
 		d.system.Spawn(manager, dutyStep)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -20,14 +21,13 @@
 	"quincewinch/lib/logfmt"
 	"quincewinch/peer"
 	"quincewinch/platform"
-	"quincewinch/policy/retry"
 	"quincewinch/relay"
 	"quincewinch/routing"
 )
 
 // Daemon is one process.
 type Daemon struct {
-	settings      *config.Entry
+	settings      atomic.Pointer[config.Entry]
 	logger        *zap.Logger
 	clock         peer.Clock
 	registry      *prometheus.Registry
@@ -44,29 +44,27 @@
 
 // New returns a daemon that has not started.
 func New(settings *config.Entry, logger *zap.Logger, clock peer.Clock) *Daemon {
-	return &Daemon{
-		settings: settings,
+	d := &Daemon{
 		logger:   logger,
 		clock:    clock,
 		registry: prometheus.NewRegistry(),
 		system:   control.NewSystem(clock, logfmt.Standard(logger)),
 	}
+	d.settings.Store(settings)
+	return d
 }
 
 // Start binds the listeners and starts following the store.
 func (d *Daemon) Start() error {
-	store := platform.NewStore(d.settings.Store.Address, storeClient(), d.settings.Store.Timeout)
-	wait := d.settings.Store.Watch
+	settings := d.settings.Load()
+	store := platform.NewStore(settings.Store.Address, storeClient(), settings.Store.Timeout)
+	wait := settings.Store.Watch
 	d.configuration = routing.NewConfiguration(platform.NewRouting(store), d.clock, d.logger, wait)
 	d.fleet = routing.NewFleet(platform.NewRegistrations(store), d.clock, d.logger, wait)
 	d.balancer = balance.New(d.fleet, d.clock, d.logger, balance.Settings{
-		Zone: d.settings.Zone,
-		Retries: retry.Settings{
-			Ratio:   d.settings.Retries.Ratio,
-			Reserve: float64(d.settings.Retries.Reserve),
-			Window:  d.settings.Retries.Window,
-		},
-	}, xxhash.Sum64String(d.settings.Name))
+		Zone:    settings.Zone,
+		Retries: retrySettings(settings),
+	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(store); err != nil {
 		return err
 	}
@@ -77,7 +75,7 @@
 	d.system.Spawn(d.balancer, forgetStep)
 	d.system.Spawn(d.configuration, watchPause)
 	d.system.Spawn(d.fleet, watchPause)
-	d.logger.Info("daemon started", zap.String("vm", d.settings.Name), zap.String("zone", string(d.settings.Zone)))
+	d.logger.Info("daemon started", zap.String("vm", settings.Name), zap.String("zone", string(settings.Zone)))
 	return nil
 }
 
@@ -92,25 +90,26 @@
 }
 
 func (d *Daemon) listen(line relay.Handler) error {
+	settings := d.settings.Load()
 	front := platform.NewFront(line, d.clock, platform.FrontSettings{
 		BodyBytes: d.bodyBytes,
 		Stopping:  d.stopping.Load,
 	})
 	d.front = &http.Server{
 		Handler:           front,
-		ReadHeaderTimeout: d.settings.Callers.HeaderTimeout,
-		IdleTimeout:       d.settings.Callers.IdleTimeout,
-		MaxHeaderBytes:    d.settings.Callers.HeaderBytes,
+		ReadHeaderTimeout: settings.Callers.HeaderTimeout,
+		IdleTimeout:       settings.Callers.IdleTimeout,
+		MaxHeaderBytes:    settings.Callers.HeaderBytes,
 	}
-	if err := d.serve(d.front, d.settings.Callers.Address); err != nil {
+	if err := d.serve(d.front, settings.Callers.Address); err != nil {
 		return err
 	}
-	readiness := &http.Server{Handler: platform.NewReadiness(d.ready), ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
-	if err := d.serve(readiness, d.settings.Readiness); err != nil {
+	readiness := &http.Server{Handler: platform.NewReadiness(d.ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
+	if err := d.serve(readiness, settings.Readiness); err != nil {
 		return err
 	}
-	measures := &http.Server{Handler: d.metrics(), ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
-	return d.serve(measures, d.settings.Metrics)
+	measures := &http.Server{Handler: d.metrics(), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
+	return d.serve(measures, settings.Metrics)
 }
 
 func (d *Daemon) serve(server *http.Server, address netip.AddrPort) error {
@@ -128,6 +127,11 @@
 	return nil
 }
 
+// Spawn adds a task to those of the daemon.
+func (d *Daemon) Spawn(task control.Task, interval time.Duration) {
+	d.system.Spawn(task, interval)
+}
+
 // ready reports whether the balancer should send requests here.
 func (d *Daemon) ready() bool {
 	return !d.stopping.Load() && d.configuration.Routing() != nil && d.fleet.Snapshot() != nil
@@ -137,7 +141,7 @@
 	if routing := d.configuration.Routing(); routing != nil && routing.Limits.BodyBytes > 0 {
 		return routing.Limits.BodyBytes
 	}
-	return d.settings.Callers.BodyBytes
+	return d.settings.Load().Callers.BodyBytes
 }
 
 // Stop is a graceful shutdown. Callers may go on to use their connections
@@ -147,9 +151,10 @@
 	d.stopping.Store(true)
 	d.logger.Info("daemon stops", zap.String("why", "it was told to"))
 	d.duties.leases.Release(ctx)
+	grace := d.settings.Load().Callers.Grace
 	// The wait ends early only with ctx.
-	_ = d.clock.Sleep(ctx, d.settings.Callers.Grace/leaveShare)
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Callers.Grace/leaveShare)
+	_ = d.clock.Sleep(ctx, grace/leaveShare)
+	ctx, cancel := context.WithTimeout(ctx, grace/leaveShare)
 	defer cancel()
 	for _, server := range d.servers {
 		if err := server.Shutdown(ctx); err != nil {
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -41,12 +41,13 @@
 
 // startSharing listens for the other daemons and starts telling them.
 func (d *Daemon) startSharing(store *platform.Store) error {
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.settings.Daemons))
+	settings := d.settings.Load()
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(settings.Daemons))
 	if err != nil {
 		return errors.Annotate(err, "cannot listen for the other daemons")
 	}
 	s := &d.sharing
-	self := table.Member{ID: models.DaemonID(d.settings.Name), Zone: d.settings.Zone, Address: d.settings.Daemons}
+	self := table.Member{ID: models.DaemonID(settings.Name), Zone: settings.Zone, Address: settings.Daemons}
 	s.members = membership.New(self, store, d.clock, d.logger)
 	credentials := insecure.NewCredentials()
 	s.client = peerdaemon.NewClient(credentials, shareTimeout, &s.traffic)
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -35,8 +35,9 @@
 	return &Budget{settings: settings}
 }
 
-// SetReserve changes how many requests may be sent again beyond the share.
-func (b *Budget) SetReserve(reserve float64) {
+// SetLimits changes how many requests may be sent again; the window stays.
+func (b *Budget) SetLimits(ratio, reserve float64) {
+	b.settings.Ratio = ratio
 	b.settings.Reserve = reserve
 }
 
