--- a/relay/sender.go
+++ b/relay/sender.go
@@ -20,6 +20,9 @@
 	// leastTimeLeft is the least time for which a request is sent: below it no
 	// backend server can answer.
 	leastTimeLeft = 5 * time.Millisecond
+	// freeTimeout bounds a call that releases KV cache; the request waits for
+	// it before it goes elsewhere.
+	freeTimeout = 300 * time.Millisecond
 	// rejectedRetryAfter is when a caller should come back whose request was
 	// turned away by full backend servers: they finish some within that time.
 	rejectedRetryAfter = 250 * time.Millisecond
@@ -142,21 +145,24 @@
 	call := e.Call
 	call.Urgency = placement.Urgency()
 	call.ResumeAfter = d.events.lastID
-	if source, ok := d.prefill(ctx, placement, call); ok {
-		call.KVSource = &source
-	}
+	call.KVSource = d.prefill(ctx, placement, call)
 	call.TimeLeft = e.Deadline.Sub(d.sender.clock.Now())
 	if call.TimeLeft < leastTimeLeft {
+		d.free(ctx, placement, call.KVSource)
 		return ResultCancelled, errors.New("no time is left")
 	}
 	e.Trace.Sends++
 	answer, err := d.sender.upstreams.Send(ctx, target, call)
 	if err != nil {
+		if peer.OutcomeOf(err) == peer.OutcomeNotDone {
+			d.free(ctx, placement, call.KVSource)
+		}
 		return d.unanswered(ctx, err)
 	}
 	defer answer.Body.Close()
 	if answer.NotRun {
 		placement.Answered(answer.Load)
+		d.free(ctx, placement, call.KVSource)
 		return d.rejected(answer)
 	}
 	d.ran++
@@ -168,14 +174,14 @@
 
 // prefill has the prompt's KV cache filled elsewhere, where the placement says
 // so. Where that fails, the target fills it itself.
-func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) (models.KVSource, bool) {
+func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) *models.KVSource {
 	prefiller, ok := placement.Prefiller()
 	if !ok {
-		return models.KVSource{}, false
+		return nil
 	}
 	call.TimeLeft = d.exchange.Deadline.Sub(d.sender.clock.Now())
 	if call.TimeLeft < leastTimeLeft {
-		return models.KVSource{}, false
+		return nil
 	}
 	d.exchange.Trace.Prefiller = prefiller.ID
 	source, answer, err := d.sender.upstreams.Prefill(ctx, prefiller, call)
@@ -183,12 +189,26 @@
 	switch {
 	case err != nil:
 		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": " + err.Error()
-		return models.KVSource{}, false
+		return nil
 	case source.Handle == "":
 		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": status " + statusText(answer.Status)
-		return models.KVSource{}, false
+		return nil
+	}
+	return &source
+}
+
+// free releases KV cache that the target has not taken. It goes on after the
+// request has ended: the engine would keep the memory until it expires.
+func (d *delivery) free(ctx context.Context, placement Placement, source *models.KVSource) {
+	prefiller, ok := placement.Prefiller()
+	if source == nil || !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeTimeout)
+	defer cancel()
+	if err := d.sender.upstreams.Free(ctx, prefiller, *source); err != nil {
+		d.exchange.Trace.Last = "free KV cache at " + string(prefiller.ID) + ": " + err.Error()
 	}
-	return source, true
 }
 
 func (d *delivery) unanswered(ctx context.Context, err error) (Result, error) {
