--- /dev/null
+++ b/billing/closer_test.go
@@ -0,0 +1,61 @@
+package billing_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"quincewinch/billing"
+	"quincewinch/models"
+	"quincewinch/peer/system"
+	"quincewinch/standin/platform"
+)
+
+// held is a lease that is held for good, under a fencing number.
+type held uint64
+
+// Authority implements peer.Leases.
+func (h held) Authority(name models.LeaseName) models.Authority {
+	return models.Authority{
+		Lease:    name,
+		Fence:    uint64(h),
+		Deadline: time.Now().Add(time.Hour),
+		Guard:    models.Condition{Key: models.RowKey{Partition: models.PartitionLeases, Name: "nobody-writes-it"}},
+	}
+}
+
+// TestLateFreeze plays a holder whose freezing write arrives after its
+// successor's: the window must keep the counts that were reported.
+func TestLateFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := system.NewClock()
+		store := platform.NewStore(clock)
+		receiver := &receiver{clock: clock}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		closerOf := func(fence uint64) *billing.Closer {
+			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, zap.NewNop(), window, latest)
+		}
+		counter := billing.NewCounter("d", store, clock, zap.NewNop(), window)
+		counter.Count("w", clock.Now())
+		counter.Flush(ctx)
+		time.Sleep(window + latest)
+		store.SetFaults(platform.Faults{Late: func(models.Transaction) time.Duration { return 2 * time.Second }})
+		closerOf(1).Step(ctx)
+		store.SetFaults(platform.Faults{})
+		is.Equal(len(receiver.reports), 0) // it does not know whether the window is frozen
+		counter.Count("w", clock.Now().Add(-window-latest))
+		counter.Flush(ctx)
+		closerOf(2).Step(ctx)
+		time.Sleep(3 * time.Second) // the first one's write has come by now
+		closerOf(3).Step(ctx)
+		is.Equal(len(receiver.reports), 2)
+		is.Equal(receiver.reports[0].counts, map[models.Workspace]int64{"w": 2})
+		is.Equal(receiver.reports[1].counts, receiver.reports[0].counts)
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,7 +104,7 @@
 	if err := d.serve(d.front, settings.Callers.Address); err != nil {
 		return err
 	}
-	readiness := &http.Server{Handler: platform.NewReadiness(d.ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
+	readiness := &http.Server{Handler: platform.NewReadiness(d.Ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
 	if err := d.serve(readiness, settings.Readiness); err != nil {
 		return err
 	}
@@ -132,8 +132,8 @@
 	d.system.Spawn(task, interval)
 }
 
-// ready reports whether the balancer should send requests here.
-func (d *Daemon) ready() bool {
+// Ready reports whether the balancer should send requests here.
+func (d *Daemon) Ready() bool {
 	return !d.stopping.Load() && d.configuration.Routing() != nil && d.fleet.Snapshot() != nil
 }
 
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,164 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"quincewinch/config"
+	"quincewinch/entry"
+	"quincewinch/peer/system"
+	"quincewinch/platform/emulator"
+)
+
+// deployment is one daemon before an emulated platform.
+type deployment struct {
+	t      *testing.T
+	is     *is.I
+	store  *emulator.Store
+	engine *emulator.Server
+	plain  *emulator.Server
+	front  string
+	daemon *entry.Daemon
+}
+
+// freeAddress returns an address that nothing listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	address := listener.Addr().String()
+	is.New(t).NoErr(listener.Close())
+	return address
+}
+
+func start(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{
+		t: t, is: is.New(t), store: emulator.NewStore(),
+		engine: &emulator.Server{ID: "i-engine", Events: 3},
+		plain:  &emulator.Server{ID: "i-plain"},
+		front:  freeAddress(t),
+	}
+	d.register("i-engine", "llm", "decode", d.engine)
+	d.register("i-plain", "desk", "", d.plain)
+	d.configure(1, "key-1")
+	store := httptest.NewServer(d.store)
+	t.Cleanup(store.Close)
+	settings := fmt.Sprintf(`{"name": "vm-1", "zone": "z", "callers": {"address": %q, "grace": "200ms"},
+		"readiness": {"address": %q}, "daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "watch": "50ms"}}`,
+		d.front, freeAddress(t), freeAddress(t), freeAddress(t), store.Listener.Addr().String())
+	parsed, err := config.ParseEntry([]byte(settings))
+	d.is.NoErr(err)
+	d.daemon = entry.New(parsed, zap.NewNop(), system.NewClock())
+	d.is.NoErr(d.daemon.Start())
+	t.Cleanup(func() { d.daemon.Stop(context.Background()) })
+	for !d.daemon.Ready() {
+	}
+	return d
+}
+
+func (d *deployment) register(id, service, stage string, handler http.Handler) {
+	server := httptest.NewServer(handler)
+	d.t.Cleanup(server.Close)
+	row := map[string]any{
+		"service": service, "address": netip.MustParseAddrPort(server.Listener.Addr().String()).String(),
+		"zone": "z", "slots": 8, "state": "ready",
+	}
+	if stage != "" {
+		row["stage"] = stage
+	}
+	raw, err := json.Marshal(row)
+	d.is.NoErr(err)
+	d.store.Put("servers", id, raw)
+}
+
+// configure writes a version of the configuration with one key.
+func (d *deployment) configure(version int, key string) {
+	raw, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []any{
+			map[string]any{"name": "draft", "host": "h.example", "prefix": "/draft/", "kind": "stream", "service": "llm", "attempts": 1, "sticky": true, "timeout_ms": 5000},
+			map[string]any{"name": "reserve", "host": "h.example", "prefix": "/reserve/", "kind": "non_idempotent", "service": "desk", "attempts": 1, "timeout_ms": 5000},
+		},
+		"services": []any{
+			map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "kv_capacity": 100000}},
+			map[string]any{"name": "desk"},
+		},
+		"limits":  map[string]any{"max_body_bytes": 1000},
+		"tenants": []any{map[string]any{"name": "sales", "api_keys": []any{key}}},
+	})
+	d.is.NoErr(err)
+	d.store.Put("op", "config", raw)
+}
+
+// ask sends a request and returns status and body.
+func (d *deployment) ask(path, id, key string) (int, string) {
+	d.t.Helper()
+	request, err := http.NewRequestWithContext(d.t.Context(), http.MethodPost, "http://"+d.front+path, strings.NewReader("body"))
+	d.is.NoErr(err)
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("X-Api-Key", key)
+	request.Header.Set("Deadline-Ms", "4000")
+	request.Header.Set("Prompt-Prefix", "a:100,b:10")
+	request.Header.Set("Token-Count", "110,20")
+	answer, err := http.DefaultClient.Do(request)
+	d.is.NoErr(err)
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	d.is.NoErr(err)
+	return answer.StatusCode, string(body)
+}
+
+func TestDeployment(t *testing.T) {
+	d := start(t)
+	t.Run("a stream comes whole", func(t *testing.T) {
+		is := is.New(t)
+		status, body := d.ask("/draft/x", "r1", "key-1")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n")
+	})
+	t.Run("a call runs for the workspace of its key, which no backend server sees", func(t *testing.T) {
+		is := is.New(t)
+		status, body := d.ask("/reserve/x?y=1", "r2", "key-1")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "answer of i-plain to r2")
+		is.Equal(d.plain.Runs(), []emulator.Run{{ID: "r2", Method: http.MethodPost, Target: "/reserve/x?y=1", Body: "body", Workspace: "sales"}})
+	})
+	t.Run("an unknown key and an unknown route run nothing", func(t *testing.T) {
+		is := is.New(t)
+		status, _ := d.ask("/reserve/x", "r3", "key-2")
+		is.Equal(status, http.StatusUnauthorized)
+		status, _ = d.ask("/nowhere/x", "r4", "key-1")
+		is.Equal(status, http.StatusNotFound)
+		is.Equal(len(d.plain.Runs()), 1)
+	})
+	t.Run("it serves while the store is away", func(t *testing.T) {
+		is := is.New(t)
+		d.store.SetFault(func(*http.Request) emulator.Fault { return emulator.FaultRefuse })
+		status, _ := d.ask("/reserve/x", "r5", "key-1")
+		is.Equal(status, http.StatusOK)
+		d.store.SetFault(func(*http.Request) emulator.Fault { return emulator.FaultNone })
+	})
+	t.Run("a withdrawn key stops and a new one runs", func(t *testing.T) {
+		is := is.New(t)
+		d.configure(2, "key-3")
+		status := 0
+		for status != http.StatusOK {
+			status, _ = d.ask("/reserve/x", "r6", "key-3")
+		}
+		status, _ = d.ask("/reserve/x", "r7", "key-1")
+		is.Equal(status, http.StatusUnauthorized)
+	})
+}
