relay: a configuration whose last key was withdrawn opens no route

Cause: whether requests need a key was told by whether any key exists; with the last one withdrawn every route would have been open.

--- /dev/null
+++ b/balance/balancer_test.go
@@ -0,0 +1,232 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"quincewinch/balance"
+	"quincewinch/models"
+	"quincewinch/peer/system"
+	"quincewinch/policy/retry"
+	"quincewinch/relay"
+	"quincewinch/routing"
+)
+
+// fleet is the backend servers of a test.
+type fleet struct{ snapshot routing.Snapshot }
+
+func (f *fleet) Snapshot() *routing.Snapshot { return &f.snapshot }
+
+func fleetOf(upstreams ...models.Upstream) *fleet {
+	f := &fleet{routing.Snapshot{
+		ByID:      map[models.EngineID]models.Upstream{},
+		ByService: map[models.ServiceName][]models.Upstream{},
+	}}
+	for _, u := range upstreams {
+		f.snapshot.ByID[u.ID] = u
+		f.snapshot.ByService[u.Service] = append(f.snapshot.ByService[u.Service], u)
+	}
+	return f
+}
+
+func calls(n int) []models.Upstream {
+	var upstreams []models.Upstream
+	for i := range n {
+		upstreams = append(upstreams, models.Upstream{ID: models.EngineID(fmt.Sprintf("c%d", i)), Service: "desk", Zone: "z", Slots: 6})
+	}
+	return upstreams
+}
+
+func engines(n int, role models.Role) []models.Upstream {
+	var upstreams []models.Upstream
+	for i := range n {
+		id := models.EngineID(fmt.Sprintf("%s%d", role, i))
+		upstreams = append(upstreams, models.Upstream{ID: id, Service: "llm", Zone: "z", Slots: 64, Role: role})
+	}
+	return upstreams
+}
+
+func newBalancer(f *fleet) *balance.Balancer {
+	return balance.New(f, system.NewClock(), zap.NewNop(), balance.Settings{
+		Zone:    "z",
+		Retries: retry.Settings{Ratio: 0.2, Reserve: 50, Window: 10 * time.Second},
+	}, 1)
+}
+
+func callExchange() *relay.Exchange {
+	return &relay.Exchange{Service: models.RoutedService{Name: "desk"}}
+}
+
+func promptExchange(shared string, own int) *relay.Exchange {
+	return &relay.Exchange{
+		Service: models.RoutedService{Name: "llm", Engine: &models.EngineLimits{Slots: 64, Capacity: 500000, TokenBytes: 35136, LinkMbps: 370000}},
+		Prompt: models.Prompt{Tokens: 13000 + own, Parts: []models.PromptPart{
+			{ID: shared, Tokens: 13000}, {ID: fmt.Sprintf("%s-own-%d", shared, own), Tokens: own},
+		}},
+	}
+}
+
+// place places a request and checks that there was a place.
+func place(t *testing.T, b *balance.Balancer, e *relay.Exchange) relay.Placement {
+	t.Helper()
+	placement, err := b.Place(e, nil)
+	is.New(t).NoErr(err)
+	return placement
+}
+
+func TestCallsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(calls(4)...))
+		counts := map[models.EngineID]int{}
+		for range 40 {
+			counts[place(t, b, callExchange()).Target().ID]++
+		}
+		for id, n := range counts {
+			if n < 7 || n > 13 {
+				t.Errorf("%s got %d of 40", id, n)
+			}
+		}
+		is.Equal(len(counts), 4)
+	})
+}
+
+func TestFailingServerIsAvoided(t *testing.T) {
+	tests := []struct {
+		name   string
+		result relay.Result
+		most   int // requests of 100 that it may get after three such results
+	}{
+		{"out of reach", relay.ResultUnreachable, 0},
+		{"failing", relay.ResultFailed, 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBalancer(fleetOf(calls(4)...))
+				for failures := 0; failures < 3; {
+					p := place(t, b, callExchange())
+					if p.Target().ID == "c0" {
+						p.End(test.result)
+						failures++
+						time.Sleep(5 * time.Second)
+						continue
+					}
+					p.End(relay.ResultServed)
+				}
+				p := place(t, b, callExchange())
+				for p.Target().ID != "c0" {
+					p.End(relay.ResultServed)
+					p = place(t, b, callExchange())
+				}
+				p.End(test.result)
+				got := 0
+				for range 100 {
+					p := place(t, b, callExchange())
+					if p.Target().ID == "c0" {
+						got++
+					}
+					p.End(relay.ResultServed)
+				}
+				is.New(t).True(got <= test.most)
+			})
+		})
+	}
+}
+
+func TestRetryBudgetIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(calls(1)...))
+		b.SetDaemons(5)
+		for range 100 {
+			place(t, b, callExchange()).End(relay.ResultServed)
+		}
+		taken := 0
+		for range 100 {
+			if b.MayRepeat("desk") {
+				taken++
+			}
+		}
+		is.True(taken <= 30) // 0.2 of 100, and a fifth of 50
+		is.True(taken >= 20)
+	})
+}
+
+func TestPromptsGoWhereTheirSharedPartIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleetOf(engines(6, models.RoleDecode)...)
+		first, second := newBalancer(f), newBalancer(f)
+		p := place(t, first, promptExchange("catalogue", 100))
+		is.Equal(p.Reading(), 13100)
+		p.Answered(nil)
+		p.End(relay.ResultServed)
+		share, changed := first.Share()
+		is.True(changed)
+		share.From, share.Sequence = "d1", 1
+		second.ReceiveShare(share)
+		q := place(t, second, promptExchange("catalogue", 200))
+		is.Equal(q.Target().ID, p.Target().ID)
+		is.Equal(q.Reading(), 200)
+	})
+}
+
+func TestLoadOfOthersCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(engines(2, models.RoleDecode)...))
+		loads := map[models.EngineID]models.ServerLoad{"decode0": {Running: 30, Reading: 200000}}
+		b.ReceiveShare(models.LoadShare{From: "d2", Sequence: 1, Loads: loads})
+		for i := range 5 {
+			is.Equal(place(t, b, promptExchange(fmt.Sprintf("p%d", i), 100)).Target().ID, models.EngineID("decode1"))
+		}
+		time.Sleep(3 * time.Second) // the share is too old now
+		counts := map[models.EngineID]int{}
+		for i := range 20 {
+			counts[place(t, b, promptExchange(fmt.Sprintf("q%d", i), 100)).Target().ID]++
+		}
+		is.True(counts["decode0"] > 0)
+	})
+}
+
+func TestOvertakenShareIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(engines(2, models.RoleDecode)...))
+		heavy := map[models.EngineID]models.ServerLoad{"decode0": {Reading: 500000}}
+		b.ReceiveShare(models.LoadShare{From: "d2", Sequence: 5, Loads: heavy})
+		b.ReceiveShare(models.LoadShare{From: "d2", Sequence: 4})
+		is.Equal(place(t, b, promptExchange("p", 100)).Target().ID, models.EngineID("decode1"))
+	})
+}
+
+func TestNoEngineLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(engines(3, models.RolePrefill)...))
+		_, err := b.Place(promptExchange("p", 10), nil)
+		refusal := relay.RefusalOf(err)
+		is.Equal(refusal.Code, models.RefusalNoBackend)
+		is.True(refusal.NotRun && refusal.RetryAfter > 0)
+	})
+}
+
+func TestRebornServerKeepsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		old := engines(1, models.RoleDecode)
+		f := fleetOf(old...)
+		b := newBalancer(f)
+		place(t, b, promptExchange("p", 100)).End(relay.ResultServed)
+		reborn := old[0]
+		reborn.Started = time.Now()
+		f.snapshot = fleetOf(reborn).snapshot
+		is.Equal(place(t, b, promptExchange("p", 200)).Reading(), 13200) // all is read anew
+	})
+}
--- /dev/null
+++ b/lib/logfmt/writer_test.go
@@ -0,0 +1,40 @@
+package logfmt_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quincewinch/lib/logfmt"
+)
+
+// gated is a writer that blocks until it is opened.
+type gated struct {
+	open  chan struct{}
+	lines strings.Builder
+}
+
+func (g *gated) Write(line []byte) (int, error) {
+	<-g.open
+	return g.lines.Write(line)
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	out := &gated{open: make(chan struct{})}
+	w := logfmt.NewWriter(out, 10)
+	const lines = 100
+	for i := range lines {
+		n, err := fmt.Fprintf(w, "line %d\n", i)
+		is.NoErr(err)
+		is.True(n > 0)
+	}
+	close(out.open)
+	w.Close()
+	written := strings.Count(out.lines.String(), "\n")
+	is.True(strings.HasPrefix(out.lines.String(), "line 0\nline 1\n")) // in order
+	is.True(written >= 10)
+	is.Equal(int(w.Dropped()), lines-written) // each one is written or counted
+}
--- a/models/routing.go
+++ b/models/routing.go
@@ -8,6 +8,7 @@
 	Version  uint64
 	Routes   []PathRoute
 	Services map[ServiceName]RoutedService
+	Keyed    bool                   // requests need a key, unless their route is open
 	Keys     map[[32]byte]KeyHolder // by SHA-256 of the key
 	Limits   CallerLimits
 }
--- /dev/null
+++ b/relay/events_test.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEventsInPieces(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nversion: 3\nid: 4\ndata: c\n\n"
+	for size := 1; size <= len(stream); size++ {
+		is := is.New(t)
+		var s eventSplitter
+		var passed strings.Builder
+		for at := 0; at < len(stream); at += size {
+			passed.Write(s.add([]byte(stream[at:min(at+size, len(stream))])))
+		}
+		is.Equal(passed.String(), stream) // unchanged, whatever the pieces
+		is.Equal(s.lastID, "4")
+		is.True(!s.partial())
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2", 3)
+	f.Add("\n\n\r\n\r\n", 1)
+	f.Fuzz(func(t *testing.T, stream string, size int) {
+		if size <= 0 {
+			return
+		}
+		var s eventSplitter
+		var passed strings.Builder
+		for at := 0; at < len(stream); at += size {
+			passed.Write(s.add([]byte(stream[at:min(at+size, len(stream))])))
+		}
+		if passed.String()+string(s.rest) != stream {
+			t.Errorf("%q became %q and %q", stream, passed.String(), s.rest)
+		}
+	})
+}
--- a/relay/locate.go
+++ b/relay/locate.go
@@ -69,7 +69,7 @@
 		if holder.HasRank {
 			e.Rank = holder.Rank
 		}
-	} else if !route.Open && len(e.Routing.Keys) > 0 {
+	} else if !route.Open && e.Routing.Keyed {
 		return &models.Refusal{Code: models.RefusalNoKey, Message: "the key is not valid", NotRun: true}
 	}
 	e.Call.Workspace = e.Workspace
