--- /dev/null
+++ b/commands/entry_test.go
@@ -0,0 +1,71 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quincewinch/platform/emulator"
+)
+
+// output is a log that is read while it is written.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) has(text string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Contains(o.text.String(), text)
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// TestHangupTakesUpSettings sends this process the signal that would end it
+// where it is not caught.
+func TestHangupTakesUpSettings(t *testing.T) {
+	is := is.New(t)
+	store := httptest.NewServer(emulator.NewStore())
+	t.Cleanup(store.Close)
+	settings := fmt.Sprintf(`{"name": "vm-1", "zone": "z", "callers": {"address": %q, "grace": "100ms"}, "readiness": {"address": %q},
+		"daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "watch": "50ms"}, "retries": {"ratio": 0.1}}`,
+		freePort(t), freePort(t), freePort(t), freePort(t), store.Listener.Addr().String())
+	path := filepath.Join(t.TempDir(), "entry.json")
+	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
+	ctx, cancel := context.WithCancel(t.Context())
+	log := &output{}
+	ended := make(chan error, 1)
+	go func() { ended <- (&entryCommand{settings: path}).run(environment{ctx: ctx, stdout: log, stderr: log}) }()
+	for !log.has("daemon started") {
+	}
+	is.NoErr(os.WriteFile(path, []byte(strings.Replace(settings, "0.1}", "0.3}", 1)), 0o600))
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	for !log.has("retry-ratio=0.3") {
+	}
+	cancel()
+	is.NoErr(<-ended)
+	is.True(log.has("daemon stopped"))
+}
