--- a/billing/closer.go
+++ b/billing/closer.go
@@ -35,7 +35,8 @@
 	rows    Rows
 	leases  peer.Leases
 	reports peer.WindowReports
-	clock   peer.Clock
+	clock   peer.Clock // for the lease
+	wall    peer.Clock // for the windows
 	logger  *zap.Logger
 	window  time.Duration
 	latest  time.Duration // from a window's end to its report
@@ -46,12 +47,13 @@
 }
 
 // NewCloser returns a closer that has reported nothing.
-func NewCloser(rows Rows, leases peer.Leases, reports peer.WindowReports, clock peer.Clock, logger *zap.Logger, window, latest time.Duration) *Closer {
+func NewCloser(rows Rows, leases peer.Leases, reports peer.WindowReports, clock, wall peer.Clock, logger *zap.Logger, window, latest time.Duration) *Closer {
 	return &Closer{
 		rows:     rows,
 		leases:   leases,
 		reports:  reports,
 		clock:    clock,
+		wall:     wall,
 		logger:   logger,
 		window:   window,
 		latest:   latest,
@@ -62,10 +64,10 @@
 // Step closes and reports the windows that are due.
 func (c *Closer) Step(ctx context.Context) {
 	authority := c.leases.Authority(models.LeaseUsage)
-	now := c.clock.Now()
-	if !authority.Valid(now) {
+	if !authority.Valid(c.clock.Now()) {
 		return
 	}
+	now := c.wall.Now()
 	if authority.Fence != c.fence {
 		// Another holder may have reported some windows or not.
 		c.fence = authority.Fence
--- a/billing/closer_test.go
+++ b/billing/closer_test.go
@@ -39,18 +39,19 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		closerOf := func(fence uint64) *billing.Closer {
-			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, zap.NewNop(), window, latest)
+			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, clock, zap.NewNop(), window, latest)
 		}
 		counter := billing.NewCounter("d", store, clock, zap.NewNop(), window)
-		counter.Count("w", clock.Now())
+		late := billing.NewCounter("late", store, clock, zap.NewNop(), window)
+		counter.Count("w")
+		late.Count("w")
 		counter.Flush(ctx)
 		time.Sleep(window + latest)
 		store.SetFaults(platform.Faults{Late: func(models.Transaction) time.Duration { return 2 * time.Second }})
 		closerOf(1).Step(ctx)
 		store.SetFaults(platform.Faults{})
 		is.Equal(len(receiver.reports), 0) // it does not know whether the window is frozen
-		counter.Count("w", clock.Now().Add(-window-latest))
-		counter.Flush(ctx)
+		late.Flush(ctx)
 		closerOf(2).Step(ctx)
 		time.Sleep(3 * time.Second) // the first one's write has come by now
 		closerOf(3).Step(ctx)
--- a/billing/counter.go
+++ b/billing/counter.go
@@ -31,7 +31,7 @@
 type Counter struct {
 	daemon models.DaemonID
 	table  peer.Table
-	clock  peer.Clock
+	clock  peer.Clock // tells the time of day
 	logger *zap.Logger
 	window time.Duration
 
@@ -60,8 +60,9 @@
 	}
 }
 
-// Count counts a request that a backend server began to run.
-func (c *Counter) Count(workspace models.Workspace, at time.Time) {
+// Count counts a request that a backend server has just begun to run.
+func (c *Counter) Count(workspace models.Workspace) {
+	at := c.clock.Now()
 	number := windowOf(at, c.window)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/billing/world_test.go
+++ b/billing/world_test.go
@@ -144,7 +144,7 @@
 		Timeout: 700 * time.Millisecond, AfterRelease: lease,
 	})
 	p.counter = billing.NewCounter(id, w.store, w.clock, logger, window)
-	p.closer = billing.NewCloser(rows{w.store}, p.leases, w.receiver.of(vm), w.clock, logger, window, latest)
+	p.closer = billing.NewCloser(rows{w.store}, p.leases, w.receiver.of(vm), w.clock, w.clock, logger, window, latest)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, task := range []control.Task{p.leases, p.counter, p.closer} {
 		go p.run(w.clock, task)
@@ -169,7 +169,7 @@
 		p := w.processes[w.random.IntN(len(w.processes))]
 		workspace := models.Workspace(fmt.Sprintf("w%d", w.random.IntN(3)))
 		now := w.clock.Now()
-		p.counter.Count(workspace, now)
+		p.counter.Count(workspace)
 		number := now.UnixNano() / int64(window)
 		if w.truth[number] == nil {
 			w.truth[number] = map[models.Workspace]int64{}
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	d := entry.New(settings, logger, system.NewClock())
+	d := entry.New(settings, logger, system.NewClock(), system.NewWallClock())
 	if err := d.Start(); err != nil {
 		return err
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -48,14 +48,14 @@
 		func() []models.LeaseName { return names },
 		leaseSettings(settings.Lease, settings.Store.Timeout),
 	)
-	d.duties.counter = billing.NewCounter(process, store, d.clock, d.logger, settings.Duties.UsageWindow)
+	d.duties.counter = billing.NewCounter(process, store, d.wall, d.logger, settings.Duties.UsageWindow)
 	if len(names) == 0 {
 		return
 	}
 	d.system.Spawn(d.duties.leases, dutyStep)
 	calls := platform.NewDuties(settings.Duties.Address, dutyClient(), d.clock, settings.Name)
 	if settings.Duties.Usage {
-		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.logger, settings.Duties.UsageWindow, settings.Duties.UsageLatest)
+		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.wall, d.logger, settings.Duties.UsageWindow, settings.Duties.UsageLatest)
 		d.system.Spawn(d.duties.counter, dutyStep)
 		d.system.Spawn(closer, dutyStep)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	settings      atomic.Pointer[config.Entry]
 	logger        *zap.Logger
 	clock         peer.Clock
+	wall          peer.Clock // the time of day, for billing windows
 	registry      *prometheus.Registry
 	system        *control.System
 	configuration *routing.Configuration
@@ -43,10 +44,11 @@
 }
 
 // New returns a daemon that has not started.
-func New(settings *config.Entry, logger *zap.Logger, clock peer.Clock) *Daemon {
+func New(settings *config.Entry, logger *zap.Logger, clock, wall peer.Clock) *Daemon {
 	d := &Daemon{
 		logger:   logger,
 		clock:    clock,
+		wall:     wall,
 		registry: prometheus.NewRegistry(),
 		system:   control.NewSystem(clock, logfmt.Standard(logger)),
 	}
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -172,7 +172,7 @@
 	counted int
 }
 
-func (m *meter) Count(models.Workspace, time.Time) { m.counted++ }
+func (m *meter) Count(models.Workspace) { m.counted++ }
 
 // world is one request before backend servers that follow a script.
 type world struct {
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -73,7 +73,7 @@
 
 // UsageMeter counts requests that backend servers began to run.
 type UsageMeter interface {
-	Count(workspace models.Workspace, at time.Time)
+	Count(workspace models.Workspace)
 }
 
 // Sender is the last filter: it sends a request to backend servers until one
@@ -254,7 +254,7 @@
 		return
 	}
 	d.counted = true
-	d.sender.meter.Count(d.exchange.Workspace, d.sender.clock.Now())
+	d.sender.meter.Count(d.exchange.Workspace)
 }
 
 // conclude gives the request its final answer after a failure.
