billing: counts of VMs that cannot reach the store are waited for

Change: a window closes once every registered VM has written counts after its end, or at 0.8 of the time until its report is due; a VM always writes such a last row; failing writes pause a second and log once.

--- a/billing/closer.go
+++ b/billing/closer.go
@@ -13,8 +13,13 @@
 
 const (
 	// closeShare is the part of the time until a report is due after which a
-	// window is closed: half is left for a store or a platform that fails.
-	closeShare = 0.45
+	// window is closed where all daemons have written their counts.
+	closeShare = 0.2
+	// forceShare is the part of that time after which it is closed without
+	// those that are missing; the rest is for the report.
+	forceShare = 0.8
+	// lookPause is the time between two looks for counts that are missing.
+	lookPause = time.Second
 	// lateFactor is how many times the time until a report is due it is still
 	// tried.
 	lateFactor = 4
@@ -22,6 +27,9 @@
 	mostDeletes = 90
 )
 
+// errIncomplete says that counts of some VM are missing and are waited for.
+const errIncomplete = errors.ConstError("counts of some VM are missing")
+
 // Rows is the part of the store that holds the counts.
 type Rows interface {
 	peer.Table
@@ -40,14 +48,17 @@
 	logger  *zap.Logger
 	window  time.Duration
 	latest  time.Duration // from a window's end to its report
+	vms     func() []string
 
 	// Used by Step alone.
 	reported map[int64]bool
 	fence    uint64 // of the authority at the last step
+	lookedAt time.Time
 }
 
-// NewCloser returns a closer that has reported nothing.
-func NewCloser(rows Rows, leases peer.Leases, reports peer.WindowReports, clock, wall peer.Clock, logger *zap.Logger, window, latest time.Duration) *Closer {
+// NewCloser returns a closer that has reported nothing. Vms names those whose
+// counts are waited for.
+func NewCloser(rows Rows, leases peer.Leases, reports peer.WindowReports, clock, wall peer.Clock, logger *zap.Logger, window, latest time.Duration, vms func() []string) *Closer {
 	return &Closer{
 		rows:     rows,
 		leases:   leases,
@@ -57,6 +68,7 @@
 		logger:   logger,
 		window:   window,
 		latest:   latest,
+		vms:      vms,
 		reported: map[int64]bool{},
 	}
 }
@@ -77,7 +89,10 @@
 	last := windowOf(closed, c.window) - 1
 	first := windowOf(now.Add(-lateFactor*c.latest), c.window)
 	for number := first; number <= last; number++ {
-		if !c.reported[number] && !c.close(ctx, authority, number) {
+		if c.reported[number] {
+			continue
+		}
+		if now.Sub(c.lookedAt) < lookPause || !c.close(ctx, authority, number, now) {
 			return
 		}
 	}
@@ -89,9 +104,14 @@
 }
 
 // close reports a window, and returns whether the next one may be tried.
-func (c *Closer) close(ctx context.Context, authority models.Authority, number int64) bool {
-	requests, err := c.freeze(ctx, authority, number)
+func (c *Closer) close(ctx context.Context, authority models.Authority, number int64, now time.Time) bool {
+	requests, err := c.freeze(ctx, authority, number, now)
+	if errors.Is(err, errIncomplete) {
+		c.lookedAt = now
+		return false
+	}
 	if err != nil {
+		c.lookedAt = now
 		c.logger.Warn("billing window not closed", zap.Int64("window", number), zap.Error(err))
 		return false
 	}
@@ -100,6 +120,7 @@
 		return true
 	}
 	if err := c.reports.Report(ctx, authority, number, requests); err != nil {
+		c.lookedAt = now
 		c.logger.Warn("billing window not reported", zap.Int64("window", number), zap.Error(err))
 		return false
 	}
@@ -110,25 +131,31 @@
 
 // freeze returns the counts that a window has once and for all. Whoever writes
 // the frozen row first decides.
-func (c *Closer) freeze(ctx context.Context, authority models.Authority, number int64) (map[models.Workspace]int64, error) {
+func (c *Closer) freeze(ctx context.Context, authority models.Authority, number int64, now time.Time) (map[models.Workspace]int64, error) {
 	key := models.RowKey{Partition: models.PartitionUsage, Name: frozenName(number)}
 	frozen, err := c.rows.Read(ctx, key)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	if len(frozen) > 0 {
-		return decodeCounts(frozen[0].Value)
+		sum, err := decodeCounts(frozen[0].Value)
+		return sum.requests, err
 	}
 	prefix := countPrefixOf(number)
 	rows, err := c.rows.Range(ctx, models.PartitionUsage, prefix, prefix+"\xff")
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	requests := c.sum(rows, number)
+	latest := c.latestRows(rows, number)
+	forced := now.Sub(windowEnd(number, c.window)) >= time.Duration(forceShare*float64(c.latest))
+	if !forced && !c.complete(latest) {
+		return nil, errIncomplete
+	}
+	requests := sum(latest)
 	if len(requests) == 0 {
 		return nil, nil
 	}
-	value, err := encodeCounts(requests)
+	value, err := encodeCounts(counts{requests: requests})
 	if err != nil {
 		return nil, err
 	}
@@ -147,31 +174,48 @@
 	return requests, nil
 }
 
-// sum adds up the last row of each daemon.
-func (c *Closer) sum(rows []models.Row, number int64) map[models.Workspace]int64 {
-	type latest struct {
-		write uint64
-		row   models.Row
-	}
-	byDaemon := map[models.DaemonID]latest{}
+// latestRows returns the counts that each process wrote last.
+func (c *Closer) latestRows(rows []models.Row, number int64) map[models.DaemonID]counts {
+	writes := map[models.DaemonID]uint64{}
+	latest := map[models.DaemonID]counts{}
 	for _, row := range rows {
 		daemon, write, ok := parseCountName(row.Key.Name, number)
-		if ok && write > byDaemon[daemon].write {
-			byDaemon[daemon] = latest{write: write, row: row}
+		if !ok || write <= writes[daemon] {
+			continue
 		}
-	}
-	sum := map[models.Workspace]int64{}
-	for daemon, l := range byDaemon {
-		requests, err := decodeCounts(l.row.Value)
+		counted, err := decodeCounts(row.Value)
 		if err != nil {
 			c.logger.Error("counts of a daemon not decoded", zap.String("daemon", string(daemon)), zap.Error(err))
 			continue
 		}
-		for workspace, n := range requests {
-			sum[workspace] += n
+		writes[daemon] = write
+		latest[daemon] = counted
+	}
+	return latest
+}
+
+// complete reports whether all VMs have written counts after the window's end.
+func (c *Closer) complete(latest map[models.DaemonID]counts) bool {
+	final := map[string]bool{}
+	for _, counted := range latest {
+		final[counted.vm] = final[counted.vm] || counted.final
+	}
+	for _, vm := range c.vms() {
+		if !final[vm] {
+			return false
 		}
 	}
-	return sum
+	return true
+}
+
+func sum(latest map[models.DaemonID]counts) map[models.Workspace]int64 {
+	requests := map[models.Workspace]int64{}
+	for _, counted := range latest {
+		for workspace, n := range counted.requests {
+			requests[workspace] += n
+		}
+	}
+	return requests
 }
 
 func total(requests map[models.Workspace]int64) int64 {
--- a/billing/closer_test.go
+++ b/billing/closer_test.go
@@ -39,10 +39,10 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		closerOf := func(fence uint64) *billing.Closer {
-			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, clock, zap.NewNop(), window, latest)
+			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, clock, zap.NewNop(), window, latest, func() []string { return nil })
 		}
-		counter := billing.NewCounter("d", store, clock, zap.NewNop(), window)
-		late := billing.NewCounter("late", store, clock, zap.NewNop(), window)
+		counter := billing.NewCounter("vm-1", "d", store, clock, zap.NewNop(), window)
+		late := billing.NewCounter("vm-2", "late", store, clock, zap.NewNop(), window)
 		counter.Count("w")
 		late.Count("w")
 		counter.Flush(ctx)
@@ -60,3 +60,43 @@
 		is.Equal(receiver.reports[1].counts, receiver.reports[0].counts)
 	})
 }
+
+// TestMissingCountsAreWaitedFor plays a VM that cannot write for a while.
+func TestMissingCountsAreWaitedFor(t *testing.T) {
+	tests := []struct {
+		name     string
+		writesAt time.Duration // after the window's end
+		want     int64
+	}{
+		{"until they come", 6 * time.Second, 2},
+		{"but not until the report is late", 9 * time.Second, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				clock := system.NewClock()
+				store := platform.NewStore(clock)
+				receiver := &receiver{clock: clock}
+				vms := func() []string { return []string{"vm-1", "vm-2"} }
+				closer := billing.NewCloser(rows{store}, held(1), receiver.of("vm-1"), clock, clock, zap.NewNop(), window, latest, vms)
+				first := billing.NewCounter("vm-1", "a", store, clock, zap.NewNop(), window)
+				second := billing.NewCounter("vm-2", "b", store, clock, zap.NewNop(), window)
+				end := clock.Now().Truncate(window).Add(window)
+				first.Count("w")
+				second.Count("w")
+				for clock.Now().Before(end.Add(latest)) {
+					first.Step(t.Context())
+					if clock.Now().Sub(end) >= test.writesAt {
+						second.Step(t.Context())
+					}
+					closer.Step(t.Context())
+					time.Sleep(step)
+				}
+				is.Equal(len(receiver.reports), 1)
+				is.Equal(receiver.reports[0].counts["w"], test.want)
+				is.True(receiver.reports[0].at.Sub(end) < latest)
+			})
+		})
+	}
+}
--- a/billing/codec.go
+++ b/billing/codec.go
@@ -44,23 +44,36 @@
 	return models.DaemonID(rest[:i]), write, err == nil
 }
 
-func encodeCounts(requests map[models.Workspace]int64) ([]byte, error) {
-	form := make(map[string]int64, len(requests))
-	for workspace, n := range requests {
-		form[string(workspace)] = n
+type countsForm struct {
+	VM       string           `json:"vm,omitempty"`
+	Final    bool             `json:"final,omitempty"`
+	Requests map[string]int64 `json:"requests"`
+}
+
+// counts is the value of a row.
+type counts struct {
+	vm       string // that counted; empty for the sum of all
+	final    bool   // the window was over when they were written
+	requests map[models.Workspace]int64
+}
+
+func encodeCounts(c counts) ([]byte, error) {
+	form := countsForm{VM: c.vm, Final: c.final, Requests: make(map[string]int64, len(c.requests))}
+	for workspace, n := range c.requests {
+		form.Requests[string(workspace)] = n
 	}
 	raw, err := json.Marshal(form)
 	return raw, errors.Trace(err)
 }
 
-func decodeCounts(raw []byte) (map[models.Workspace]int64, error) {
-	var form map[string]int64
+func decodeCounts(raw []byte) (counts, error) {
+	var form countsForm
 	if err := json.Unmarshal(raw, &form); err != nil {
-		return nil, errors.Trace(err)
+		return counts{}, errors.Trace(err)
 	}
-	requests := make(map[models.Workspace]int64, len(form))
-	for workspace, n := range form {
-		requests[models.Workspace(workspace)] = n
+	c := counts{vm: form.VM, final: form.Final, requests: make(map[models.Workspace]int64, len(form.Requests))}
+	for workspace, n := range form.Requests {
+		c.requests[models.Workspace(workspace)] = n
 	}
-	return requests, nil
+	return c, nil
 }
--- a/billing/counter.go
+++ b/billing/counter.go
@@ -21,6 +21,8 @@
 	settleTime = 250 * time.Millisecond
 	// keptWindows is how many past windows a daemon still counts for.
 	keptWindows = 4
+	// retryPause is the time between two writes while they fail.
+	retryPause = time.Second
 	// flushesPerWindow is how often counts are written while a window lasts: a
 	// daemon that is killed loses no more than that part of it.
 	flushesPerWindow = 4
@@ -29,6 +31,7 @@
 // Counter counts requests by window and workspace. It implements
 // relay.UsageMeter.
 type Counter struct {
+	vm     string
 	daemon models.DaemonID
 	table  peer.Table
 	clock  peer.Clock // tells the time of day
@@ -38,19 +41,23 @@
 	mu      sync.Mutex
 	windows map[int64]*count
 	writes  uint64
+	failing bool // the latest write failed
+	triedAt time.Time
 }
 
 // count is what a daemon counted in one window.
 type count struct {
 	requests  map[models.Workspace]int64
 	changed   bool // since the last write
+	final     bool // the last write came after the window's end
 	writtenAt time.Time
 }
 
 // NewCounter returns a counter of windows of a length. Daemon names this
-// process, not its VM: two processes never write the same row.
-func NewCounter(daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, window time.Duration) *Counter {
+// process on its VM: two processes never write the same row.
+func NewCounter(vm string, daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, window time.Duration) *Counter {
 	return &Counter{
+		vm:      vm,
 		daemon:  daemon,
 		table:   table,
 		clock:   clock,
@@ -77,7 +84,11 @@
 
 // Step writes counts that are due.
 func (c *Counter) Step(ctx context.Context) {
-	for number, requests := range c.due(c.clock.Now(), false) {
+	now := c.clock.Now()
+	if c.pausing(now) {
+		return
+	}
+	for number, requests := range c.due(now, false) {
 		c.write(ctx, number, requests)
 	}
 }
@@ -89,6 +100,13 @@
 	}
 }
 
+// pausing reports whether the store failed a moment ago.
+func (c *Counter) pausing(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failing && now.Sub(c.triedAt) < retryPause
+}
+
 func (c *Counter) due(now time.Time, all bool) map[int64]map[models.Workspace]int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -100,9 +118,10 @@
 		}
 		over := !now.Before(windowEnd(number, c.window).Add(settleTime))
 		stale := now.Sub(w.writtenAt) >= c.window/flushesPerWindow
-		if w.changed && (all || over || stale) {
+		if w.changed && (all || over || stale) || over && !w.final {
 			due[number] = maps.Clone(w.requests)
 			w.changed = false
+			w.final = over
 			w.writtenAt = now
 		}
 	}
@@ -115,22 +134,29 @@
 	c.mu.Lock()
 	c.writes++
 	name := countName(number, c.daemon, c.writes)
+	c.triedAt = c.clock.Now()
+	final := c.triedAt.After(windowEnd(number, c.window))
 	c.mu.Unlock()
-	value, err := encodeCounts(requests)
+	value, err := encodeCounts(counts{vm: c.vm, final: final, requests: requests})
 	if err != nil {
 		c.logger.Error("counts of a window not encoded", zap.Error(err))
 		return
 	}
 	key := models.RowKey{Partition: models.PartitionUsage, Name: name}
 	_, err = c.table.Transact(ctx, models.Transaction{Writes: []models.Write{{Key: key, Value: value}}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err == nil {
+		c.failing = false
 		return
 	}
-	c.logger.Warn("counts of a window not written, to be tried again", zap.Int64("window", number), zap.Error(err))
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if !c.failing {
+		c.logger.Warn("counts of a window not written, to be tried until the store is back", zap.Int64("window", number), zap.Error(err))
+	}
+	c.failing = true
 	if w, ok := c.windows[number]; ok {
 		w.changed = true
+		w.final = false
 	}
 }
 
--- a/billing/world_test.go
+++ b/billing/world_test.go
@@ -76,6 +76,12 @@
 	return sender{receiver: r, holder: holder}
 }
 
+func (r *receiver) setLose(lose func() bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lose = lose
+}
+
 type sender struct {
 	receiver *receiver
 	holder   string
@@ -107,14 +113,27 @@
 	ctx     context.Context
 }
 
+// dice are thrown by the schedule and by calls that fail.
+type dice struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (d *dice) IntN(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.IntN(n)
+}
+
 // world is some daemons before one store.
 type world struct {
 	clock     peer.Clock
 	store     *platform.Store
 	receiver  *receiver
-	random    *rand.Rand
+	random    *dice
 	processes []*process
 	starts    int
+	names     []string
 	truth     map[int64]map[models.Workspace]int64
 }
 
@@ -124,15 +143,23 @@
 		clock:    clock,
 		store:    platform.NewStore(clock),
 		receiver: &receiver{clock: clock},
-		random:   rand.New(rand.NewPCG(seed, 1)),
+		random:   &dice{random: rand.New(rand.NewPCG(seed, 1))},
 		truth:    map[int64]map[models.Workspace]int64{},
 	}
+	for i := range daemons {
+		w.names = append(w.names, fmt.Sprintf("vm-%d", i))
+	}
 	for i := range daemons {
 		w.processes = append(w.processes, w.start(fmt.Sprintf("vm-%d", i)))
 	}
 	return w
 }
 
+// vms names all VMs.
+func (w *world) vms() []string {
+	return w.names
+}
+
 func (w *world) start(vm string) *process {
 	w.starts++
 	id := models.DaemonID(fmt.Sprintf("%s-%d", vm, w.starts))
@@ -143,8 +170,8 @@
 		Duration: lease, Safety: lease / 6, Margin: lease / 10, Renew: lease / 3, Read: lease / 3,
 		Timeout: 700 * time.Millisecond, AfterRelease: lease,
 	})
-	p.counter = billing.NewCounter(id, w.store, w.clock, logger, window)
-	p.closer = billing.NewCloser(rows{w.store}, p.leases, w.receiver.of(vm), w.clock, w.clock, logger, window, latest)
+	p.counter = billing.NewCounter(vm, id, w.store, w.clock, logger, window)
+	p.closer = billing.NewCloser(rows{w.store}, p.leases, w.receiver.of(vm), w.clock, w.clock, logger, window, latest, w.vms)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, task := range []control.Task{p.leases, p.counter, p.closer} {
 		go p.run(w.clock, task)
@@ -222,8 +249,8 @@
 		})
 		return func() { w.store.SetFaults(platform.Faults{}) }
 	case 5: // answers of the platform are lost
-		w.receiver.lose = func() bool { return w.random.IntN(2) == 0 }
-		return func() { w.receiver.lose = nil }
+		w.receiver.setLose(func() bool { return w.random.IntN(2) == 0 })
+		return func() { w.receiver.setLose(nil) }
 	}
 	return nothing
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -48,14 +48,14 @@
 		func() []models.LeaseName { return names },
 		leaseSettings(settings.Lease, settings.Store.Timeout),
 	)
-	d.duties.counter = billing.NewCounter(process, store, d.wall, d.logger, settings.Duties.UsageWindow)
+	d.duties.counter = billing.NewCounter(settings.Name, process, store, d.wall, d.logger, settings.Duties.UsageWindow)
 	if len(names) == 0 {
 		return
 	}
 	d.system.Spawn(d.duties.leases, dutyStep)
 	calls := platform.NewDuties(settings.Duties.Address, dutyClient(), d.clock, settings.Name)
 	if settings.Duties.Usage {
-		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.wall, d.logger, settings.Duties.UsageWindow, settings.Duties.UsageLatest)
+		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.wall, d.logger, settings.Duties.UsageWindow, settings.Duties.UsageLatest, d.vms)
 		d.system.Spawn(d.duties.counter, dutyStep)
 		d.system.Spawn(closer, dutyStep)
 	}
@@ -65,6 +65,15 @@
 	}
 }
 
+// vms names the VMs that may have counts.
+func (d *Daemon) vms() []string {
+	names := []string{d.settings.Load().Name}
+	for id := range d.sharing.members.Others() {
+		names = append(names, string(id))
+	}
+	return names
+}
+
 // leaseSettings derives the times of leases from their duration.
 func leaseSettings(duration, timeout time.Duration) control.LeaseSettings {
 	return control.LeaseSettings{
