--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,7 +83,7 @@
 
 // line returns the filters in the order a request meets them.
 func (d *Daemon) line() relay.Handler {
-	upstreams := platform.NewUpstreams(upstreamTransport())
+	upstreams := platform.NewUpstreams(platform.NewTransport(upstreamTransport))
 	return relay.Chain(
 		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.clock),
 		relay.NewRecorder(d.registry, d.clock, d.logger).Filter(),
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -29,9 +29,6 @@
 	// while nothing was sent.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
-	// upstreamIdle is how long a connection to a backend server is kept
-	// unused.
-	upstreamIdle = 1500 * time.Millisecond
 	// idleConnections bounds the unused connections to one backend server.
 	idleConnections = 32
 	// storeIdle is how long a connection to the store is kept unused.
@@ -62,13 +59,14 @@
 	}
 }
 
-// upstreamTransport connects to backend servers.
-func upstreamTransport() *http.Transport {
+// upstreamTransport connects to backend servers, and closes connections after a
+// time unused.
+func upstreamTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:           dialer(upstreamDial).DialContext,
 		DisableCompression:    true,
 		MaxIdleConnsPerHost:   idleConnections,
-		IdleConnTimeout:       upstreamIdle,
+		IdleConnTimeout:       idle,
 		ExpectContinueTimeout: time.Second,
 	}
 }
