entry: failed sends are logged, a stop ends within the grace time

Cause: a request that was sent again left one line only; a stop could use up the whole grace time before its last calls of the store.

Change: one line for each send that was not answered, with what decided whether it is sent again; shares of the grace time for new requests, running ones and the last calls; gauges of configuration, fleet, daemons, leases and dropped lines.

--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -114,7 +114,7 @@
 					if p.Target().ID == "c0" {
 						p.End(test.result)
 						failures++
-						time.Sleep(5 * time.Second)
+						pass(t, 5*time.Second)
 						continue
 					}
 					p.End(relay.ResultServed)
@@ -186,7 +186,7 @@
 		for i := range 5 {
 			is.Equal(place(t, b, promptExchange(fmt.Sprintf("p%d", i), 100)).Target().ID, models.EngineID("decode1"))
 		}
-		time.Sleep(3 * time.Second) // the share is too old now
+		pass(t, 3*time.Second) // the share is too old now
 		counts := map[models.EngineID]int{}
 		for i := range 20 {
 			counts[place(t, b, promptExchange(fmt.Sprintf("q%d", i), 100)).Target().ID]++
@@ -225,8 +225,14 @@
 		b := newBalancer(f)
 		place(t, b, promptExchange("p", 100)).End(relay.ResultServed)
 		reborn := old[0]
-		reborn.Started = time.Now()
+		reborn.Started = system.NewClock().Now()
 		f.snapshot = fleetOf(reborn).snapshot
 		is.Equal(place(t, b, promptExchange("p", 200)).Reading(), 13200) // all is read anew
 	})
 }
+
+// pass lets virtual time pass.
+func pass(t *testing.T, d time.Duration) {
+	t.Helper()
+	is.New(t).NoErr(system.NewClock().Sleep(t.Context(), d))
+}
--- a/billing/closer_test.go
+++ b/billing/closer_test.go
@@ -23,7 +23,7 @@
 	return models.Authority{
 		Lease:    name,
 		Fence:    uint64(h),
-		Deadline: time.Now().Add(time.Hour),
+		Deadline: system.NewClock().Now().Add(time.Hour),
 		Guard:    models.Condition{Key: models.RowKey{Partition: models.PartitionLeases, Name: "nobody-writes-it"}},
 	}
 }
@@ -46,14 +46,14 @@
 		counter.Count("w")
 		late.Count("w")
 		counter.Flush(ctx)
-		time.Sleep(window + latest)
+		pass(t, window+latest)
 		store.SetFaults(platform.Faults{Late: func(models.Transaction) time.Duration { return 2 * time.Second }})
 		closerOf(1).Step(ctx)
 		store.SetFaults(platform.Faults{})
 		is.Equal(len(receiver.reports), 0) // it does not know whether the window is frozen
 		late.Flush(ctx)
 		closerOf(2).Step(ctx)
-		time.Sleep(3 * time.Second) // the first one's write has come by now
+		pass(t, 3*time.Second) // the first one's write has come by now
 		closerOf(3).Step(ctx)
 		is.Equal(len(receiver.reports), 2)
 		is.Equal(receiver.reports[0].counts, map[models.Workspace]int64{"w": 2})
@@ -91,7 +91,7 @@
 						second.Step(t.Context())
 					}
 					closer.Step(t.Context())
-					time.Sleep(step)
+					pass(t, step)
 				}
 				is.Equal(len(receiver.reports), 1)
 				is.Equal(receiver.reports[0].counts["w"], test.want)
@@ -100,3 +100,9 @@
 		})
 	}
 }
+
+// pass lets virtual time pass.
+func pass(t *testing.T, d time.Duration) {
+	t.Helper()
+	is.New(t).NoErr(system.NewClock().Sleep(t.Context(), d))
+}
--- a/billing/world_test.go
+++ b/billing/world_test.go
@@ -255,6 +255,12 @@
 	return nothing
 }
 
+// pass lets virtual time pass.
+func (w *world) pass(d time.Duration) {
+	// Nothing cancels the wait.
+	_ = w.clock.Sleep(context.Background(), d)
+}
+
 func (w *world) stop() {
 	for _, p := range w.processes {
 		p.cancel()
@@ -275,10 +281,10 @@
 				end = w.trouble()
 			}
 		}
-		time.Sleep(100 * time.Millisecond)
+		w.pass(100 * time.Millisecond)
 	}
 	end()
-	time.Sleep(2 * latest)
+	w.pass(2 * latest)
 	w.stop()
 	synctest.Wait()
 	return w.check(troubles == 0)
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	d := entry.New(settings, logger, system.NewClock(), system.NewWallClock())
+	d := entry.New(settings, logger, system.NewClock(), system.NewWallClock(), lines.Dropped)
 	if err := d.Start(); err != nil {
 		return err
 	}
--- a/commands/entry_test.go
+++ b/commands/entry_test.go
@@ -40,8 +40,9 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	address := listener.Addr().String()
+	is.New(t).NoErr(listener.Close())
+	return address
 }
 
 // TestHangupTakesUpSettings sends this process the signal that would end it
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	logger        *zap.Logger
 	clock         peer.Clock
 	wall          peer.Clock // the time of day, for billing windows
+	droppedLines  func() int64
 	registry      *prometheus.Registry
 	system        *control.System
 	configuration *routing.Configuration
@@ -43,14 +44,16 @@
 	stopping      atomic.Bool
 }
 
-// New returns a daemon that has not started.
-func New(settings *config.Entry, logger *zap.Logger, clock, wall peer.Clock) *Daemon {
+// New returns a daemon that has not started. DroppedLines counts the lines of
+// the log that were not written.
+func New(settings *config.Entry, logger *zap.Logger, clock, wall peer.Clock, droppedLines func() int64) *Daemon {
 	d := &Daemon{
-		logger:   logger,
-		clock:    clock,
-		wall:     wall,
-		registry: prometheus.NewRegistry(),
-		system:   control.NewSystem(clock, logfmt.Standard(logger)),
+		logger:       logger,
+		clock:        clock,
+		wall:         wall,
+		droppedLines: droppedLines,
+		registry:     prometheus.NewRegistry(),
+		system:       control.NewSystem(clock, logfmt.Standard(logger)),
 	}
 	d.settings.Store(settings)
 	return d
@@ -85,7 +88,7 @@
 func (d *Daemon) line() relay.Handler {
 	upstreams := platform.NewUpstreams(platform.NewTransport(upstreamTransport))
 	return relay.Chain(
-		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.clock),
+		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.clock, d.logger),
 		relay.NewRecorder(d.registry, d.clock, d.logger).Filter(),
 		relay.Locate(d.configuration, d.clock),
 	)
@@ -155,16 +158,18 @@
 	d.duties.leases.Release(ctx)
 	grace := d.settings.Load().Callers.Grace
 	// The wait ends early only with ctx.
-	_ = d.clock.Sleep(ctx, grace/leaveShare)
-	ctx, cancel := context.WithTimeout(ctx, grace/leaveShare)
+	_ = d.clock.Sleep(ctx, share(grace, acceptShare))
+	finishing, cancel := context.WithTimeout(ctx, share(grace, finishShare))
 	defer cancel()
 	for _, server := range d.servers {
-		if err := server.Shutdown(ctx); err != nil {
+		if err := server.Shutdown(finishing); err != nil {
 			d.logger.Warn("connections were cut at the end of the grace time", zap.Error(err))
 		}
 	}
-	d.duties.counter.Flush(ctx)
+	closing, cancel := context.WithTimeout(ctx, share(grace, closeShare))
+	defer cancel()
+	d.duties.counter.Flush(closing)
 	d.system.Stop()
-	d.stopSharing(ctx)
+	d.stopSharing(closing)
 	d.logger.Info("daemon stopped")
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -60,7 +60,7 @@
 		d.front, freeAddress(t), freeAddress(t), freeAddress(t), store.Listener.Addr().String())
 	parsed, err := config.ParseEntry([]byte(settings))
 	d.is.NoErr(err)
-	d.daemon = entry.New(parsed, zap.NewNop(), system.NewClock(), system.NewWallClock())
+	d.daemon = entry.New(parsed, zap.NewNop(), system.NewClock(), system.NewWallClock(), func() int64 { return 0 })
 	d.is.NoErr(d.daemon.Start())
 	t.Cleanup(func() { d.daemon.Stop(context.Background()) })
 	for !d.daemon.Ready() {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,12 +3,55 @@
 import (
 	"net/http"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"quincewinch/models"
+)
+
+const (
+	namespace = "quincewinch"
+	subsystem = "entry"
 )
 
 // metrics serves the measures of this process.
 func (d *Daemon) metrics() http.Handler {
+	d.gauge("config_version", "Version of the configuration in force; 0 before the first.", func() float64 {
+		if routing := d.configuration.Routing(); routing != nil {
+			return float64(routing.Version)
+		}
+		return 0
+	})
+	d.gauge("backend_servers", "Backend servers that are registered.", func() float64 {
+		if snapshot := d.fleet.Snapshot(); snapshot != nil {
+			return float64(len(snapshot.ByID))
+		}
+		return 0
+	})
+	d.gauge("live_daemons", "Daemons heard of late, this one included.", func() float64 {
+		return float64(d.sharing.members.Live())
+	})
+	d.gauge("lease_usage_held", "Whether this daemon reports billing windows.", d.holds(models.LeaseUsage))
+	d.gauge("lease_servers_held", "Whether this daemon orders backend servers.", d.holds(models.LeaseServers))
+	d.gauge("log_lines_dropped_total", "Lines of the log for which there was no room.", func() float64 {
+		return float64(d.droppedLines())
+	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	return mux
 }
+
+func (d *Daemon) gauge(name, help string, value func() float64) {
+	d.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Subsystem: subsystem, Name: name, Help: help,
+	}, value))
+}
+
+func (d *Daemon) holds(lease models.LeaseName) func() float64 {
+	return func() float64 {
+		if d.duties.leases.Authority(lease).Valid(d.clock.Now()) {
+			return 1
+		}
+		return 0
+	}
+}
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"quincewinch/models"
 	"quincewinch/peer"
@@ -193,7 +194,7 @@
 		Call:      models.UpstreamCall{ID: "r", Method: http.MethodPost, Target: "/p/x", Header: http.Header{}},
 		Route:     route,
 		Workspace: "w",
-		Deadline:  time.Now().Add(time.Minute),
+		Deadline:  system.NewClock().Now().Add(time.Minute),
 		Reply:     &w.reply,
 	}
 	return w
@@ -201,7 +202,7 @@
 
 func (w *world) handle(ctx context.Context) error {
 	w.t.Helper()
-	sender := relay.NewSender(&w.upstreams, &w.placer, &w.meter, system.NewClock())
+	sender := relay.NewSender(&w.upstreams, &w.placer, &w.meter, system.NewClock(), zap.NewNop())
 	return sender.Handle(ctx, &w.exchange)
 }
 
@@ -213,8 +214,14 @@
 	w.is.Equal(w.reply.body.String(), body)
 }
 
-// refused checks how the request ended, and returns the refusal.
-func (w *world) refused(code models.RefusalCode, notRun bool) *models.Refusal {
+// refused checks how the request ended.
+func (w *world) refused(code models.RefusalCode, notRun bool) {
+	w.t.Helper()
+	_ = w.refusal(code, notRun)
+}
+
+// refusal checks how the request ended, and returns the refusal.
+func (w *world) refusal(code models.RefusalCode, notRun bool) *models.Refusal {
 	w.t.Helper()
 	err := w.handle(w.t.Context())
 	w.is.True(err != nil) // refused
--- a/relay/locate_test.go
+++ b/relay/locate_test.go
@@ -45,7 +45,7 @@
 // locate takes a request through the filter and returns what it became.
 func locate(v view, e *relay.Exchange) error {
 	last := relay.HandlerFunc(func(context.Context, *relay.Exchange) error { return nil })
-	e.Received = time.Now()
+	e.Received = system.NewClock().Now()
 	return relay.Chain(last, relay.Locate(v, system.NewClock())).Handle(context.Background(), e)
 }
 
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"quincewinch/models"
 	"quincewinch/peer"
@@ -83,11 +84,12 @@
 	placer    Placer
 	meter     UsageMeter
 	clock     peer.Clock
+	logger    *zap.Logger
 }
 
 // NewSender returns a sender over a placer.
-func NewSender(upstreams peer.Upstreams, placer Placer, meter UsageMeter, clock peer.Clock) *Sender {
-	return &Sender{upstreams: upstreams, placer: placer, meter: meter, clock: clock}
+func NewSender(upstreams peer.Upstreams, placer Placer, meter UsageMeter, clock peer.Clock, logger *zap.Logger) *Sender {
+	return &Sender{upstreams: upstreams, placer: placer, meter: meter, clock: clock, logger: logger}
 }
 
 // Handle implements Handler.
@@ -127,12 +129,35 @@
 			return nil
 		}
 		d.exchange.Trace.Last = err.Error()
-		if ctx.Err() != nil || !d.mayGoOn(result) {
+		again := ctx.Err() == nil && d.mayGoOn(result)
+		d.log(placement, result, again, err)
+		if !again {
 			return d.conclude(ctx, err)
 		}
 	}
 }
 
+// log tells why a backend server did not answer, and whether the request is
+// sent again.
+func (d *delivery) log(placement Placement, result Result, again bool, err error) {
+	e := d.exchange
+	target := placement.Target()
+	d.sender.logger.Info("request not answered by a backend server",
+		zap.String("request", string(e.ID)),
+		zap.String("engine", string(target.ID)),
+		zap.String("address", target.Address.String()),
+		zap.String("prefiller", string(e.Trace.Prefiller)),
+		zap.String("result", string(result)),
+		zap.Bool("again", again),
+		zap.Int("sends", e.Trace.Sends),
+		zap.Int("attempts", e.Route.Attempts),
+		zap.Bool("repeatable", e.Route.Repeatable),
+		zap.String("last-event", d.events.lastID),
+		milliseconds("left-ms", e.Deadline.Sub(d.sender.clock.Now())),
+		zap.Error(err),
+	)
+}
+
 // attempt sends the request to one backend server, and passes its answer on.
 func (d *delivery) attempt(ctx context.Context, placement Placement) (Result, error) {
 	e := d.exchange
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -11,6 +11,7 @@
 
 	"quincewinch/models"
 	"quincewinch/peer"
+	"quincewinch/peer/system"
 )
 
 var (
@@ -44,7 +45,7 @@
 	})
 	t.Run("rejected everywhere, it has not run", func(t *testing.T) {
 		w := newWorld(t, once, rejected, rejected, good)
-		refusal := w.refused(models.RefusalBackendFailed, true)
+		refusal := w.refusal(models.RefusalBackendFailed, true)
 		w.is.True(refusal.RetryAfter > 0) // the caller is told when to come back
 		w.sent(2)
 	})
@@ -163,10 +164,10 @@
 func TestTimeIsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, once, answer{hangs: true})
-		started := time.Now()
+		started := system.NewClock().Now()
 		w.exchange.Deadline = started.Add(time.Second)
 		w.refused(models.RefusalDeadline, false)
-		w.is.Equal(time.Since(started), time.Second) // no later, and no sooner
+		w.is.Equal(system.NewClock().Now().Sub(started), time.Second) // no later, and no sooner
 	})
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -110,6 +110,12 @@
 	w.fleet.Step(w.t.Context())
 }
 
+// pass lets virtual time pass.
+func (w *fleetWorld) pass(d time.Duration) {
+	w.t.Helper()
+	w.is.NoErr(system.NewClock().Sleep(w.t.Context(), d))
+}
+
 // takesWork checks which backend servers get new work.
 func (w *fleetWorld) takesWork(ids ...models.EngineID) {
 	w.t.Helper()
@@ -169,7 +175,7 @@
 			w.step(removed(2, "a"))
 			w.takesWork("a", "b")
 			w.step(present(3, upstream("a")))
-			time.Sleep(3 * time.Second)
+			w.pass(3 * time.Second)
 			w.step(present(3))
 			w.takesWork("a", "b")
 		}},
@@ -177,7 +183,7 @@
 			w.step(all(1, upstream("a"), upstream("b")))
 			w.fail()
 			w.step(removed(2, "a"))
-			time.Sleep(2 * time.Second)
+			w.pass(2 * time.Second)
 			w.step(present(2))
 			w.takesWork("b")
 		}},
--- a/supply/manager_test.go
+++ b/supply/manager_test.go
@@ -21,7 +21,7 @@
 
 // Authority implements peer.Leases.
 func (l *lease) Authority(name models.LeaseName) models.Authority {
-	return models.Authority{Lease: name, Fence: l.fence, Deadline: time.Now().Add(time.Second)}
+	return models.Authority{Lease: name, Fence: l.fence, Deadline: system.NewClock().Now().Add(time.Second)}
 }
 
 // orders keeps what was ordered; refuse makes it refuse.
@@ -71,6 +71,12 @@
 	w.fleet = routing.Snapshot{ByService: map[models.ServiceName][]models.Upstream{"s": upstreams}}
 }
 
+// pass lets virtual time pass.
+func (w *world) pass(d time.Duration) {
+	w.t.Helper()
+	w.is.NoErr(system.NewClock().Sleep(w.t.Context(), d))
+}
+
 // expect steps and checks what was ordered since the last time.
 func (w *world) expect(want ...models.SupplyOrder) {
 	w.t.Helper()
@@ -103,14 +109,14 @@
 		}},
 		{"and again where nothing came", func(w *world) {
 			w.expect(cheap(3))
-			time.Sleep(8 * time.Second)
+			w.pass(8 * time.Second)
 			w.expect(cheap(3))
 		}},
 		{"a refused order is tried again, not at once", func(w *world) {
 			w.orders.refuse = true
 			w.expect(cheap(3))
 			w.expect()
-			time.Sleep(3 * time.Second)
+			w.pass(3 * time.Second)
 			w.expect(cheap(3))
 		}},
 		{"a new holder goes by what there is", func(w *world) {
