--- a/commands/docs_test.go
+++ b/commands/docs_test.go
@@ -98,6 +98,7 @@
 
 func TestPagesOfFields(t *testing.T) {
 	t.Run("settings", func(t *testing.T) { expectOnPage(t, "../docs/settings.md", "settings") })
+	t.Run("settings of entry", func(t *testing.T) { expectOnPage(t, "../docs/settings.md", "settings", "--entry") })
 	t.Run("table", func(t *testing.T) { expectOnPage(t, "../docs/table.md", "table", "columns") })
 }
 
