balance: zones tell each other their sums where there are many daemons

Ruled out: rarer messages alone (a second among 64 is stale for backlogs of 0.3 s, and still grows with the square).

Change: up to twelve others as before; beyond that each daemon tells its zone, and the first of each zone that answers exchanges sums with the other zones and passes theirs on.

Measured: in the new tests 72 daemons in five zones all know of a sent prompt within 2 s, and none of 64 sends more than 67 shares to 18 others in 10 s. The test first failed now and then: a daemon that had placed no prompt yet took the engines' capacity for nought and forgot what others had sent; it now takes it for unknown.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -62,7 +62,9 @@
 	shares   map[models.DaemonID]received
 	others   map[models.EngineID]models.ServerLoad // sum of all shares
 	unshared []models.SentPrompt
-	changed  bool // since the last share
+	// zonePrompts are the prompts of this zone's daemons since its last sum.
+	zonePrompts []models.SentPrompt
+	changed     bool // since the last share
 }
 
 // rateKey names engines that read prompts equally fast, but for their own
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -16,6 +16,9 @@
 	// cacheShare is the part of an engine's memory that is taken to keep parts
 	// of prompts; running requests use the rest.
 	cacheShare = 0.6
+	// unknownCapacity is taken before the configuration of a service was seen:
+	// engines of today keep less.
+	unknownCapacity = 10_000_000
 	// bitsPerByte converts the rates of links.
 	bitsPerByte = 8
 	// bitsPerMegabit converts the rates of links.
@@ -84,8 +87,12 @@
 	}
 }
 
-// cacheTokens is how many tokens of parts an engine of a capacity keeps.
+// cacheTokens is how many tokens of parts an engine of a capacity keeps. Until
+// the capacity is known, nothing is taken to be forgotten.
 func cacheTokens(capacity int) int {
+	if capacity <= 0 {
+		return unknownCapacity
+	}
 	return int(float64(capacity) * cacheShare)
 }
 
--- a/balance/share.go
+++ b/balance/share.go
@@ -18,12 +18,15 @@
 	shareLife = 2 * time.Second
 	// shareEvery is the longest time between two shares.
 	shareEvery = 500 * time.Millisecond
-	// fewDaemons is up to how many daemons each change is shared at once. Beyond
-	// that shares are the rarer the more daemons there are, so that their number
-	// grows with the daemons, not with their square.
-	fewDaemons = 8
-	// shareStep is the least time between two shares among few daemons.
-	shareStep = 50 * time.Millisecond
+	// fewDaemons is up to how many other daemons each one tells all others.
+	// Beyond that it tells those of its zone, and one daemon a zone exchanges
+	// sums with the other zones, so that the messages of one daemon do not grow
+	// with all daemons.
+	fewDaemons = 12
+	// shareStep is the least time between two shares to few others; it is as
+	// much longer as there are more others than stepOthers.
+	shareStep  = 50 * time.Millisecond
+	stepOthers = 6
 	// failuresToDrop is how many shares in a row may fail until the connection
 	// is made anew.
 	failuresToDrop = 2
@@ -31,85 +34,9 @@
 	mostPrompts = 512
 )
 
-// Share returns what is to be told to the others; changed is false where the
-// previous share said the same.
-func (b *Balancer) Share() (share models.LoadShare, changed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	share.Loads = map[models.EngineID]models.ServerLoad{}
-	for id, s := range b.states {
-		if s.running > 0 || s.reading > 0 {
-			share.Loads[id] = models.ServerLoad{Running: s.running, Reading: s.reading}
-		}
-	}
-	share.Prompts = b.unshared
-	b.unshared = nil
-	changed = b.changed
-	b.changed = false
-	return share, changed
-}
-
-// ReceiveShare takes in another daemon's share. It replaces the one before.
-func (b *Balancer) ReceiveShare(share models.LoadShare) {
-	now := b.clock.Now()
-	snapshot := b.fleet.Snapshot()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before := b.shares[share.From]
-	if share.Sequence <= before.sequence && now.Sub(before.receivedAt) < shareLife {
-		return // overtaken by a later one
-	}
-	b.shares[share.From] = received{sequence: share.Sequence, receivedAt: now, loads: share.Loads}
-	if share.Leaving {
-		delete(b.shares, share.From)
-	}
-	b.sumShares(now)
-	if snapshot == nil {
-		return
-	}
-	for _, sent := range share.Prompts {
-		if upstream, ok := snapshot.ByID[sent.Server]; ok {
-			b.state(upstream).cache.use(sent.Parts, cacheTokens(b.capacity[upstream.Service]), now)
-		}
-	}
-}
-
-// sumShares adds up what the other daemons have under way. The lock is held.
-func (b *Balancer) sumShares(now time.Time) {
-	clear(b.others)
-	for id, r := range b.shares {
-		if now.Sub(r.receivedAt) >= shareLife {
-			delete(b.shares, id)
-			continue
-		}
-		for server, load := range r.loads {
-			sum := b.others[server]
-			sum.Running += load.Running
-			sum.Reading += load.Reading
-			b.others[server] = sum
-		}
-	}
-}
-
-// received is a share of another daemon.
-type received struct {
-	sequence   uint64
-	receivedAt time.Time
-	loads      map[models.EngineID]models.ServerLoad
-}
-
-// noteSent keeps a prompt to be shared. The lock is held.
-func (b *Balancer) noteSent(server models.EngineID, parts []models.PromptPart) {
-	b.changed = true
-	if len(b.unshared) < mostPrompts {
-		b.unshared = append(b.unshared, models.SentPrompt{Server: server, Parts: parts})
-	}
-}
-
 // Members are the other daemons.
 type Members interface {
-	Others() map[models.DaemonID]netip.AddrPort
-	Live() int
+	Others() map[models.DaemonID]models.Peer
 }
 
 // Shares carries shares to the other daemons.
@@ -155,34 +82,114 @@
 func (s *Sharer) Step(ctx context.Context) {
 	now := s.clock.Now()
 	others := s.members.Others()
-	s.balancer.SetDaemons(s.members.Live())
-	if now.Sub(s.sharedAt) < shareStep*time.Duration(1+len(others)/fewDaemons) {
+	s.balancer.SetDaemons(len(others) + 1)
+	near := s.near(others)
+	if now.Sub(s.sharedAt) < shareStep*time.Duration(1+len(near)/stepOthers) {
 		return
 	}
+	speaks := len(near) < len(others) && s.speaker(s.self.Zone, others) == s.self.From
 	share, changed := s.balancer.Share()
-	if !changed && now.Sub(s.sharedAt) < shareEvery {
+	if !changed && !speaks && now.Sub(s.sharedAt) < shareEvery {
 		return
 	}
 	s.sharedAt = now
-	s.send(ctx, share, others)
+	if speaks {
+		share.Relayed = s.balancer.Sums()
+		s.speak(ctx, others)
+	}
+	s.send(ctx, share, near)
+}
+
+// near returns the daemons that are told what this one has under way: all
+// where they are few, else those of its zone.
+func (s *Sharer) near(others map[models.DaemonID]models.Peer) map[models.DaemonID]models.Peer {
+	if len(others) <= fewDaemons {
+		return others
+	}
+	near := map[models.DaemonID]models.Peer{}
+	for id, other := range others {
+		if other.Zone == s.self.Zone {
+			near[id] = other
+		}
+	}
+	return near
+}
+
+// speaker returns the daemon that exchanges sums for a zone: the first by name
+// that answers. Two that take themselves for it do no harm: a zone's sum
+// replaces the one before.
+func (s *Sharer) speaker(zone models.Zone, others map[models.DaemonID]models.Peer) models.DaemonID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first models.DaemonID
+	if zone == s.self.Zone {
+		first = s.self.From
+	}
+	for id, other := range others {
+		if other.Zone == zone && s.failures[id] < failuresToDrop && (first == "" || id < first) {
+			first = id
+		}
+	}
+	return first
+}
+
+// speak gives the sum of this zone to the speakers of the others.
+func (s *Sharer) speak(ctx context.Context, others map[models.DaemonID]models.Peer) {
+	zones := map[models.Zone]bool{}
+	for _, other := range others {
+		zones[other.Zone] = other.Zone != s.self.Zone
+	}
+	speakers := map[models.DaemonID]models.Peer{}
+	for zone, foreign := range zones {
+		if !foreign {
+			continue
+		}
+		id := s.speaker(zone, others)
+		if id == "" {
+			s.forgive(zone, others)
+			continue
+		}
+		speakers[id] = others[id]
+	}
+	sum := s.balancer.ZoneShare()
+	s.sequence++
+	sum.Sequence = s.sequence
+	sum.Address = s.self.Address
+	s.sendAll(ctx, sum, speakers)
+}
+
+// forgive forgets the failures of a zone's daemons, none of which answered: the
+// zone may have been cut off.
+func (s *Sharer) forgive(zone models.Zone, others map[models.DaemonID]models.Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, other := range others {
+		if other.Zone == zone {
+			delete(s.failures, id)
+		}
+	}
 }
 
 // Leave tells the others that this daemon is about to stop.
 func (s *Sharer) Leave(ctx context.Context) {
 	share, _ := s.balancer.Share()
 	share.Leaving = true
-	s.send(ctx, share, s.members.Others())
+	s.send(ctx, share, s.near(s.members.Others()))
 }
 
-func (s *Sharer) send(ctx context.Context, share models.LoadShare, others map[models.DaemonID]netip.AddrPort) {
+func (s *Sharer) send(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer) {
 	s.sequence++
 	share.From = s.self.From
 	share.Zone = s.self.Zone
 	share.Address = s.self.Address
 	share.Sequence = s.sequence
-	for id, address := range others {
+	s.sendAll(ctx, share, to)
+}
+
+func (s *Sharer) sendAll(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer) {
+	for id, other := range to {
 		if s.begin(id) {
-			go s.sendTo(ctx, id, address, share)
+			go s.sendTo(ctx, id, other.Address, share)
 		}
 	}
 }
--- /dev/null
+++ b/balance/share_test.go
@@ -0,0 +1,175 @@
+package balance_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"quincewinch/balance"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+	"quincewinch/policy/retry"
+	"quincewinch/relay"
+)
+
+// network carries shares between the daemons of a test.
+type network struct {
+	t         *testing.T
+	mu        sync.Mutex
+	daemons   map[netip.AddrPort]*balance.Balancer
+	members   map[models.DaemonID]models.Peer
+	down      map[netip.AddrPort]bool
+	messages  map[models.DaemonID]int // sent by each daemon
+	addresses []netip.AddrPort
+}
+
+// Share implements balance.Shares.
+func (n *network) Share(_ context.Context, to netip.AddrPort, share models.LoadShare) error {
+	n.mu.Lock()
+	from := share.Address
+	down := n.down[to] || n.down[from]
+	n.messages[models.DaemonID(from.String())]++
+	target := n.daemons[to]
+	n.mu.Unlock()
+	if down {
+		return peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
+	}
+	target.ReceiveShare(share)
+	return nil
+}
+
+// Drop implements balance.Shares.
+func (n *network) Drop(netip.AddrPort) {}
+
+// others are all members but one.
+type others struct {
+	network *network
+	self    models.DaemonID
+}
+
+// Others implements balance.Members.
+func (o others) Others() map[models.DaemonID]models.Peer {
+	list := map[models.DaemonID]models.Peer{}
+	for id, member := range o.network.members {
+		if id != o.self {
+			list[id] = member
+		}
+	}
+	return list
+}
+
+// newNetwork starts daemons spread over zones, all before the same engines.
+func newNetwork(t *testing.T, daemons, zones int) *network {
+	n := &network{
+		t: t, daemons: map[netip.AddrPort]*balance.Balancer{}, members: map[models.DaemonID]models.Peer{},
+		down: map[netip.AddrPort]bool{}, messages: map[models.DaemonID]int{},
+	}
+	f := fleetOf(engines(6, models.RoleDecode)...)
+	clock := system.NewClock()
+	type start struct {
+		id     models.DaemonID
+		member models.Peer
+	}
+	var starts []start
+	for i := range daemons {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 1)
+		s := start{models.DaemonID(fmt.Sprintf("vm-%03d", i)), models.Peer{Address: address, Zone: models.Zone(fmt.Sprintf("z%d", i%zones))}}
+		starts = append(starts, s)
+		n.members[s.id] = s.member
+		n.addresses = append(n.addresses, address)
+	}
+	for _, s := range starts {
+		n.daemons[s.member.Address] = balance.New(f, clock, zap.NewNop(), balance.Settings{
+			Zone: s.member.Zone, Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
+		}, 1)
+	}
+	for _, s := range starts {
+		b := n.daemons[s.member.Address]
+		self := models.LoadShare{From: s.id, Zone: s.member.Zone, Address: s.member.Address}
+		sharer := balance.NewSharer(self, b, others{n, s.id}, n, clock, zap.NewNop())
+		go func() {
+			for clock.Sleep(t.Context(), 25*time.Millisecond) == nil {
+				sharer.Step(t.Context())
+			}
+		}()
+	}
+	return n
+}
+
+// daemon returns a daemon by its number.
+func (n *network) daemon(i int) *balance.Balancer {
+	return n.daemons[n.addresses[i]]
+}
+
+// knows checks that a daemon expects to read only the own part of a prompt
+// whose shared part another one has sent.
+func (n *network) knows(i int, shared string, own int) bool {
+	n.t.Helper()
+	p := place(n.t, n.daemon(i), promptExchange(shared, own))
+	defer p.End(relay.ResultServed)
+	return p.Reading() == own
+}
+
+func TestSharesReachAllDaemons(t *testing.T) {
+	for _, size := range []struct{ daemons, zones int }{{7, 4}, {20, 4}, {72, 5}} {
+		t.Run(fmt.Sprintf("%d daemons in %d zones", size.daemons, size.zones), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t, size.daemons, size.zones)
+				pass(t, 2*time.Second)
+				p := place(t, n.daemon(size.daemons-1), promptExchange("catalogue", 100))
+				p.Answered(nil)
+				pass(t, 2*time.Second)
+				for i := range size.daemons {
+					if !n.knows(i, "catalogue", 200+i) {
+						t.Errorf("daemon %d does not know where the shared part is", i)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestSharesOfOneDaemonDoNotGrowWithAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const zones, perZone, seconds = 4, 16, 10
+		n := newNetwork(t, zones*perZone, zones)
+		// The least pause between two shares is 150 ms among 15 others, and one
+		// daemon a zone speaks for it to three others.
+		const most = (seconds*1000/150 + 1) * (perZone - 1 + zones - 1)
+		for range seconds * 10 {
+			for i := range zones * perZone {
+				place(t, n.daemon(i), promptExchange("p", 100)).End(relay.ResultServed)
+			}
+			pass(t, 100*time.Millisecond)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for id, messages := range n.messages {
+			if messages > most {
+				t.Errorf("%s sent %d messages in %d s, at most %d are allowed", id, messages, seconds, most)
+			}
+		}
+	})
+}
+
+func TestAnotherSpeaksWhereTheFirstIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 20, 4)
+		n.mu.Lock()
+		n.down[n.addresses[0]] = true // the first of zone z0
+		n.mu.Unlock()
+		pass(t, 5*time.Second)
+		place(t, n.daemon(1), promptExchange("catalogue", 100)).Answered(nil)
+		pass(t, 3*time.Second)
+		is.True(n.knows(4, "catalogue", 200)) // of zone z0
+	})
+}
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -80,7 +80,9 @@
 // ReceiveShare takes in what another daemon tells.
 func (r shareReceiver) ReceiveShare(share models.LoadShare) {
 	members := r.daemon.sharing.members
-	members.Heard(share.From, share.Zone, share.Address)
+	if !balance.IsSum(share.From) {
+		members.Heard(share.From, share.Zone, share.Address)
+	}
 	if share.Leaving {
 		members.Gone(share.From)
 	}
--- a/membership/members.go
+++ b/membership/members.go
@@ -187,15 +187,15 @@
 	delete(m.others, id)
 }
 
-// Others returns the addresses of the other daemons.
-func (m *Members) Others() map[models.DaemonID]netip.AddrPort {
+// Others returns the other daemons.
+func (m *Members) Others() map[models.DaemonID]models.Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addresses := make(map[models.DaemonID]netip.AddrPort, len(m.others))
+	peers := make(map[models.DaemonID]models.Peer, len(m.others))
 	for id, other := range m.others {
-		addresses[id] = other.address
+		peers[id] = models.Peer{Address: other.address, Zone: other.zone}
 	}
-	return addresses
+	return peers
 }
 
 // Live returns how many daemons were heard of late, this one included.
--- a/models/share.go
+++ b/models/share.go
@@ -3,7 +3,7 @@
 import "net/netip"
 
 // LoadShare is what a daemon tells the others about its requests at backend
-// servers.
+// servers, or the sum of what the daemons of a zone tell.
 type LoadShare struct {
 	From     DaemonID
 	Zone     Zone
@@ -12,6 +12,13 @@
 	Leaving  bool           // the sender is about to stop
 	Loads    map[EngineID]ServerLoad
 	Prompts  []SentPrompt // since the previous share
+	Relayed  []LoadShare  // sums of other zones, which the sender passes on in its own
+}
+
+// Peer is where another daemon listens.
+type Peer struct {
+	Address netip.AddrPort
+	Zone    Zone
 }
 
 // ServerLoad is what a daemon has under way at one backend server.
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -63,6 +63,9 @@
 		}
 		form.Prompts = append(form.Prompts, prompt)
 	}
+	for _, relayed := range share.Relayed {
+		form.Relayed = append(form.Relayed, encodeShare(relayed))
+	}
 	return form
 }
 
@@ -92,5 +95,14 @@
 		}
 		share.Prompts = append(share.Prompts, prompt)
 	}
+	for _, relayed := range form.GetRelayed() {
+		// Sums are not relayed any further.
+		relayed.Relayed = nil
+		sum, err := decodeShare(relayed)
+		if err != nil {
+			return models.LoadShare{}, err
+		}
+		share.Relayed = append(share.Relayed, sum)
+	}
 	return share, nil
 }
