relay: a target that began to leave while the prompt was read gets nothing

Twelve engines were being replaced; a request is placed before its prompt is read elsewhere, which may take seconds, and was sent without another look.

Change: before it is sent, the target's registration is looked at again; filled KV cache is kept for the next target.

Measured: the new case of TestPrefill fails before and passes after.

--- a/balance/placement.go
+++ b/balance/placement.go
@@ -36,6 +36,16 @@
 	return p.prefiller.upstream, true
 }
 
+// Taken implements relay.Placement.
+func (p *placement) Taken() bool {
+	snapshot := p.balancer.fleet.Snapshot()
+	if snapshot == nil {
+		return false
+	}
+	now, ok := snapshot.ByID[p.target.upstream.ID]
+	return ok && !now.Draining && now.SameIncarnation(p.target.upstream)
+}
+
 // Predicted implements relay.Placement.
 func (p *placement) Predicted() time.Duration {
 	return p.predicted
@@ -113,6 +123,6 @@
 		p.target.heldUntil = now.Add(fullHold)
 	case relay.ResultMoved:
 		p.target.heldUntil = now.Add(longestHold)
-	case relay.ResultServed, relay.ResultCancelled:
+	case relay.ResultServed, relay.ResultCancelled, relay.ResultLeft:
 	}
 }
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -108,6 +108,7 @@
 	repeats  int // how many requests may be sent again
 	results  []relay.Result
 	refusal  error
+	leaving  models.EngineID // takes no new work once a prompt has been read for it
 }
 
 // Place implements relay.Placer.
@@ -140,6 +141,10 @@
 	return models.Upstream{ID: "prefiller"}, p.placer.prefills
 }
 
+func (p *placement) Taken() bool {
+	return !p.placer.prefills || p.target.ID != p.placer.leaving
+}
+
 func (p *placement) Predicted() time.Duration      { return 0 }
 func (p *placement) Reading() int                  { return 0 }
 func (p *placement) Urgency() int                  { return 0 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -45,6 +45,9 @@
 	Target() models.Upstream
 	// Prefiller fills KV cache with the prompt first; false: the target does.
 	Prefiller() (models.Upstream, bool)
+	// Taken reports whether the target takes new work: it may have begun to
+	// leave since it was chosen.
+	Taken() bool
 	// Predicted is the expected time to the answer or its first event.
 	Predicted() time.Duration
 	// Reading is how many prompt tokens are expected to be read.
@@ -68,6 +71,7 @@
 	ResultRejected    Result = "rejected"    // it states that the request did not run
 	ResultMoved       Result = "moved"       // its address is another's by now
 	ResultUnreachable Result = "unreachable" // nothing was sent
+	ResultLeft        Result = "left"        // it began to leave before anything was sent
 	ResultFailed      Result = "failed"      // it failed, or its answer was lost
 	ResultCancelled   Result = "cancelled"   // the caller left or the time was over
 )
@@ -109,15 +113,23 @@
 	ran         int // backend servers that may have run it
 	rejections  int
 	unreachable int
-	begun       bool // the caller has status and header
-	counted     bool // for billing
+	filled      *filledCache // not yet taken by a target
+	begun       bool         // the caller has status and header
+	counted     bool         // for billing
 	events      eventSplitter
 	// kept is a backend server's own failure, passed on where nothing better
 	// comes.
 	kept *wholeAnswer
 }
 
+// filledCache is KV cache that an engine has filled with the prompt.
+type filledCache struct {
+	source    models.KVSource
+	prefiller models.Upstream
+}
+
 func (d *delivery) run(ctx context.Context) error {
+	defer d.free(ctx)
 	for {
 		placement, err := d.sender.placer.Place(d.exchange, d.tried)
 		if err != nil {
@@ -170,26 +182,34 @@
 	call := e.Call
 	call.Urgency = placement.Urgency()
 	call.ResumeAfter = d.events.lastID
-	call.KVSource = d.prefill(ctx, placement, call)
+	if d.filled == nil {
+		d.filled = d.prefill(ctx, placement, call)
+	} else {
+		placement.Prefilled() // for an earlier target
+	}
 	call.TimeLeft = e.Deadline.Sub(d.sender.clock.Now())
 	if call.TimeLeft < leastTimeLeft {
-		d.free(ctx, placement, call.KVSource)
 		return ResultCancelled, errors.New("no time is left")
 	}
+	// Reading the prompt may have taken seconds.
+	if !placement.Taken() {
+		return ResultLeft, errors.New("the backend server began to leave before the request was sent")
+	}
+	if d.filled != nil {
+		call.KVSource = &d.filled.source
+	}
 	e.Trace.Sends++
 	answer, err := d.sender.upstreams.Send(ctx, target, call)
 	if err != nil {
-		if peer.OutcomeOf(err) == peer.OutcomeNotDone {
-			d.free(ctx, placement, call.KVSource)
-		}
 		return d.unanswered(ctx, err)
 	}
 	defer answer.Body.Close()
 	if answer.NotRun {
 		placement.Answered(answer.Load)
-		d.free(ctx, placement, call.KVSource)
+		d.free(ctx)
 		return d.rejected(answer)
 	}
+	d.filled = nil
 	d.ran++
 	if e.Route.Stream && answer.Status < firstFailure {
 		return d.stream(ctx, placement, answer)
@@ -199,7 +219,7 @@
 
 // prefill has the prompt's KV cache filled elsewhere, where the placement says
 // so. Where that fails, the target fills it itself.
-func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) *models.KVSource {
+func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) *filledCache {
 	prefiller, ok := placement.Prefiller()
 	if !ok {
 		return nil
@@ -219,20 +239,21 @@
 		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": status " + statusText(answer.Status)
 		return nil
 	}
-	return &source
+	return &filledCache{source: source, prefiller: prefiller}
 }
 
-// free releases KV cache that the target has not taken. It goes on after the
-// request has ended: the engine would keep the memory until it expires.
-func (d *delivery) free(ctx context.Context, placement Placement, source *models.KVSource) {
-	prefiller, ok := placement.Prefiller()
-	if source == nil || !ok {
+// free releases KV cache that no target has taken. It goes on after the request
+// has ended: the engine would keep the memory until it expires.
+func (d *delivery) free(ctx context.Context) {
+	if d.filled == nil {
 		return
 	}
+	filled := *d.filled
+	d.filled = nil
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeTimeout)
 	defer cancel()
-	if err := d.sender.upstreams.Free(ctx, prefiller, *source); err != nil {
-		d.exchange.Trace.Last = "free KV cache at " + string(prefiller.ID) + ": " + err.Error()
+	if err := d.sender.upstreams.Free(ctx, filled.prefiller, filled.source); err != nil {
+		d.exchange.Trace.Last = "free KV cache at " + string(filled.prefiller.ID) + ": " + err.Error()
 	}
 }
 
@@ -243,6 +264,7 @@
 		}
 		return ResultUnreachable, err
 	}
+	d.filled = nil // the target may have taken it
 	d.ran++
 	if ctx.Err() != nil {
 		return ResultCancelled, err
@@ -265,6 +287,8 @@
 	switch result {
 	case ResultUnreachable:
 		return d.unreachable < mostUnreachable
+	case ResultLeft:
+		return true
 	case ResultRejected, ResultMoved:
 		return d.rejections < mostRejections && d.sender.placer.MayRepeat(e.Service.Name)
 	case ResultFailed:
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -152,6 +152,17 @@
 		w.served(http.StatusOK, "data: x\n\n")
 		w.is.True(w.upstreams.calls[0].KVSource == nil)
 	})
+	t.Run("a target that leaves meanwhile gets nothing", func(t *testing.T) {
+		w := newWorld(t, streamOnce, answer{status: http.StatusOK, body: "data: x\n\n"})
+		w.placer.prefills = true
+		w.placer.leaving = "a"
+		w.placer.repeats = 0
+		w.upstreams.prefill = answer{status: http.StatusOK}
+		w.served(http.StatusOK, "data: x\n\n")
+		w.is.Equal(w.upstreams.targets, []models.EngineID{"b"})
+		w.is.True(w.upstreams.calls[0].KVSource != nil) // the prompt is not read again
+		w.is.Equal(w.upstreams.handles, 1)              // but once
+	})
 	t.Run("KV cache that nobody takes is freed", func(t *testing.T) {
 		w := newWorld(t, streamOnce, unreachable, unreachable, unreachable)
 		w.placer.prefills = true
