entry: fewer calls of the store where there are many daemons

Change: daemons that do not speak for their zone look at the leases every ten seconds; with 40 VMs or more counts are written after the window only; a watch waits as long as the platform's time to notice a silent store allows; members are listed the more seldom the more there are.

--- a/balance/share.go
+++ b/balance/share.go
@@ -59,6 +59,7 @@
 	sharedAt time.Time
 
 	mu       sync.Mutex
+	speaks   bool // for its zone, or for itself where the daemons are few
 	busy     map[models.DaemonID]bool
 	failures map[models.DaemonID]int
 }
@@ -88,6 +89,9 @@
 		return
 	}
 	speaks := len(near) < len(others) && s.speaker(s.self.Zone, others) == s.self.From
+	s.mu.Lock()
+	s.speaks = speaks || len(near) == len(others)
+	s.mu.Unlock()
 	share, changed := s.balancer.Share()
 	if !changed && !speaks && now.Sub(s.sharedAt) < shareEvery {
 		return
@@ -100,6 +104,14 @@
 	s.send(ctx, share, near)
 }
 
+// Speaks reports whether this daemon speaks for its zone, or for itself as all
+// do where the daemons are few.
+func (s *Sharer) Speaks() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.speaks
+}
+
 // near returns the daemons that are told what this one has under way: all
 // where they are few, else those of its zone.
 func (s *Sharer) near(others map[models.DaemonID]models.Peer) map[models.DaemonID]models.Peer {
--- a/billing/closer_test.go
+++ b/billing/closer_test.go
@@ -39,10 +39,10 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		closerOf := func(fence uint64) *billing.Closer {
-			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, clock, zap.NewNop(), window, latest, func() []string { return nil })
+			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, clock, zap.NewNop(), window, latest, nobody)
 		}
-		counter := billing.NewCounter("vm-1", "d", store, clock, zap.NewNop(), window)
-		late := billing.NewCounter("vm-2", "late", store, clock, zap.NewNop(), window)
+		counter := billing.NewCounter("vm-1", "d", store, clock, zap.NewNop(), window, nobody)
+		late := billing.NewCounter("vm-2", "late", store, clock, zap.NewNop(), window, nobody)
 		counter.Count("w")
 		late.Count("w")
 		counter.Flush(ctx)
@@ -80,8 +80,8 @@
 				receiver := &receiver{clock: clock}
 				vms := func() []string { return []string{"vm-1", "vm-2"} }
 				closer := billing.NewCloser(rows{store}, held(1), receiver.of("vm-1"), clock, clock, zap.NewNop(), window, latest, vms)
-				first := billing.NewCounter("vm-1", "a", store, clock, zap.NewNop(), window)
-				second := billing.NewCounter("vm-2", "b", store, clock, zap.NewNop(), window)
+				first := billing.NewCounter("vm-1", "a", store, clock, zap.NewNop(), window, nobody)
+				second := billing.NewCounter("vm-2", "b", store, clock, zap.NewNop(), window, nobody)
 				end := clock.Now().Truncate(window).Add(window)
 				first.Count("w")
 				second.Count("w")
@@ -106,3 +106,6 @@
 	t.Helper()
 	is.New(t).NoErr(system.NewClock().Sleep(t.Context(), d))
 }
+
+// nobody names no VM.
+func nobody() []string { return nil }
--- a/billing/counter.go
+++ b/billing/counter.go
@@ -23,9 +23,13 @@
 	keptWindows = 4
 	// retryPause is the time between two writes while they fail.
 	retryPause = time.Second
-	// flushesPerWindow is how often counts are written while a window lasts: a
-	// daemon that is killed loses no more than that part of it.
+	// flushesPerWindow is how often counts are written while a window lasts,
+	// where there are few VMs: one that is killed loses no more than that part
+	// of its counts.
 	flushesPerWindow = 4
+	// manyVMs is from where on they are written after the window's end only:
+	// what one VM loses is a small part of all.
+	manyVMs = 40
 )
 
 // Counter counts requests by window and workspace. It implements
@@ -37,6 +41,7 @@
 	clock  peer.Clock // tells the time of day
 	logger *zap.Logger
 	window time.Duration
+	vms    func() []string
 
 	mu      sync.Mutex
 	windows map[int64]*count
@@ -54,8 +59,9 @@
 }
 
 // NewCounter returns a counter of windows of a length. Daemon names this
-// process on its VM: two processes never write the same row.
-func NewCounter(vm string, daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, window time.Duration) *Counter {
+// process on its VM: two processes never write the same row. Vms names all that
+// count.
+func NewCounter(vm string, daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, window time.Duration, vms func() []string) *Counter {
 	return &Counter{
 		vm:      vm,
 		daemon:  daemon,
@@ -63,6 +69,7 @@
 		clock:   clock,
 		logger:  logger,
 		window:  window,
+		vms:     vms,
 		windows: map[int64]*count{},
 	}
 }
@@ -108,6 +115,7 @@
 }
 
 func (c *Counter) due(now time.Time, all bool) map[int64]map[models.Workspace]int64 {
+	few := len(c.vms()) < manyVMs
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	due := map[int64]map[models.Workspace]int64{}
@@ -117,7 +125,7 @@
 			continue
 		}
 		over := !now.Before(windowEnd(number, c.window).Add(settleTime))
-		stale := now.Sub(w.writtenAt) >= c.window/flushesPerWindow
+		stale := few && now.Sub(w.writtenAt) >= c.window/flushesPerWindow
 		if w.changed && (all || over || stale) || over && !w.final {
 			due[number] = maps.Clone(w.requests)
 			w.changed = false
--- a/billing/world_test.go
+++ b/billing/world_test.go
@@ -170,7 +170,7 @@
 		Duration: lease, Safety: lease / 6, Margin: lease / 10, Renew: lease / 3, Read: lease / 3,
 		Timeout: 700 * time.Millisecond, AfterRelease: lease,
 	})
-	p.counter = billing.NewCounter(vm, id, w.store, w.clock, logger, window)
+	p.counter = billing.NewCounter(vm, id, w.store, w.clock, logger, window, w.vms)
 	p.closer = billing.NewCloser(rows{w.store}, p.leases, w.receiver.of(vm), w.clock, w.clock, logger, window, latest, w.vms)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, task := range []control.Task{p.leases, p.counter, p.closer} {
--- a/commands/entry_test.go
+++ b/commands/entry_test.go
@@ -52,7 +52,7 @@
 	store := httptest.NewServer(emulator.NewStore())
 	t.Cleanup(store.Close)
 	settings := fmt.Sprintf(`{"name": "vm-1", "zone": "z", "callers": {"address": %q, "grace": "100ms"}, "readiness": {"address": %q},
-		"daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "watch": "50ms"}, "retries": {"ratio": 0.1}}`,
+		"daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "notice": "1ms"}, "retries": {"ratio": 0.1}}`,
 		freePort(t), freePort(t), freePort(t), freePort(t), store.Listener.Addr().String())
 	path := filepath.Join(t.TempDir(), "entry.json")
 	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
--- a/config/entry.go
+++ b/config/entry.go
@@ -43,7 +43,7 @@
 type EntryStore struct {
 	Address netip.AddrPort
 	Timeout time.Duration // of one call
-	Watch   time.Duration // longest wait of a call that follows changes
+	Notice  time.Duration // within which a store that went silent has to be noticed
 }
 
 // EntryDuties is the section of the calls that one daemon makes for all. The
@@ -81,7 +81,7 @@
 	{"metrics.address", ``, true, "IP:port", "where metrics are served", address(func(s *Entry) *netip.AddrPort { return &s.Metrics })},
 	{"store.address", ``, true, "IP:port", "the platform's store", address(func(s *Entry) *netip.AddrPort { return &s.Store.Address })},
 	{"store.timeout", `"700ms"`, false, "duration", "for one call of the store beyond the wait that it asks for", duration(func(s *Entry) *time.Duration { return &s.Store.Timeout })},
-	{"store.watch", `"1500ms"`, false, "duration", "longest wait of a call that follows changes", duration(func(s *Entry) *time.Duration { return &s.Store.Watch })},
+	{"store.notice", `"3s"`, false, "duration", "within which a store that went silent has to be noticed; calls that follow changes wait as long as that allows", duration(func(s *Entry) *time.Duration { return &s.Store.Notice })},
 	{"duties.address", `""`, false, "IP:port", "where one daemon reports use and orders backend servers; empty: there are no such calls", optionalAddress(func(s *Entry) *netip.AddrPort { return &s.Duties.Address })},
 	{"duties.usage", `false`, false, "", "report billing windows", flag(func(s *Entry) *bool { return &s.Duties.Usage })},
 	{"duties.supply", `false`, false, "", "order backend servers", flag(func(s *Entry) *bool { return &s.Duties.Supply })},
@@ -95,6 +95,19 @@
 	{"log.level", `"info"`, false, "", "debug, info, warn or error", level(func(s *Entry) *string { return &s.Log.Level })},
 }
 
+const (
+	// noticeMargin is what is left of store.notice, beside the time for one call,
+	// for a pause and another call.
+	noticeMargin = 800 * time.Millisecond
+	// leastWatch is the least time that a call waits for changes.
+	leastWatch = 50 * time.Millisecond
+)
+
+// Watch returns the longest wait of a call that follows changes.
+func (s EntryStore) Watch() time.Duration {
+	return max(s.Notice-s.Timeout-noticeMargin, leastWatch)
+}
+
 // LoadEntry reads and checks the settings file of an entry daemon.
 func LoadEntry(path string) (*Entry, error) {
 	raw, err := read(path)
--- a/config/entry_test.go
+++ b/config/entry_test.go
@@ -41,7 +41,7 @@
 		is.Equal(s.Zones, []models.Zone{"a", "b"})
 		is.Equal(s.Callers.Grace, 8*time.Second)
 		is.Equal(s.Retries.Reserve, 54)
-		is.True(s.Store.Watch > 0) // a default
+		is.Equal(s.Store.Watch(), 1500*time.Millisecond) // of the defaults
 	})
 	t.Run("all faults at once", func(t *testing.T) {
 		settings := strings.Replace(goodEntry, `"127.0.0.1:5"`, `"nowhere"`, 1)
--- a/control/lease.go
+++ b/control/lease.go
@@ -120,6 +120,13 @@
 	return h.authority
 }
 
+// Holds reports whether this daemon holds a lease, with authority or without.
+func (l *Leases) Holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held) > 0
+}
+
 // Step renews what is held, and takes over what nobody holds.
 func (l *Leases) Step(ctx context.Context) {
 	defer l.noteLapses()
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -1,14 +1,17 @@
 package entry
 
 import (
+	"context"
 	"crypto/rand"
 	"time"
 
 	"go.uber.org/zap"
 
+	"quincewinch/balance"
 	"quincewinch/billing"
 	"quincewinch/control"
 	"quincewinch/models"
+	"quincewinch/peer"
 	"quincewinch/platform"
 	"quincewinch/supply"
 )
@@ -21,6 +24,9 @@
 	leaseMargin = 10
 	// leaseRenewals is how often a lease is renewed in its duration.
 	leaseRenewals = 3
+	// standbyStep is the time between two steps of the leases at a daemon that
+	// leaves them to others.
+	standbyStep = 10 * time.Second
 	// dutyStep is the time between two steps of leases and duties.
 	dutyStep = 250 * time.Millisecond
 )
@@ -48,11 +54,11 @@
 		func() []models.LeaseName { return names },
 		leaseSettings(settings.Lease, settings.Store.Timeout),
 	)
-	d.duties.counter = billing.NewCounter(settings.Name, process, store, d.wall, d.logger, settings.Duties.UsageWindow)
+	d.duties.counter = billing.NewCounter(settings.Name, process, store, d.wall, d.logger, settings.Duties.UsageWindow, d.vms)
 	if len(names) == 0 {
 		return
 	}
-	d.system.Spawn(d.duties.leases, dutyStep)
+	d.system.Spawn(&candidate{leases: d.duties.leases, sharer: d.sharing.sharer, clock: d.clock}, dutyStep)
 	calls := platform.NewDuties(settings.Duties.Address, dutyClient(), d.clock, settings.Name)
 	if settings.Duties.Usage {
 		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.wall, d.logger, settings.Duties.UsageWindow, settings.Duties.UsageLatest, d.vms)
@@ -65,6 +71,26 @@
 	}
 }
 
+// candidate steps the leases: often where this daemon speaks for its zone, else
+// seldom, so that the calls of the store do not grow with all daemons. A lease
+// that nobody of those renews is found all the same.
+type candidate struct {
+	leases    *control.Leases
+	sharer    *balance.Sharer
+	clock     peer.Clock
+	steppedAt time.Time
+}
+
+// Step implements control.Task.
+func (c *candidate) Step(ctx context.Context) {
+	now := c.clock.Now()
+	if !c.sharer.Speaks() && !c.leases.Holds() && now.Sub(c.steppedAt) < standbyStep {
+		return
+	}
+	c.steppedAt = now
+	c.leases.Step(ctx)
+}
+
 // vms names the VMs that may have counts.
 func (d *Daemon) vms() []string {
 	names := []string{d.settings.Load().Name}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,7 +63,7 @@
 func (d *Daemon) Start() error {
 	settings := d.settings.Load()
 	store := platform.NewStore(settings.Store.Address, storeClient(), settings.Store.Timeout)
-	wait := settings.Store.Watch
+	wait := settings.Store.Watch()
 	d.configuration = routing.NewConfiguration(platform.NewRouting(store), d.clock, d.logger, wait)
 	d.fleet = routing.NewFleet(platform.NewRegistrations(store), d.clock, d.logger, wait)
 	d.balancer = balance.New(d.fleet, d.clock, d.logger, balance.Settings{
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -56,7 +56,7 @@
 	store := httptest.NewServer(d.store)
 	t.Cleanup(store.Close)
 	settings := fmt.Sprintf(`{"name": "vm-1", "zone": "z", "callers": {"address": %q, "grace": "200ms"},
-		"readiness": {"address": %q}, "daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "watch": "50ms"}}`,
+		"readiness": {"address": %q}, "daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "notice": "1ms"}}`,
 		d.front, freeAddress(t), freeAddress(t), freeAddress(t), store.Listener.Addr().String())
 	parsed, err := config.ParseEntry([]byte(settings))
 	d.is.NoErr(err)
--- a/membership/members.go
+++ b/membership/members.go
@@ -19,6 +19,9 @@
 	// listEvery is the time between two reads of the registrations. Daemons
 	// also hear of new ones from these themselves.
 	listEvery = 5 * time.Second
+	// manyDaemons is after how many others that time grows by itself once more,
+	// so that the calls of all together stay few.
+	manyDaemons = 16
 	// listSoon is that time while this daemon is new or not registered.
 	listSoon = time.Second
 	// newFor is how long a daemon is new.
@@ -92,7 +95,7 @@
 }
 
 func (m *Members) listDue(now time.Time) bool {
-	every := listEvery
+	every := listEvery * time.Duration(1+m.count()/manyDaemons)
 	if !m.registered || now.Sub(m.startedAt) < newFor {
 		every = listSoon
 	}
@@ -198,6 +201,12 @@
 	return peers
 }
 
+func (m *Members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.others)
+}
+
 // Live returns how many daemons were heard of late, this one included.
 func (m *Members) Live() int {
 	now := m.clock.Now()
