supply: reserved engines stand in where a zone has lost its cheap ones

Change: a zone without cheap engines gets reserved ones for half of them until cheap ones are back. Placement.TakesWork is named so, attempt is split.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/policy/retry"
@@ -48,7 +46,6 @@
 type Balancer struct {
 	fleet    FleetView
 	clock    peer.Clock
-	logger   *zap.Logger
 	settings Settings
 	random   *rand.Rand
 
@@ -75,11 +72,10 @@
 }
 
 // New returns a balancer that knows nothing of the load yet.
-func New(fleet FleetView, clock peer.Clock, logger *zap.Logger, settings Settings, seed uint64) *Balancer {
+func New(fleet FleetView, clock peer.Clock, settings Settings, seed uint64) *Balancer {
 	return &Balancer{
 		fleet:    fleet,
 		clock:    clock,
-		logger:   logger,
 		settings: settings,
 		random:   rand.New(rand.NewPCG(seed, 0)),
 		states:   map[models.EngineID]*state{},
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -36,8 +36,8 @@
 	return p.prefiller.upstream, true
 }
 
-// Taken implements relay.Placement.
-func (p *placement) Taken() bool {
+// TakesWork implements relay.Placement.
+func (p *placement) TakesWork() bool {
 	snapshot := p.balancer.fleet.Snapshot()
 	if snapshot == nil {
 		return false
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,7 +66,7 @@
 	wait := settings.Store.Watch()
 	d.configuration = routing.NewConfiguration(platform.NewRouting(store), d.clock, d.logger, wait)
 	d.fleet = routing.NewFleet(platform.NewRegistrations(store), d.clock, d.logger, wait)
-	d.balancer = balance.New(d.fleet, d.clock, d.logger, balance.Settings{
+	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Zone:    settings.Zone,
 		Retries: retrySettings(settings),
 	}, xxhash.Sum64String(settings.Name))
--- a/policy/supply/plan.go
+++ b/policy/supply/plan.go
@@ -13,6 +13,10 @@
 	// cheap ones can be had: with the cheap ones of one zone gone, every zone
 	// still has some.
 	reservedPerZone = 1
+	// standInShare is the part of the cheap backend servers that reserved ones
+	// stand in for where a zone has lost them all: they come within seconds, when
+	// there may be no cheap ones for longer, and leave room for these.
+	standInShare = 0.5
 	// worthwhilePrice is the share of a reserved one's price up to which a
 	// cheap backend server is worth the risk to lose it.
 	worthwhilePrice = 0.7
@@ -49,6 +53,10 @@
 		return max(z.Reserved, limits.Min), 0
 	}
 	kept := max(reservedPerZone, limits.Min)
+	if z.Cheap == 0 && z.Reserved <= kept {
+		reserved = kept + int(standInShare*float64(limits.Max-kept))
+		return reserved, limits.Max - reserved
+	}
 	cheap = max(limits.Max-max(z.Reserved, kept), 0)
 	if z.Cheap >= z.Reserved-kept {
 		cheap = max(limits.Max-kept, 0)
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -45,9 +45,9 @@
 	Target() models.Upstream
 	// Prefiller fills KV cache with the prompt first; false: the target does.
 	Prefiller() (models.Upstream, bool)
-	// Taken reports whether the target takes new work: it may have begun to
+	// TakesWork reports whether the target takes new work: it may have begun to
 	// leave since it was chosen.
-	Taken() bool
+	TakesWork() bool
 	// Predicted is the expected time to the answer or its first event.
 	Predicted() time.Duration
 	// Reading is how many prompt tokens are expected to be read.
@@ -165,45 +165,51 @@
 		zap.Int("attempts", e.Route.Attempts),
 		zap.Bool("repeatable", e.Route.Repeatable),
 		zap.String("last-event", d.events.lastID),
-		milliseconds("left-ms", e.Deadline.Sub(d.sender.clock.Now())),
+		milliseconds("left-ms", d.timeLeft()),
 		zap.Error(err),
 	)
 }
 
 // attempt sends the request to one backend server, and passes its answer on.
 func (d *delivery) attempt(ctx context.Context, placement Placement) (Result, error) {
-	e := d.exchange
+	d.note(placement)
 	target := placement.Target()
 	d.tried[target.ID] = true
-	e.Trace.Engine = target.ID
-	e.Trace.Predicted = placement.Predicted()
-	e.Trace.Reading = placement.Reading()
-	e.Trace.Prefiller = ""
-	call := e.Call
+	call := d.exchange.Call
 	call.Urgency = placement.Urgency()
 	call.ResumeAfter = d.events.lastID
-	if d.filled == nil {
-		d.filled = d.prefill(ctx, placement, call)
-	} else {
-		placement.Prefilled() // for an earlier target
-	}
-	call.TimeLeft = e.Deadline.Sub(d.sender.clock.Now())
+	d.fill(ctx, placement, call)
+	call.TimeLeft = d.timeLeft()
 	if call.TimeLeft < leastTimeLeft {
 		return ResultCancelled, errors.New("no time is left")
 	}
 	// Reading the prompt may have taken seconds.
-	if !placement.Taken() {
+	if !placement.TakesWork() {
 		return ResultLeft, errors.New("the backend server began to leave before the request was sent")
 	}
 	if d.filled != nil {
 		call.KVSource = &d.filled.source
 	}
-	e.Trace.Sends++
+	d.exchange.Trace.Sends++
 	answer, err := d.sender.upstreams.Send(ctx, target, call)
 	if err != nil {
 		return d.unanswered(ctx, err)
 	}
 	defer answer.Body.Close()
+	return d.answered(ctx, placement, answer)
+}
+
+// note keeps what the request's line in the log says of a placement.
+func (d *delivery) note(placement Placement) {
+	trace := &d.exchange.Trace
+	trace.Engine = placement.Target().ID
+	trace.Predicted = placement.Predicted()
+	trace.Reading = placement.Reading()
+	trace.Prefiller = ""
+}
+
+// answered takes in an answer whose header is here.
+func (d *delivery) answered(ctx context.Context, placement Placement, answer peer.UpstreamAnswer) (Result, error) {
 	if answer.NotRun {
 		placement.Answered(answer.Load)
 		d.free(ctx)
@@ -211,20 +217,35 @@
 	}
 	d.filled = nil
 	d.ran++
-	if e.Route.Stream && answer.Status < firstFailure {
+	if d.exchange.Route.Stream && answer.Status < firstFailure {
 		return d.stream(ctx, placement, answer)
 	}
 	return d.whole(ctx, placement, answer)
 }
 
-// prefill has the prompt's KV cache filled elsewhere, where the placement says
-// so. Where that fails, the target fills it itself.
+// timeLeft returns how long the request may still take.
+func (d *delivery) timeLeft() time.Duration {
+	return d.exchange.Deadline.Sub(d.sender.clock.Now())
+}
+
+// fill has the prompt's KV cache filled elsewhere, where the placement says so,
+// unless that was done for an earlier target.
+func (d *delivery) fill(ctx context.Context, placement Placement, call models.UpstreamCall) {
+	if d.filled != nil {
+		placement.Prefilled()
+		return
+	}
+	d.filled = d.prefill(ctx, placement, call)
+}
+
+// prefill returns nil where the target is to fill the KV cache itself: the
+// placement says so, or no other engine did.
 func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) *filledCache {
 	prefiller, ok := placement.Prefiller()
 	if !ok {
 		return nil
 	}
-	call.TimeLeft = d.exchange.Deadline.Sub(d.sender.clock.Now())
+	call.TimeLeft = d.timeLeft()
 	if call.TimeLeft < leastTimeLeft {
 		return nil
 	}
