--- /dev/null
+++ b/peer/daemon/share_test.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer/daemon/proto"
+)
+
+func TestShareOnTheWire(t *testing.T) {
+	is := is.New(t)
+	share := models.LoadShare{
+		From:     "vm-1",
+		Zone:     "a",
+		Address:  netip.MustParseAddrPort("10.0.0.1:7780"),
+		Sequence: 7,
+		Leaving:  true,
+		Loads:    map[models.EngineID]models.ServerLoad{"e1": {Running: 3, Reading: 4000}},
+		Prompts:  []models.SentPrompt{{Server: "e1", Parts: []models.PromptPart{{ID: "5c", Tokens: 800}, {ID: "91", Tokens: 410}}}},
+		Relayed: []models.LoadShare{{
+			From: "zone/b", Zone: "b", Address: netip.MustParseAddrPort("10.0.0.2:7780"), Sequence: 9,
+			Loads: map[models.EngineID]models.ServerLoad{"e2": {Running: 1}},
+		}},
+	}
+	decoded, err := decodeShare(encodeShare(share))
+	is.NoErr(err)
+	is.Equal(decoded, share)
+}
+
+func TestShareThatCannotBeRead(t *testing.T) {
+	t.Run("no address", func(t *testing.T) {
+		_, err := decodeShare(&proto.LoadShare{From: "vm-1"})
+		is.New(t).True(err != nil)
+	})
+	t.Run("sums are relayed once only", func(t *testing.T) {
+		is := is.New(t)
+		address := "10.0.0.1:1"
+		inner := &proto.LoadShare{From: "zone/c", Address: address}
+		outer := &proto.LoadShare{From: "vm-1", Address: address, Relayed: []*proto.LoadShare{{From: "zone/b", Address: address, Relayed: []*proto.LoadShare{inner}}}}
+		decoded, err := decodeShare(outer)
+		is.NoErr(err)
+		is.Equal(len(decoded.Relayed), 1)
+		is.Equal(len(decoded.Relayed[0].Relayed), 0)
+	})
+}
