balance/naive: the baseline that placing is measured against

Change: a placer that takes backend servers in turn, not linked into the program.

Conclusion: kept as baseline.

--- /dev/null
+++ b/balance/naive/naive.go
@@ -0,0 +1,93 @@
+// Package naive is the plainest way to choose backend servers: in turn, with no
+// knowledge of load, prompts or failures, and nothing sent again. It is the
+// baseline that package balance is measured against; the program does not use
+// it.
+package naive
+
+import (
+	"sync"
+	"time"
+
+	"quincewinch/balance"
+	"quincewinch/models"
+	"quincewinch/relay"
+)
+
+// defaultUrgency is what engines take where none is given.
+const defaultUrgency = 5
+
+// retryAfter is when a caller should come back where there is no backend
+// server.
+const retryAfter = time.Second
+
+// Placer implements relay.Placer.
+type Placer struct {
+	fleet balance.FleetView
+
+	mu   sync.Mutex
+	next map[models.ServiceName]int
+}
+
+// NewPlacer returns a placer that begins with the first backend server.
+func NewPlacer(fleet balance.FleetView) *Placer {
+	return &Placer{fleet: fleet, next: map[models.ServiceName]int{}}
+}
+
+// Place implements relay.Placer.
+func (p *Placer) Place(e *relay.Exchange, tried map[models.EngineID]bool) (relay.Placement, error) {
+	var usable []models.Upstream
+	if snapshot := p.fleet.Snapshot(); snapshot != nil {
+		for _, upstream := range snapshot.ByService[e.Service.Name] {
+			if upstream.Role != models.RolePrefill && !tried[upstream.ID] {
+				usable = append(usable, upstream)
+			}
+		}
+	}
+	if len(usable) == 0 {
+		return nil, &models.Refusal{
+			Code:       models.RefusalNoBackend,
+			Message:    "no backend server of the service is left to try",
+			NotRun:     true,
+			RetryAfter: retryAfter,
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next[e.Service.Name]++
+	return placement(usable[p.next[e.Service.Name]%len(usable)]), nil
+}
+
+// MayRepeat implements relay.Placer.
+func (p *Placer) MayRepeat(models.ServiceName) bool {
+	return false
+}
+
+// placement implements relay.Placement.
+type placement models.Upstream
+
+// Target implements relay.Placement.
+func (p placement) Target() models.Upstream { return models.Upstream(p) }
+
+// Prefiller implements relay.Placement.
+func (p placement) Prefiller() (models.Upstream, bool) { return models.Upstream{}, false }
+
+// TakesWork implements relay.Placement.
+func (p placement) TakesWork() bool { return true }
+
+// Predicted implements relay.Placement.
+func (p placement) Predicted() time.Duration { return 0 }
+
+// Reading implements relay.Placement.
+func (p placement) Reading() int { return 0 }
+
+// Urgency implements relay.Placement.
+func (p placement) Urgency() int { return defaultUrgency }
+
+// Prefilled implements relay.Placement.
+func (p placement) Prefilled() {}
+
+// Answered implements relay.Placement.
+func (p placement) Answered(*models.UpstreamLoad) {}
+
+// End implements relay.Placement.
+func (p placement) End(relay.Result) {}
