relay: a prompt is given to be read elsewhere once only, and counted

A zone was cut off: targets could not fetch KV cache and turned requests away; each next target had the prompt read again, which counts as an arrival and was not counted here.

Ruled out: each daemon's part of the budget: what it counted was within it.

Change: the prompt is read elsewhere for the first target only; one that is turned away is taken from the budget; two fetches between two zones that fail in a row keep more from being tried for two seconds.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -62,6 +62,12 @@
 	// zonePrompts are the prompts of this zone's daemons since its last sum.
 	zonePrompts []models.SentPrompt
 	changed     bool // since the last share
+	fetches     map[zonePair]fetchRecord
+}
+
+// zonePair is where KV cache is fetched from, and by whom.
+type zonePair struct {
+	from, to models.Zone
 }
 
 // rateKey names engines that read prompts equally fast, but for their own
@@ -85,6 +91,7 @@
 		capacity: map[models.ServiceName]int{},
 		shares:   map[models.DaemonID]received{},
 		others:   map[models.EngineID]models.ServerLoad{},
+		fetches:  map[zonePair]fetchRecord{},
 	}
 }
 
@@ -110,6 +117,14 @@
 	return b.budget(service).Take(now)
 }
 
+// Repeated implements relay.Placer.
+func (b *Balancer) Repeated(service models.ServiceName) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service).Add(now)
+}
+
 // budget returns this daemon's part of a service's retry budget. The lock is
 // held.
 func (b *Balancer) budget(service models.ServiceName) *retry.Budget {
@@ -142,7 +157,7 @@
 		}
 	}
 	if e.Service.Engine != nil && len(e.Prompt.Parts) > 0 {
-		return b.placePrompt(e, candidates, now)
+		return b.placePrompt(e, candidates, len(tried) > 0, now)
 	}
 	return b.placeCall(candidates, now), nil
 }
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -205,6 +205,45 @@
 	})
 }
 
+// split returns five engines that generate in one zone and one that reads in
+// another.
+func split() []models.Upstream {
+	upstreams := engines(5, models.RoleDecode)
+	reader := engines(1, models.RolePrefill)[0]
+	reader.Zone = "y"
+	return append(upstreams, reader)
+}
+
+func TestFetchingThatFailsIsNotTriedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(split()...))
+		fetches := func(shared string, result relay.Result) bool {
+			p := place(t, b, promptExchange(shared, 100))
+			_, ok := p.Prefiller()
+			p.Prefilled()
+			p.End(result)
+			return ok
+		}
+		is.True(fetches("a", relay.ResultRejected))
+		is.True(fetches("b", relay.ResultRejected))
+		is.True(!fetches("c", relay.ResultServed)) // the zones are cut off from each other
+		pass(t, 3*time.Second)
+		is.True(fetches("d", relay.ResultServed)) // tried again
+	})
+}
+
+func TestPromptIsReadElsewhereOnceOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(split()...))
+		placed, err := b.Place(promptExchange("a", 100), map[models.EngineID]bool{"decode0": true})
+		is.NoErr(err)
+		_, ok := placed.Prefiller()
+		is.True(!ok)
+	})
+}
+
 func TestNoEngineLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -62,6 +62,9 @@
 	return false
 }
 
+// Repeated implements relay.Placer.
+func (p *Placer) Repeated(models.ServiceName) {}
+
 // placement implements relay.Placement.
 type placement models.Upstream
 
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -90,6 +90,21 @@
 	p.balancer.rate(p.reader.upstream).Observe(p.ahead+p.reading, now.Sub(p.placedAt))
 }
 
+// noteFetch takes a target that turned a request away for one that could not
+// fetch its KV cache. The lock is held.
+func (p *placement) noteFetch(result relay.Result, now time.Time) {
+	if p.prefiller == nil {
+		return
+	}
+	switch result {
+	case relay.ResultServed:
+		p.balancer.noteFetch(p.prefiller, p.target, false, now)
+	case relay.ResultRejected:
+		p.balancer.noteFetch(p.prefiller, p.target, true, now)
+	case relay.ResultMoved, relay.ResultUnreachable, relay.ResultLeft, relay.ResultFailed, relay.ResultCancelled:
+	}
+}
+
 func (p *placement) freePrefiller() {
 	if p.prefiller == nil || p.freed {
 		return
@@ -114,6 +129,7 @@
 		p.reader.reading -= p.reading
 	}
 	p.freePrefiller()
+	p.noteFetch(result, now)
 	switch result {
 	case relay.ResultUnreachable:
 		p.target.unreachable(now)
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -19,24 +19,39 @@
 	// unknownCapacity is taken before the configuration of a service was seen:
 	// engines of today keep less.
 	unknownCapacity = 10_000_000
+	// failuresToBlock is how many fetches in a row have to fail until no more are
+	// tried between two zones, for fetchBlock: a cut lasts seconds.
+	failuresToBlock = 2
+	fetchBlock      = 2 * time.Second
 	// bitsPerByte converts the rates of links.
 	bitsPerByte = 8
 	// bitsPerMegabit converts the rates of links.
 	bitsPerMegabit = 1e6
 )
 
-// placePrompt places a request for a model engine. The lock is held.
-func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*state, now time.Time) (relay.Placement, error) {
+// fetchRecord is how fetching KV cache between two zones went of late.
+type fetchRecord struct {
+	failures     int // in a row
+	blockedUntil time.Time
+}
+
+// placePrompt places a request for a model engine; again is set where it was
+// sent to another one before. The lock is held.
+func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*state, again bool, now time.Time) (relay.Placement, error) {
 	orders := promptOrder(e.Prompt, candidates)
 	engines := make([]serving.Engine, len(candidates))
 	for i, s := range candidates {
 		engines[i] = b.engine(e, s, orders[i], now)
 	}
-	choice, ok := serving.Choose(serving.Request{
-		Zone:   b.settings.Zone,
-		Tokens: promptTokens(e.Prompt),
-		Fetch:  fetchRate(e.Service.Engine),
-	}, engines)
+	request := serving.Request{Zone: b.settings.Zone, Tokens: promptTokens(e.Prompt)}
+	if !again {
+		request.Fetch = fetchRate(e.Service.Engine)
+	}
+	choice, ok := serving.Choose(request, engines)
+	if ok && choice.Prefiller >= 0 && b.fetchBlocked(candidates[choice.Prefiller], candidates[choice.Target], now) {
+		request.Fetch = 0
+		choice, ok = serving.Choose(request, engines)
+	}
 	if !ok {
 		return nil, &models.Refusal{
 			Code:       models.RefusalNoBackend,
@@ -70,6 +85,31 @@
 	return p
 }
 
+// fetchBlocked reports whether fetching between two engines has failed of late:
+// their zones may be cut off from each other. The lock is held.
+func (b *Balancer) fetchBlocked(from, to *state, now time.Time) bool {
+	return now.Before(b.fetches[pairOf(from, to)].blockedUntil)
+}
+
+// noteFetch notes how fetching between two engines went. The lock is held.
+func (b *Balancer) noteFetch(from, to *state, failed bool, now time.Time) {
+	pair := pairOf(from, to)
+	if !failed {
+		delete(b.fetches, pair)
+		return
+	}
+	record := b.fetches[pair]
+	record.failures++
+	if record.failures >= failuresToBlock {
+		record.blockedUntil = now.Add(fetchBlock)
+	}
+	b.fetches[pair] = record
+}
+
+func pairOf(from, to *state) zonePair {
+	return zonePair{from: from.upstream.Zone, to: to.upstream.Zone}
+}
+
 // engine returns an engine as the policy sees it. The lock is held.
 func (b *Balancer) engine(e *relay.Exchange, s *state, order int, now time.Time) serving.Engine {
 	rate := b.rate(s.upstream).TokensPerSecond()
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -36,7 +36,8 @@
 	calls   []models.UpstreamCall
 	targets []models.EngineID
 	prefill answer
-	handles int
+	fills   int // prompts given to be read
+	handles int // KV cache that nobody has freed
 }
 
 func (u *upstreams) next(to models.Upstream, call models.UpstreamCall) answer {
@@ -80,6 +81,7 @@
 func (u *upstreams) Prefill(_ context.Context, to models.Upstream, _ models.UpstreamCall) (models.KVSource, peer.UpstreamAnswer, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.fills++
 	if u.prefill.status != http.StatusOK {
 		return models.KVSource{}, peer.UpstreamAnswer{Status: u.prefill.status}, u.prefill.err
 	}
@@ -106,6 +108,7 @@
 type placer struct {
 	prefills bool
 	repeats  int // how many requests may be sent again
+	repeated int // sent again without having been asked for
 	results  []relay.Result
 	refusal  error
 	leaving  models.EngineID // takes no new work once a prompt has been read for it
@@ -130,6 +133,9 @@
 	return p.repeats >= 0
 }
 
+// Repeated implements relay.Placer.
+func (p *placer) Repeated(models.ServiceName) { p.repeated++ }
+
 type placement struct {
 	placer *placer
 	target models.Upstream
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -37,6 +37,8 @@
 	Place(e *Exchange, tried map[models.EngineID]bool) (Placement, error)
 	// MayRepeat takes one repeated request for a service from the budget.
 	MayRepeat(service models.ServiceName) bool
+	// Repeated takes one from the budget that has been sent already.
+	Repeated(service models.ServiceName)
 }
 
 // Placement is a place that a request was given.
@@ -113,6 +115,7 @@
 	ran         int // backend servers that may have run it
 	rejections  int
 	unreachable int
+	asked       bool         // an engine was asked to read the prompt for a target
 	filled      *filledCache // not yet taken by a target
 	begun       bool         // the caller has status and header
 	counted     bool         // for billing
@@ -228,10 +231,11 @@
 	return d.exchange.Deadline.Sub(d.sender.clock.Now())
 }
 
-// fill has the prompt's KV cache filled elsewhere, where the placement says so,
-// unless that was done for an earlier target.
+// fill has the prompt's KV cache filled elsewhere, where the placement says so.
+// That is asked for once: a second time would count against the retry budget,
+// and what failed at one target may fail at the next.
 func (d *delivery) fill(ctx context.Context, placement Placement, call models.UpstreamCall) {
-	if d.filled != nil {
+	if d.asked {
 		placement.Prefilled()
 		return
 	}
@@ -249,9 +253,13 @@
 	if call.TimeLeft < leastTimeLeft {
 		return nil
 	}
+	d.asked = true
 	d.exchange.Trace.Prefiller = prefiller.ID
 	source, answer, err := d.sender.upstreams.Prefill(ctx, prefiller, call)
 	placement.Prefilled()
+	if source.Handle == "" && peer.OutcomeOf(err) != peer.OutcomeNotDone {
+		d.sender.placer.Repeated(d.exchange.Service.Name)
+	}
 	switch {
 	case err != nil:
 		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": " + err.Error()
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -152,6 +152,21 @@
 		w.served(http.StatusOK, "data: x\n\n")
 		w.is.True(w.upstreams.calls[0].KVSource == nil)
 	})
+	t.Run("a prompt is given to be read once", func(t *testing.T) {
+		w := newWorld(t, streamOnce, rejected, answer{status: http.StatusOK, body: "data: x\n\n"})
+		w.placer.prefills = true
+		w.upstreams.prefill = answer{status: http.StatusOK}
+		w.served(http.StatusOK, "data: x\n\n")
+		w.is.Equal(w.upstreams.fills, 1)
+		w.is.True(w.upstreams.calls[1].KVSource == nil)
+	})
+	t.Run("one that was turned away counts against the retry budget", func(t *testing.T) {
+		w := newWorld(t, streamOnce, answer{status: http.StatusOK, body: "data: x\n\n"})
+		w.placer.prefills = true
+		w.upstreams.prefill = answer{status: http.StatusServiceUnavailable}
+		w.served(http.StatusOK, "data: x\n\n")
+		w.is.Equal(w.placer.repeated, 1)
+	})
 	t.Run("a target that leaves meanwhile gets nothing", func(t *testing.T) {
 		w := newWorld(t, streamOnce, answer{status: http.StatusOK, body: "data: x\n\n"})
 		w.placer.prefills = true
