entry: a stopping daemon takes no request that it might have to cut

Requests were taken for 3.6 of 8 s; beyond 3 s none may be cut.

Change: requests are taken for 2.5 s, or a third of a shorter grace time, and running ones end until 0.88 of it as before. The stop has a file of its own.

Measured: TestStopTimes fails with the times before and passes with these.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,7 +3,6 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -148,28 +147,3 @@
 	}
 	return d.settings.Load().Callers.BodyBytes
 }
-
-// Stop is a graceful shutdown. Callers may go on to use their connections
-// until shortly before the process is to be gone; each answer tells them to
-// take the next request elsewhere.
-func (d *Daemon) Stop(ctx context.Context) {
-	d.stopping.Store(true)
-	d.logger.Info("daemon stops", zap.String("why", "it was told to"))
-	d.duties.leases.Release(ctx)
-	grace := d.settings.Load().Callers.Grace
-	// The wait ends early only with ctx.
-	_ = d.clock.Sleep(ctx, share(grace, acceptShare))
-	finishing, cancel := context.WithTimeout(ctx, share(grace, finishShare))
-	defer cancel()
-	for _, server := range d.servers {
-		if err := server.Shutdown(finishing); err != nil {
-			d.logger.Warn("connections were cut at the end of the grace time", zap.Error(err))
-		}
-	}
-	closing, cancel := context.WithTimeout(ctx, share(grace, closeShare))
-	defer cancel()
-	d.duties.counter.Flush(closing)
-	d.system.Stop()
-	d.stopSharing(closing)
-	d.logger.Info("daemon stopped")
-}
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -14,14 +14,6 @@
 	// watchPause is the time between two calls that follow changes; they wait
 	// in the store.
 	watchPause = time.Millisecond
-	// acceptShare is the part of the grace time in which callers may still start
-	// requests: the balancer sends no new connection after two looks, a quarter
-	// of it.
-	acceptShare = 0.45
-	// finishShare is the part after that in which running requests end.
-	finishShare = 0.43
-	// closeShare is the part after that for the last calls of the store.
-	closeShare = 0.08
 	// upstreamDial bounds a new connection to a backend server: they are about
 	// a millisecond away, and one lost packet takes a second.
 	upstreamDial = 400 * time.Millisecond
@@ -40,11 +32,6 @@
 	storeIdle = 5 * time.Second
 )
 
-// share returns a part of a time.
-func share(d time.Duration, part float64) time.Duration {
-	return time.Duration(float64(d) * part)
-}
-
 // dialer returns a dialer whose connections fail soon after the other end went
 // silent.
 func dialer(timeout time.Duration) *net.Dialer {
