feed: one daemon a zone follows the store for all of its zone

Ruled out: longer waits (a change must be in force within three seconds, also where a connection went silent); pushing changes to the others (a daemon would not know how old its news is).

Change: the daemon that speaks for its zone follows the two tables; the others follow them through it by a call that waits, and ask the store themselves where it does not answer, does not read, or lacks part of the history.

--- a/balance/share.go
+++ b/balance/share.go
@@ -112,6 +112,30 @@
 	return s.speaks
 }
 
+// Reader returns where the daemon listens that reads the store for this zone;
+// other is false where that is this one. Where the daemons are few each reads
+// for itself.
+func (s *Sharer) Reader() (address netip.AddrPort, other bool) {
+	others := s.members.Others()
+	if len(others) <= fewDaemons {
+		return netip.AddrPort{}, false
+	}
+	id := s.speaker(s.self.Zone, others)
+	if id == s.self.From {
+		return netip.AddrPort{}, false
+	}
+	return others[id].Address, true
+}
+
+// Shared reports whether other daemons follow the store through this one.
+func (s *Sharer) Shared() bool {
+	if len(s.members.Others()) <= fewDaemons {
+		return false
+	}
+	_, other := s.Reader()
+	return !other
+}
+
 // near returns the daemons that are told what this one has under way: all
 // where they are few, else those of its zone.
 func (s *Sharer) near(others map[models.DaemonID]models.Peer) map[models.DaemonID]models.Peer {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,8 +63,9 @@
 	settings := d.settings.Load()
 	store := platform.NewStore(settings.Store.Address, storeClient(), settings.Store.Timeout)
 	wait := settings.Store.Watch()
-	d.configuration = routing.NewConfiguration(platform.NewRouting(store), d.clock, d.logger, wait)
-	d.fleet = routing.NewFleet(platform.NewRegistrations(store), d.clock, d.logger, wait)
+	d.prepareSharing(store)
+	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.relay), d.clock, d.logger, wait)
+	d.fleet = routing.NewFleet(platform.NewRegistrations(d.sharing.relay), d.clock, d.logger, wait)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Zone:    settings.Zone,
 		Retries: retrySettings(settings),
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,6 +11,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"quincewinch/balance"
+	"quincewinch/feed"
 	"quincewinch/membership"
 	"quincewinch/models"
 	peerdaemon "quincewinch/peer/daemon"
@@ -37,6 +39,27 @@
 	client  *peerdaemon.Client
 	server  *peerdaemon.Server
 	sharer  *balance.Sharer
+	reader  *feed.Reader
+	relay   *feed.Relay // what this daemon follows the store by
+}
+
+// Reader implements feed.Zone.
+func (s *sharing) Reader() (address netip.AddrPort, other bool) {
+	return s.sharer.Reader()
+}
+
+// Shared implements feed.Zone.
+func (s *sharing) Shared() bool {
+	return s.sharer.Shared()
+}
+
+// prepareSharing makes what the store is followed by, which is to be followed
+// only once startSharing has run.
+func (d *Daemon) prepareSharing(store *platform.Store) {
+	s := &d.sharing
+	s.client = peerdaemon.NewClient(insecure.NewCredentials(), shareTimeout, &s.traffic)
+	s.reader = feed.NewReader(store)
+	s.relay = feed.NewRelay(s.reader, s.client, s, d.clock, d.logger)
 }
 
 // startSharing listens for the other daemons and starts telling them.
@@ -49,9 +72,7 @@
 	s := &d.sharing
 	self := table.Member{ID: models.DaemonID(settings.Name), Zone: settings.Zone, Address: settings.Daemons}
 	s.members = membership.New(self, store, d.clock, d.logger)
-	credentials := insecure.NewCredentials()
-	s.client = peerdaemon.NewClient(credentials, shareTimeout, &s.traffic)
-	s.server = peerdaemon.NewShareServer(shareReceiver{d}, credentials, &s.traffic)
+	s.server = peerdaemon.NewEntryServer(shareReceiver{d}, s.reader, insecure.NewCredentials(), &s.traffic)
 	sender := models.LoadShare{From: self.ID, Zone: self.Zone, Address: self.Address}
 	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.clock, d.logger)
 	go func() {
--- a/peer/daemon/server.go
+++ b/peer/daemon/server.go
@@ -27,6 +27,7 @@
 	proto.UnimplementedDaemonsServer
 	receiver Receiver
 	shares   ShareReceiver
+	changes  ChangeReader
 	server   *grpc.Server
 }
 
@@ -37,11 +38,12 @@
 	return s
 }
 
-// NewShareServer returns a server that takes in shares only, and does not
-// listen yet.
-func NewShareServer(shares ShareReceiver, credentials credentials.TransportCredentials, traffic *Traffic) *Server {
+// NewEntryServer returns a server that takes in shares and passes on changes of
+// the store, and does not listen yet.
+func NewEntryServer(shares ShareReceiver, changes ChangeReader, credentials credentials.TransportCredentials, traffic *Traffic) *Server {
 	s := newServer(credentials, traffic)
 	s.shares = shares
+	s.changes = changes
 	return s
 }
 
@@ -70,7 +72,7 @@
 // Exchange implements proto.DaemonsServer.
 func (s *Server) Exchange(_ context.Context, form *proto.Gossip) (*proto.Gossip, error) {
 	if s.receiver == nil {
-		return nil, status.Error(codes.Unimplemented, "this daemon takes in shares only")
+		return nil, status.Error(codes.Unimplemented, "this daemon neither exchanges gossip nor keeps a time line")
 	}
 	return EncodeGossip(s.receiver.Receive(DecodeGossip(form))), nil
 }
@@ -78,7 +80,7 @@
 // Events implements proto.DaemonsServer.
 func (s *Server) Events(_ context.Context, form *proto.EventFilter) (*proto.EventList, error) {
 	if s.receiver == nil {
-		return nil, status.Error(codes.Unimplemented, "this daemon takes in shares only")
+		return nil, status.Error(codes.Unimplemented, "this daemon neither exchanges gossip nor keeps a time line")
 	}
 	list := &proto.EventList{}
 	for _, event := range s.receiver.Events(decodeFilter(form)) {
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -34,6 +34,14 @@
 	Load   *models.UpstreamLoad // nil where it says nothing
 }
 
+// ChangeSource follows the rows of a store.
+type ChangeSource interface {
+	// Follow waits up to wait for rows of a partition that are written after a
+	// revision. It returns all rows at once, and says so, for revision zero and
+	// where the changes since a revision are no longer known.
+	Follow(ctx context.Context, partition models.Partition, after models.Revision, wait time.Duration) (changes models.Changes, all bool, err error)
+}
+
 // RoutingSource is where operators keep routes, services and keys.
 type RoutingSource interface {
 	// Follow waits up to wait for a version written after a revision, and
