soak: daemons as processes under faults from outside

Change: package soak (test files only) runs four daemons before the emulated platform, with callers that keep their connections; proxies delay, reset, silence and cut one way, signals pause, kill, stop and reload, the store refuses, loses answers, falls silent and forgets its history. It checks at most once, truthful refusals, whole answers of one's own, keys in time, the retry budget, one holder at a time, billing windows, ends of processes, recovery.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export PATH := $(TOOLS):$(PATH)
 
-.PHONY: tools check format-check lint build vet test generated generated-check bench demo capacity
+.PHONY: tools check format-check lint build vet test generated generated-check bench demo capacity soak
 
 # The tools are installed again when their versions above change.
 tools: $(TOOLS)/installed
@@ -54,3 +54,8 @@
 	  go test -run '^$$' -bench Choose ./policy/placement; \
 	  go test -run '^$$' -bench PlanRoles ./policy/fleet; } > capacity/measured.txt
 	go run . capacity
+
+# Plays fresh seeds of faults on processes of this machine; see docs/soak.md.
+SEEDS := 10
+soak:
+	go test -count=1 -v -timeout 2h ./soak -args -seeds $(SEEDS) -seed $$(date +%s) -keep-logs soak/logs
--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,158 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"quincewinch/peer/system"
+)
+
+// grace is how long a daemon may take from the signal to stop to its end.
+const grace = 4 * time.Second
+
+// process is one daemon, started anew after each end.
+type process struct {
+	t        *testing.T
+	binary   string
+	name     string
+	settings string // path of the settings file
+	front    string // where it serves callers
+	store    *proxy // between it and the store
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{} // closed when the running process is gone
+	told    bool          // it was told to end
+	faults  []string      // found while it ran
+}
+
+func newProcess(t *testing.T, binary, name, zone string, store, duties string) *process {
+	t.Helper()
+	p := &process{t: t, binary: binary, name: name, front: freeAddress(t), store: newProxy(t, store)}
+	settings := fmt.Sprintf(`{
+	"name": %q, "zone": %q, "zones": ["a", "b"],
+	"callers": {"address": %q, "grace": %q},
+	"readiness": {"address": %q}, "daemons": {"address": %q}, "metrics": {"address": %q},
+	"store": {"address": %q, "notice": "3s"},
+	"duties": {"address": %q, "usage": true, "usage-window": "1s", "usage-latest": "4s"},
+	"lease": {"duration": %q},
+	"retries": {"ratio": %g, "window": %q, "reserve": %d}
+}`, name, zone, p.front, grace, freeAddress(t), freeAddress(t), freeAddress(t), p.store.address(), duties, leaseTime, retryRatio, retryWindow, retryReserve)
+	p.settings = filepath.Join(t.TempDir(), name+".json")
+	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.start()
+	t.Cleanup(p.kill)
+	return p
+}
+
+// start runs the daemon.
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	command := exec.Command(p.binary, "entry", "--settings", p.settings)
+	log, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		p.t.Error(err)
+		return
+	}
+	ended := make(chan struct{})
+	p.command, p.ended, p.told = command, ended, false
+	go func() {
+		err := errors.Join(command.Wait(), log.Close())
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.told {
+			p.faults = append(p.faults, fmt.Sprintf("%s ended by itself: %v", p.name, err))
+		}
+		close(ended)
+	}()
+}
+
+// signal sends a signal to the running process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.told = true
+	}
+	// It may be gone already.
+	_ = p.command.Process.Signal(s)
+}
+
+// kill ends the process and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.gone()
+}
+
+// stop ends the process as planned work does, and kills it after the grace
+// time.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	timer := system.NewClock().NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-p.gone():
+	case <-timer.C():
+		p.mu.Lock()
+		p.faults = append(p.faults, p.name+" was not gone after its grace time")
+		p.mu.Unlock()
+		p.kill()
+	}
+}
+
+func (p *process) gone() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+func (p *process) found() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.faults...)
+}
+
+// Ports of daemons lie below those that outgoing connections take, so that one
+// that starts anew finds its own free. Each is given out once.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+
+// freeAddress returns an address that nothing listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range lastPort - firstPort {
+		nextPort = firstPort + (nextPort+1-firstPort)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // taken
+		}
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return address
+	}
+	t.Fatal("all ports are taken")
+	return ""
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"quincewinch/peer/system"
+)
+
+// fault is what a proxy does to its connections.
+type fault string
+
+const (
+	faultNone    fault = "none"
+	faultDelay   fault = "delay"   // every piece comes late
+	faultReset   fault = "reset"   // connections are reset, new ones too
+	faultSilence fault = "silence" // nothing passes
+	faultOneWay  fault = "one-way" // requests pass, answers do not
+)
+
+const (
+	// delayTime is what a delayed piece takes longer: as long as a lost packet.
+	delayTime = 250 * time.Millisecond
+	// pieceBytes is the largest piece that is passed on at once.
+	pieceBytes = 32 << 10
+)
+
+// proxy stands between one process and one address, and can be made to fail.
+// What it holds back in silence is delivered once the silence is over, as a
+// network does.
+type proxy struct {
+	listener *net.TCPListener
+	target   string
+
+	mu      sync.Mutex
+	fault   fault
+	changed chan struct{} // closed at the next change of fault
+	open    map[*net.TCPConn]bool
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener.(*net.TCPListener), target: target, fault: faultNone, changed: make(chan struct{}), open: map[*net.TCPConn]bool{}}
+	t.Cleanup(func() { p.listener.Close() })
+	go p.accept()
+	return p
+}
+
+func (p *proxy) address() string {
+	return p.listener.Addr().String()
+}
+
+// set changes the fault from now on.
+func (p *proxy) set(f fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if f != faultReset {
+		return
+	}
+	for connection := range p.open {
+		reset(connection)
+	}
+}
+
+func (p *proxy) accept() {
+	for {
+		connection, err := p.listener.AcceptTCP()
+		if err != nil {
+			return // closed at the end of the test
+		}
+		go p.carry(connection)
+	}
+}
+
+func (p *proxy) carry(caller *net.TCPConn) {
+	if p.state() == faultReset {
+		reset(caller)
+		return
+	}
+	connection, err := net.Dial("tcp", p.target)
+	if err != nil {
+		reset(caller)
+		return
+	}
+	callee := connection.(*net.TCPConn)
+	p.keep(caller, callee)
+	defer p.drop(caller, callee)
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(callee, caller, true) })
+	both.Go(func() { p.copy(caller, callee, false) })
+	both.Wait()
+}
+
+// copy passes on one direction until it ends.
+func (p *proxy) copy(to, from *net.TCPConn, request bool) {
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(piece)
+		p.await(request)
+		if n > 0 {
+			if _, failed := to.Write(piece[:n]); failed != nil {
+				reset(from)
+				return
+			}
+		}
+		if err != nil {
+			_ = to.CloseWrite() // it may be closed already
+			return
+		}
+	}
+}
+
+// await returns when a piece may pass.
+func (p *proxy) await(request bool) {
+	clock := system.NewClock()
+	for {
+		p.mu.Lock()
+		f, changed := p.fault, p.changed
+		p.mu.Unlock()
+		switch {
+		case f == faultSilence, f == faultOneWay && !request:
+			<-changed
+			continue
+		case f == faultDelay:
+			timer := clock.NewTimer(delayTime)
+			<-timer.C()
+		}
+		return
+	}
+}
+
+func (p *proxy) state() fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *proxy) keep(connections ...*net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, connection := range connections {
+		p.open[connection] = true
+	}
+}
+
+// drop closes connections that have ended.
+func (p *proxy) drop(connections ...*net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, connection := range connections {
+		delete(p.open, connection)
+		_ = connection.Close() // it may be closed already
+	}
+}
+
+// reset closes a connection without the bytes that are on their way.
+func reset(connection *net.TCPConn) {
+	_ = connection.SetLinger(0) // it may be closed already
+	_ = connection.Close()
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,137 @@
+// Package soak runs daemons as processes before emulated platforms, injects
+// faults from outside and checks what callers and backend servers see.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"quincewinch/peer/system"
+)
+
+var (
+	seeds    = flag.Int("seeds", 1, "how many seeds to run")
+	seed     = flag.Uint64("seed", 1, "the first seed")
+	faulty   = flag.Duration("faulty", 12*time.Second, "how long faults are injected for each seed")
+	keepLogs = flag.String("keep-logs", "", "directory for the logs of the daemons of seeds that failed")
+)
+
+// failedSeeds are those that found something once, with what that was.
+var failedSeeds = map[uint64]string{}
+
+func TestSoak(t *testing.T) {
+	binary := build(t)
+	chosen := map[uint64]bool{}
+	for i := range uint64(*seeds) {
+		chosen[*seed+i] = true
+	}
+	for failed := range failedSeeds {
+		chosen[failed] = true
+	}
+	for s := range chosen {
+		t.Run(fmt.Sprintf("seed-%d", s), func(t *testing.T) { soak(t, binary, s) })
+	}
+}
+
+// build builds the program.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "quincewinch")
+	output, err := exec.Command("go", "build", "-o", binary, "quincewinch").CombinedOutput()
+	if err != nil {
+		t.Fatalf("cannot build the program: %v\n%s", err, output)
+	}
+	return binary
+}
+
+// soak plays one seed.
+func soak(t *testing.T, binary string, seed uint64) {
+	w := newWorld(t, binary, seed)
+	w.recover("the start")
+	var callers []*caller
+	var calling sync.WaitGroup
+	ctx, stop := context.WithCancel(t.Context())
+	for i, daemon := range w.daemons {
+		for n := range callersPerDaemon {
+			c := newCaller(w, daemon, fmt.Sprintf("caller-%d-%d", i, n), seed)
+			callers = append(callers, c)
+			calling.Go(func() { c.run(ctx) })
+		}
+	}
+	faults, end := context.WithTimeout(t.Context(), *faulty)
+	newInjector(w).run(faults)
+	end()
+	w.recover("the last fault")
+	stop()
+	calling.Wait()
+	j := newJudge(w, callers)
+	for _, broken := range j.all() {
+		t.Error(broken)
+	}
+	j.report(t)
+	if t.Failed() && *keepLogs != "" {
+		w.saveLogs(filepath.Join(*keepLogs, fmt.Sprintf("seed-%d", seed)))
+	}
+}
+
+// recover waits until every daemon serves every kind of request, which must be
+// soon.
+func (w *world) recover(after string) {
+	clock := system.NewClock()
+	limit := clock.Now().Add(recoveryTime)
+	for i, daemon := range w.daemons {
+		c := newCaller(w, daemon, fmt.Sprintf("probe-%s-%d", after, i), 0)
+		for n, kind := range []string{kindDraft, kindReserve, kindLookup} {
+			for try := 0; ; try++ {
+				key, _ := w.keys()
+				if c.ask(kind, fmt.Sprintf("%s-%d-%d", c.name, n, try), key).status == http.StatusOK {
+					break
+				}
+				if clock.Now().After(limit) {
+					w.t.Errorf("%s does not serve %s %s after %s", daemon.name, kind, recoveryTime, after)
+					break
+				}
+				timer := clock.NewTimer(callerPause)
+				<-timer.C()
+			}
+		}
+		c.client.CloseIdleConnections()
+	}
+}
+
+// report prints what was played.
+func (j *judge) report(t *testing.T) {
+	statuses := map[int]int{}
+	for _, r := range j.replies {
+		statuses[r.status]++
+	}
+	j.world.mu.Lock()
+	defer j.world.mu.Unlock()
+	t.Logf("%d requests judged, by status %v; faults %v; %d calls under a lease", len(j.replies), statuses, j.world.injected, len(j.world.duties.Calls()))
+}
+
+// saveLogs copies the logs of the daemons.
+func (w *world) saveLogs(directory string) {
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		w.t.Error(err)
+		return
+	}
+	for _, daemon := range w.daemons {
+		raw, err := os.ReadFile(daemon.settings + ".log")
+		if err != nil {
+			w.t.Error(err)
+			continue
+		}
+		if err := os.WriteFile(filepath.Join(directory, daemon.name+".log"), raw, 0o600); err != nil {
+			w.t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+	"quincewinch/platform/emulator"
+)
+
+// What the deployment promises. The times are those of the users' sites.
+const (
+	leaseTime    = 3 * time.Second
+	retryRatio   = 0.2
+	retryWindow  = 10 * time.Second
+	retryReserve = 20
+	// applyTime is within which a change of the configuration is in force on
+	// daemons that reach the store.
+	applyTime = 3 * time.Second
+	// recoveryTime is within which all is served again once faults are over.
+	recoveryTime = 15 * time.Second
+)
+
+const (
+	daemonCount = 4
+	engineCount = 4
+	plainCount  = 2
+)
+
+// world is a deployment: processes before an emulated platform.
+type world struct {
+	t        *testing.T
+	clock    peer.Clock
+	random   *rand.Rand // of the plan of faults
+	store    *emulator.Store
+	duties   *emulator.Duties
+	backends []*backend
+	daemons  []*process
+	began    time.Time
+
+	mu        sync.Mutex
+	version   int
+	key       string               // valid since the last change of the configuration
+	withdrawn map[string]time.Time // keys by when the store took their withdrawal
+	valid     map[string]time.Time // keys by when the store took them
+	troubled  map[string][]period  // by daemon: when it may have been out of touch
+	thawed    map[string][]time.Time
+	injected  map[string]int // faults by kind
+}
+
+// period is a time in which something was wrong.
+type period struct {
+	from, to time.Time
+}
+
+func newWorld(t *testing.T, binary string, seed uint64) *world {
+	t.Helper()
+	w := &world{
+		t: t, clock: system.NewClock(), random: rand.New(rand.NewPCG(seed, 0)),
+		store: emulator.NewStore(), duties: emulator.NewDuties(),
+		withdrawn: map[string]time.Time{}, valid: map[string]time.Time{},
+		troubled: map[string][]period{}, thawed: map[string][]time.Time{}, injected: map[string]int{},
+	}
+	w.began = w.clock.Now()
+	for i := range engineCount + plainCount {
+		id, service, events := fmt.Sprintf("engine-%d", i), "llm", eventsPerStream
+		if i >= engineCount {
+			id, service, events = fmt.Sprintf("plain-%d", i), "desk", 0
+		}
+		b := newBackend(t, id, service, events, rand.New(rand.NewPCG(seed, uint64(i+1))))
+		w.backends = append(w.backends, b)
+		w.register(b, "ready")
+	}
+	w.changeKey()
+	store := httptest.NewServer(w.store)
+	t.Cleanup(store.CloseClientConnections)
+	duties := httptest.NewServer(w.duties)
+	t.Cleanup(duties.CloseClientConnections)
+	for i := range daemonCount {
+		name, zone := fmt.Sprintf("vm-%d", i), string(rune('a'+i%2))
+		w.daemons = append(w.daemons, newProcess(t, binary, name, zone, store.Listener.Addr().String(), duties.Listener.Addr().String()))
+	}
+	return w
+}
+
+// register writes the registration of a backend server.
+func (w *world) register(b *backend, state string) {
+	row := map[string]any{"service": b.service, "address": b.proxy.address(), "zone": "a", "slots": 32, "state": state}
+	if b.service == "llm" {
+		row["stage"] = "decode"
+	}
+	w.store.Put("servers", b.id, encode(w.t, row))
+}
+
+// changeKey writes a version of the configuration whose only key is a new one.
+func (w *world) changeKey() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.key
+	w.version += 1 + w.random.IntN(3)
+	w.key = fmt.Sprintf("key-%d", w.version)
+	route := func(name, kind, service string, attempts int, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind,
+			"service": service, "attempts": attempts, "timeout_ms": 2500,
+		}
+		for field, value := range more {
+			r[field] = value
+		}
+		return r
+	}
+	w.store.Put("op", "config", encode(w.t, map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route(kindDraft, "stream", "llm", 3, map[string]any{"sticky": true, "resumable": true, "target_latency_ms": 500}),
+			route(kindReserve, "non_idempotent", "desk", 2, nil),
+			route(kindLookup, "idempotent", "desk", 3, nil),
+		},
+		"services": []any{
+			map[string]any{"name": "llm", "max_connections": 200, "engine": map[string]any{"slots": 32, "kv_capacity": 100000}},
+			map[string]any{"name": "desk", "max_connections": 200},
+		},
+		"limits":  map[string]any{"max_body_bytes": 10000},
+		"tenants": []any{map[string]any{"name": "sales", "api_keys": []any{w.key}}},
+	}))
+	w.valid[w.key] = w.clock.Now()
+	if before != "" {
+		w.withdrawn[before] = w.clock.Now()
+	}
+}
+
+// keys returns the valid key, and one that is withdrawn, if there is any.
+func (w *world) keys() (valid, withdrawn string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key := range w.withdrawn {
+		return w.key, key
+	}
+	return w.key, ""
+}
+
+// trouble notes that a daemon may be out of touch for a time from now.
+func (w *world) trouble(daemon string, d time.Duration) {
+	now := w.clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.troubled[daemon] = append(w.troubled[daemon], period{now, now.Add(d)})
+}
+
+// inTouch reports whether nothing was wrong with a daemon in a time.
+func (w *world) inTouch(daemon string, from, to time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.troubled[daemon] {
+		if p.from.Before(to) && from.Before(p.to) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) note(kind string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.injected[kind]++
+}
+
+func encode(t *testing.T, body any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
