relay, balance: an engine that fails to read a prompt gets no more of them

Traced by the new field filled-ms: 77 prompts had been given to engines that refused the connection or reset it, again and again, because a failed prefill was never held against its engine; it also counted as a prompt read in 2 ms, which spoils the rate. After a good prefill 71 waited over 300 ms at the target, most of them behind prompts that the target read itself, which the prediction left out.

Change: how a prompt fared is told to the placement and held against the prefiller as it is against targets; where nobody was asked, another place is sought; only what was read tells the rate; a target's own prompts come before fetched ones in the prediction. Tests fail without each.

What is left is prompts that take longer than predicted at the engine that reads them.

--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -221,7 +221,7 @@
 		fetches := func(shared string, result relay.Result) bool {
 			p := place(t, b, promptExchange(shared, 100))
 			_, ok := p.Prefiller()
-			p.Prefilled()
+			p.Prefilled(relay.ResultServed)
 			p.End(result)
 			return ok
 		}
@@ -233,11 +233,49 @@
 	})
 }
 
+func TestPrefillerThatFailsGetsNothingMore(t *testing.T) {
+	for _, result := range []relay.Result{relay.ResultUnreachable, relay.ResultMoved} {
+		t.Run(string(result), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBalancer(fleetOf(split()...))
+				p := place(t, b, promptExchange("a", 100))
+				_, ok := p.Prefiller()
+				is.True(ok)
+				p.Prefilled(result)
+				p.End(relay.ResultServed)
+				_, ok = place(t, b, promptExchange("b", 100)).Prefiller()
+				is.True(!ok)
+			})
+		})
+	}
+}
+
+func TestFailedPrefillSaysNothingOfTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(split()...))
+		before := place(t, b, promptExchange("a", 20000))
+		for range 50 {
+			p := place(t, b, promptExchange("b", 20000))
+			p.Prefilled(relay.ResultFailed)
+			p.End(relay.ResultServed)
+			pass(t, time.Minute) // the failure is forgotten
+		}
+		before.Prefilled(relay.ResultFailed)
+		before.End(relay.ResultServed)
+		pass(t, time.Minute)
+		is.Equal(place(t, b, promptExchange("c", 20000)).Predicted(), before.Predicted())
+	})
+}
+
 func TestPromptIsReadElsewhereOnceOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newBalancer(fleetOf(split()...))
-		placed, err := b.Place(promptExchange("a", 100), map[models.EngineID]bool{"decode0": true})
+		e := promptExchange("a", 100)
+		e.Trace.Sends = 1
+		placed, err := b.Place(e, map[models.EngineID]bool{"decode0": true})
 		is.NoErr(err)
 		_, ok := placed.Prefiller()
 		is.True(!ok)
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -87,7 +87,7 @@
 func (p placement) Urgency() int { return defaultUrgency }
 
 // Prefilled implements relay.Placement.
-func (p placement) Prefilled() {}
+func (p placement) Prefilled(relay.Result) {}
 
 // Answered implements relay.Placement.
 func (p placement) Answered(*models.UpstreamLoad) {}
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -62,11 +62,17 @@
 }
 
 // Prefilled implements relay.Placement.
-func (p *placement) Prefilled() {
+func (p *placement) Prefilled(result relay.Result) {
 	now := p.balancer.clock.Now()
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
-	p.readDone(now)
+	if result == relay.ResultServed {
+		p.readDone(now)
+	}
+	p.dropReading()
+	if p.prefiller != nil && !p.freed {
+		p.prefiller.note(result, now)
+	}
 	p.freePrefiller()
 }
 
@@ -81,13 +87,22 @@
 
 // readDone notes that the prompt has been read. The lock is held.
 func (p *placement) readDone(now time.Time) {
+	if p.read || p.reader == nil {
+		return
+	}
+	p.dropReading()
+	p.balancer.rate(p.reader.upstream).Observe(p.ahead+p.reading, now.Sub(p.placedAt))
+}
+
+// dropReading takes the prompt off those that its reader has to read. The lock
+// is held.
+func (p *placement) dropReading() {
 	if p.read || p.reader == nil {
 		return
 	}
 	p.read = true
 	p.balancer.changed = true
 	p.reader.reading -= p.reading
-	p.balancer.rate(p.reader.upstream).Observe(p.ahead+p.reading, now.Sub(p.placedAt))
 }
 
 // noteFetch takes a target that turned a request away for one that could not
@@ -124,21 +139,8 @@
 	p.ended = true
 	p.balancer.changed = true
 	p.target.running--
-	if !p.read && p.reader != nil {
-		p.read = true
-		p.reader.reading -= p.reading
-	}
+	p.dropReading()
 	p.freePrefiller()
 	p.noteFetch(result, now)
-	switch result {
-	case relay.ResultUnreachable:
-		p.target.unreachable(now)
-	case relay.ResultFailed:
-		p.target.fail(now)
-	case relay.ResultRejected:
-		p.target.heldUntil = now.Add(fullHold)
-	case relay.ResultMoved:
-		p.target.heldUntil = now.Add(longestHold)
-	case relay.ResultServed, relay.ResultCancelled, relay.ResultLeft:
-	}
+	p.target.note(result, now)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quincewinch/models"
+	"quincewinch/relay"
 )
 
 const (
@@ -69,3 +70,20 @@
 	s.heldUntil = now.Add(hold)
 	s.fail(now)
 }
+
+// note takes in how a request, or its prompt, fared here.
+func (s *state) note(result relay.Result, now time.Time) {
+	switch result {
+	case relay.ResultUnreachable:
+		s.unreachable(now)
+	case relay.ResultFailed:
+		s.fail(now)
+	case relay.ResultRejected:
+		s.heldUntil = now.Add(fullHold)
+	case relay.ResultMoved:
+		s.heldUntil = now.Add(longestHold)
+	case relay.ResultServed:
+		s.unanswered = 0
+	case relay.ResultCancelled, relay.ResultLeft:
+	}
+}
--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -102,10 +102,10 @@
 }
 
 // split is the choice of an engine that fetches the KV cache which another one
-// has filled.
+// has filled. The prompts that it reads itself come before that.
 func split(r Request, e Engine, index, prefiller, reading int, read time.Duration) (Choice, time.Duration) {
 	fetch := fetchTime + readTime(r.Tokens, r.Fetch)
-	predicted := read + fetch + setupTime
+	predicted := max(read, e.Backlog) + fetch + setupTime
 	cost := predicted + fetch + offset(r, e)
 	return Choice{Target: index, Prefiller: prefiller, Predicted: predicted, Reading: reading}, cost
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -42,6 +42,7 @@
 	Engine     models.EngineID
 	Prefiller  models.EngineID // read the prompt for Engine; empty: Engine did
 	Reading    int             // prompt tokens that had to be read, as predicted
+	FilledIn   time.Duration   // what Prefiller took, 0 where there was none
 	Status     int
 	Events     int
 	FirstAfter time.Duration // from arrival to the answer or its first event
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -36,8 +37,11 @@
 	calls   []models.UpstreamCall
 	targets []models.EngineID
 	prefill answer
-	fills   int // prompts given to be read
-	handles int // KV cache that nobody has freed
+	// prefillsLost is how many of the first engines that are to read a prompt
+	// cannot be reached.
+	prefillsLost int
+	fills        int // prompts given to be read
+	handles      int // KV cache that nobody has freed
 }
 
 func (u *upstreams) next(to models.Upstream, call models.UpstreamCall) answer {
@@ -82,6 +86,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.fills++
+	if u.fills <= u.prefillsLost {
+		return models.KVSource{}, peer.UpstreamAnswer{}, peer.NewFailure(peer.OutcomeNotDone, "refused", nil)
+	}
 	if u.prefill.status != http.StatusOK {
 		return models.KVSource{}, peer.UpstreamAnswer{Status: u.prefill.status}, u.prefill.err
 	}
@@ -106,12 +113,14 @@
 
 // placer gives engines a, b, c in turn.
 type placer struct {
-	prefills bool
-	repeats  int // how many requests may be sent again
-	repeated int // sent again without having been asked for
-	results  []relay.Result
-	refusal  error
-	leaving  models.EngineID // takes no new work once a prompt has been read for it
+	prefills  bool // until an engine that was to read a prompt is in tried
+	prefilled []relay.Result
+	placed    int
+	repeats   int // how many requests may be sent again
+	repeated  int // sent again without having been asked for
+	results   []relay.Result
+	refusal   error
+	leaving   models.EngineID // takes no new work once a prompt has been read for it
 }
 
 // Place implements relay.Placer.
@@ -119,6 +128,7 @@
 	if p.refusal != nil {
 		return nil, p.refusal
 	}
+	p.placed++
 	for _, id := range []models.EngineID{"a", "b", "c"} {
 		if !tried[id] {
 			return &placement{placer: p, target: models.Upstream{ID: id}}, nil
@@ -144,17 +154,19 @@
 func (p *placement) Target() models.Upstream { return p.target }
 
 func (p *placement) Prefiller() (models.Upstream, bool) {
-	return models.Upstream{ID: "prefiller"}, p.placer.prefills
+	return models.Upstream{ID: models.EngineID("prefiller-" + strconv.Itoa(p.placer.placed))}, p.placer.prefills
 }
 
 func (p *placement) TakesWork() bool {
 	return !p.placer.prefills || p.target.ID != p.placer.leaving
 }
 
-func (p *placement) Predicted() time.Duration      { return 0 }
-func (p *placement) Reading() int                  { return 0 }
-func (p *placement) Urgency() int                  { return 0 }
-func (p *placement) Prefilled()                    {}
+func (p *placement) Predicted() time.Duration { return 0 }
+func (p *placement) Reading() int             { return 0 }
+func (p *placement) Urgency() int             { return 0 }
+func (p *placement) Prefilled(result relay.Result) {
+	p.placer.prefilled = append(p.placer.prefilled, result)
+}
 func (p *placement) Answered(*models.UpstreamLoad) {}
 func (p *placement) End(result relay.Result)       { p.placer.results = append(p.placer.results, result) }
 
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -56,18 +56,18 @@
 	Reading() int
 	// Urgency orders the request among others at the engine, 0 first.
 	Urgency() int
-	// Prefilled tells that the prefiller is done.
-	Prefilled()
+	// Prefilled tells that the prefiller is done, and how the prompt fared there.
+	Prefilled(result Result)
 	// Answered tells that the answer, or its first event, is here.
 	Answered(load *models.UpstreamLoad)
 	// End gives the room back.
 	End(result Result)
 }
 
-// Result is how a request fared at its target.
+// Result is how a request, or its prompt, fared at a backend server.
 type Result string
 
-// Results at a target.
+// Results at a backend server.
 const (
 	ResultServed      Result = "served"
 	ResultRejected    Result = "rejected"    // it states that the request did not run
@@ -177,11 +177,13 @@
 func (d *delivery) attempt(ctx context.Context, placement Placement) (Result, error) {
 	d.note(placement)
 	target := placement.Target()
-	d.tried[target.ID] = true
 	call := d.exchange.Call
 	call.Urgency = placement.Urgency()
 	call.ResumeAfter = d.events.lastID
-	d.fill(ctx, placement, call)
+	if err := d.fill(ctx, placement, call); err != nil {
+		return ResultLeft, err
+	}
+	d.tried[target.ID] = true
 	call.TimeLeft = d.timeLeft()
 	if call.TimeLeft < leastTimeLeft {
 		return ResultCancelled, errors.New("no time is left")
@@ -233,42 +235,65 @@
 
 // fill has the prompt's KV cache filled elsewhere, where the placement says so.
 // That is asked for once: a second time would count against the retry budget,
-// and what failed at one target may fail at the next.
-func (d *delivery) fill(ctx context.Context, placement Placement, call models.UpstreamCall) {
-	if d.asked {
-		placement.Prefilled()
-		return
-	}
-	d.filled = d.prefill(ctx, placement, call)
-}
-
-// prefill returns nil where the target is to fill the KV cache itself: the
-// placement says so, or no other engine did.
-func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) *filledCache {
+// and what failed at one target may fail at the next. Its error means that
+// nobody was asked, and that another place may do better.
+func (d *delivery) fill(ctx context.Context, placement Placement, call models.UpstreamCall) error {
 	prefiller, ok := placement.Prefiller()
 	if !ok {
 		return nil
 	}
 	call.TimeLeft = d.timeLeft()
-	if call.TimeLeft < leastTimeLeft {
+	if d.asked || call.TimeLeft < leastTimeLeft {
+		placement.Prefilled(ResultLeft)
 		return nil
 	}
-	d.asked = true
 	d.exchange.Trace.Prefiller = prefiller.ID
+	begun := d.sender.clock.Now()
 	source, answer, err := d.sender.upstreams.Prefill(ctx, prefiller, call)
-	placement.Prefilled()
-	if source.Handle == "" && peer.OutcomeOf(err) != peer.OutcomeNotDone {
-		d.sender.placer.Repeated(d.exchange.Service.Name)
+	d.exchange.Trace.FilledIn = d.sender.clock.Now().Sub(begun)
+	result := prefillResult(ctx, source, answer, err)
+	placement.Prefilled(result)
+	if result == ResultServed {
+		d.asked = true
+		d.filled = &filledCache{source: source, prefiller: prefiller}
+		return nil
+	}
+	d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": " + prefillFailure(answer, err)
+	if result == ResultUnreachable {
+		d.tried[prefiller.ID] = true
+		d.unreachable++
+		if ctx.Err() == nil && d.unreachable < mostUnreachable {
+			return errors.Annotatef(err, "prefill at %s", prefiller.ID)
+		}
+		return nil
 	}
+	d.asked = true
+	d.sender.placer.Repeated(d.exchange.Service.Name)
+	return nil
+}
+
+// prefillResult tells how a prompt fared at the engine that was to read it.
+func prefillResult(ctx context.Context, source models.KVSource, answer peer.UpstreamAnswer, err error) Result {
 	switch {
+	case err != nil && peer.OutcomeOf(err) == peer.OutcomeNotDone:
+		return ResultUnreachable
+	case err != nil && ctx.Err() != nil:
+		return ResultCancelled
 	case err != nil:
-		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": " + err.Error()
-		return nil
-	case source.Handle == "":
-		d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": status " + statusText(answer.Status)
-		return nil
+		return ResultFailed
+	case source.Handle != "":
+		return ResultServed
+	case answer.Moved:
+		return ResultMoved
+	}
+	return ResultRejected
+}
+
+func prefillFailure(answer peer.UpstreamAnswer, err error) string {
+	if err != nil {
+		return err.Error()
 	}
-	return &filledCache{source: source, prefiller: prefiller}
+	return "status " + statusText(answer.Status)
 }
 
 // free releases KV cache that no target has taken. It goes on after the request
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -12,6 +12,7 @@
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/system"
+	"quincewinch/relay"
 )
 
 var (
@@ -167,6 +168,24 @@
 		w.served(http.StatusOK, "data: x\n\n")
 		w.is.Equal(w.placer.repeated, 1)
 	})
+	t.Run("another engine reads it where one cannot be reached", func(t *testing.T) {
+		w := newWorld(t, streamOnce, answer{status: http.StatusOK, body: "data: x\n\n"})
+		w.placer.prefills = true
+		w.upstreams.prefill = answer{status: http.StatusOK}
+		w.upstreams.prefillsLost = 1
+		w.served(http.StatusOK, "data: x\n\n")
+		w.is.True(w.upstreams.calls[0].KVSource != nil)
+		w.is.Equal(w.placer.prefilled, []relay.Result{relay.ResultUnreachable, relay.ResultServed})
+		w.is.Equal(w.placer.repeated, 0) // nothing was sent again
+	})
+	t.Run("but not for ever", func(t *testing.T) {
+		w := newWorld(t, streamOnce, answer{status: http.StatusOK, body: "data: x\n\n"})
+		w.placer.prefills = true
+		w.upstreams.prefillsLost = 100
+		w.served(http.StatusOK, "data: x\n\n")
+		w.is.True(w.upstreams.fills <= 3)
+		w.is.True(w.upstreams.calls[0].KVSource == nil) // the target reads it
+	})
 	t.Run("a target that leaves meanwhile gets nothing", func(t *testing.T) {
 		w := newWorld(t, streamOnce, answer{status: http.StatusOK, body: "data: x\n\n"})
 		w.placer.prefills = true
