--- a/policy/serving/choose_test.go
+++ b/policy/serving/choose_test.go
@@ -57,6 +57,7 @@
 		{"a long prompt is read by a prefiller", []serving.Engine{decode(), prefill()}, 0, 1},
 		{"not where the prefiller is behind", []serving.Engine{decode(), prefill(backlog(5 * time.Second))}, 0, -1},
 		{"nor where the target keeps nearly all", []serving.Engine{decode(cached(9800)), prefill()}, 0, -1},
+		{"nor at a target that is behind itself", []serving.Engine{decode(backlog(time.Second)), decode(backlog(100 * time.Millisecond)), prefill()}, 1, 2},
 		{"the prefiller that keeps the prompt", []serving.Engine{decode(), prefill(), prefill(cached(9000))}, 0, 2},
 	}
 	for _, test := range tests {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -73,8 +73,7 @@
 	now := f.clock.Now()
 	if err != nil {
 		f.failedAt = now
-		f.link.failed(err)
-		_ = f.clock.Sleep(ctx, retryPause)
+		_ = f.clock.Sleep(ctx, f.link.failed(err))
 		return
 	}
 	f.link.reached()
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -69,6 +69,24 @@
 	}
 }
 
+func TestTriesWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		silent := peer.NewFailure(peer.OutcomeUnknown, "silent", nil)
+		source := &versions{script: []any{silent, silent, silent, silent, 3, silent, 4}}
+		clock := system.NewClock()
+		c := routing.NewConfiguration(source, clock, zap.NewNop(), time.Second)
+		var pauses []time.Duration
+		for range len(source.script) {
+			begun := clock.Now()
+			c.Step(t.Context())
+			pauses = append(pauses, clock.Now().Sub(begun))
+		}
+		const pause = 200 * time.Millisecond
+		is.Equal(pauses, []time.Duration{pause, 2 * pause, 4 * pause, 4 * pause, 0, pause, 0})
+	})
+}
+
 // registrations gives what the test puts there.
 type registrations struct {
 	next models.UpstreamChanges
--- a/routing/watch.go
+++ b/routing/watch.go
@@ -14,10 +14,14 @@
 	"quincewinch/peer"
 )
 
-// retryPause is the time between two tries while the store cannot be reached:
-// a watch must be back well within the time in which a change has to be in
-// force.
-const retryPause = 200 * time.Millisecond
+const (
+	// retryPause is the time between the first two tries while the store cannot
+	// be reached; it doubles with each further one.
+	retryPause = 200 * time.Millisecond
+	// longestRetryPause bounds it: a watch must be back well within the time in
+	// which a change has to be in force, and each call is paid for.
+	longestRetryPause = 800 * time.Millisecond
+)
 
 // Configuration follows the operators' configuration. It never goes back to an
 // older version.
@@ -52,9 +56,8 @@
 func (c *Configuration) Step(ctx context.Context) {
 	routing, through, err := c.source.Follow(ctx, c.through, c.wait)
 	if err != nil {
-		c.link.failed(err)
 		// Ends early only when the process stops.
-		_ = c.clock.Sleep(ctx, retryPause)
+		_ = c.clock.Sleep(ctx, c.link.failed(err))
 		return
 	}
 	c.link.reached()
@@ -88,14 +91,19 @@
 	logger *zap.Logger
 	clock  peer.Clock
 	lostAt time.Time
+	pause  time.Duration // after the latest failure
 }
 
-func (l *link) failed(err error) {
+// failed notes a failure and returns the pause until the next try.
+func (l *link) failed(err error) time.Duration {
 	if !l.lostAt.IsZero() {
-		return
+		l.pause = min(l.pause*2, longestRetryPause)
+		return l.pause
 	}
+	l.pause = retryPause
 	l.lostAt = l.clock.Now()
 	l.logger.Warn("store lost", zap.String("for", l.name), zap.Error(err))
+	return l.pause
 }
 
 func (l *link) reached() {
