policy/serving: requests that would be late wait until engines caught up

Cause: after bursts and losses of engines all streams are late until the engines have caught up; worst windows weigh most.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/policy/retry"
@@ -143,10 +145,17 @@
 	snapshot := b.fleet.Snapshot()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(tried) == 0 {
+	b.sumShares(now)
+	placement, err := b.place(e, snapshot, tried, now)
+	var hold *relay.Hold
+	if len(tried) == 0 && !errors.As(err, &hold) {
 		b.budget(e.Service.Name).Request(now)
 	}
-	b.sumShares(now)
+	return placement, err
+}
+
+// place chooses a place among those not tried. The lock is held.
+func (b *Balancer) place(e *relay.Exchange, snapshot *routing.Snapshot, tried map[models.EngineID]bool, now time.Time) (relay.Placement, error) {
 	candidates := b.candidates(snapshot, e.Service.Name, tried, now)
 	if len(candidates) == 0 {
 		return nil, &models.Refusal{
@@ -157,7 +166,7 @@
 		}
 	}
 	if e.Service.Engine != nil && len(e.Prompt.Parts) > 0 {
-		return b.placePrompt(e, candidates, e.Trace.Sends > 0, now)
+		return b.placePrompt(e, candidates, now)
 	}
 	return b.placeCall(candidates, now), nil
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -46,7 +46,8 @@
 	Status     int
 	Events     int
 	FirstAfter time.Duration // from arrival to the answer or its first event
-	Predicted  time.Duration // FirstAfter as it was predicted at its last placement
+	Held       time.Duration // before it was placed, as the engines were behind
+	Predicted  time.Duration // from its last placement to its first event, as predicted
 	Last       string        // the last failure that it met
 }
 
