--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/policy/retry"
@@ -145,17 +143,10 @@
 	snapshot := b.fleet.Snapshot()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sumShares(now)
-	placement, err := b.place(e, snapshot, tried, now)
-	var hold *relay.Hold
-	if len(tried) == 0 && !errors.As(err, &hold) {
+	if len(tried) == 0 {
 		b.budget(e.Service.Name).Request(now)
 	}
-	return placement, err
-}
-
-// place chooses a place among those not tried. The lock is held.
-func (b *Balancer) place(e *relay.Exchange, snapshot *routing.Snapshot, tried map[models.EngineID]bool, now time.Time) (relay.Placement, error) {
+	b.sumShares(now)
 	candidates := b.candidates(snapshot, e.Service.Name, tried, now)
 	if len(candidates) == 0 {
 		return nil, &models.Refusal{
@@ -166,7 +157,7 @@
 		}
 	}
 	if e.Service.Engine != nil && len(e.Prompt.Parts) > 0 {
-		return b.placePrompt(e, candidates, now)
+		return b.placePrompt(e, candidates, e.Trace.Sends > 0, now)
 	}
 	return b.placeCall(candidates, now), nil
 }
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -35,11 +35,9 @@
 	blockedUntil time.Time
 }
 
-// placePrompt places a request for a model engine. One that was sent to another
-// engine before goes at once, to one that reads the prompt itself. The lock is
-// held.
-func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*state, now time.Time) (relay.Placement, error) {
-	again := e.Trace.Sends > 0
+// placePrompt places a request for a model engine; again is set where it was
+// sent to another one before. The lock is held.
+func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*state, again bool, now time.Time) (relay.Placement, error) {
 	orders := promptOrder(e.Prompt, candidates)
 	engines := make([]serving.Engine, len(candidates))
 	for i, s := range candidates {
@@ -62,22 +60,9 @@
 			RetryAfter: emptyRetryAfter,
 		}
 	}
-	if !again && serving.Hold(urge(e, now), choice) {
-		return nil, &relay.Hold{For: serving.HoldStep}
-	}
 	return b.holdPrompt(e, candidates, choice, now), nil
 }
 
-// urge returns how soon a request has to be answered. One without an objective
-// has the whole time of its caller.
-func urge(e *relay.Exchange, now time.Time) serving.Urge {
-	patience := e.Deadline.Sub(now)
-	if e.Route.Objective <= 0 {
-		return serving.Urge{Objective: patience, Patience: patience}
-	}
-	return serving.Urge{Objective: e.Received.Add(e.Route.Objective).Sub(now), Patience: patience}
-}
-
 func (b *Balancer) holdPrompt(e *relay.Exchange, candidates []*state, choice serving.Choice, now time.Time) *placement {
 	p := b.hold(candidates[choice.Target], now)
 	p.predicted = choice.Predicted
--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -60,7 +60,6 @@
 	Prefiller int           // reads the prompt for the target; -1: the target does
 	Predicted time.Duration // from now to the first token
 	Reading   int           // tokens that have to be read
-	Behind    time.Duration // until the engine that reads them begins
 }
 
 // Choose returns the place of least cost; false where no engine may run the
@@ -74,10 +73,6 @@
 	best := Choice{Target: -1, Prefiller: -1}
 	var bestCost time.Duration
 	prefiller, reading, read := bestPrefiller(r, engines, most)
-	var behind time.Duration
-	if prefiller >= 0 {
-		behind = engines[prefiller].Backlog
-	}
 	for i, e := range engines {
 		if e.Role == models.RolePrefill {
 			continue
@@ -90,7 +85,6 @@
 			continue
 		}
 		choice, cost = split(r, e, i, prefiller, reading, read)
-		choice.Behind = max(behind, e.Backlog)
 		if cost < bestCost {
 			best, bestCost = choice, cost
 		}
@@ -104,7 +98,7 @@
 	read := readTime(reading, e.Rate)
 	predicted := e.Backlog + read + setupTime
 	cost := predicted + time.Duration(readingWeight*float64(read)) + offset(r, e) + copyCost(most-min(e.Cached, r.Tokens))
-	return Choice{Target: index, Prefiller: -1, Predicted: predicted, Reading: reading, Behind: e.Backlog}, cost
+	return Choice{Target: index, Prefiller: -1, Predicted: predicted, Reading: reading}, cost
 }
 
 // split is the choice of an engine that fetches the KV cache which another one
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -46,8 +46,7 @@
 	Status     int
 	Events     int
 	FirstAfter time.Duration // from arrival to the answer or its first event
-	Held       time.Duration // before it was placed, as the engines were behind
-	Predicted  time.Duration // from its last placement to its first event, as predicted
+	Predicted  time.Duration // FirstAfter as it was predicted at its last placement
 	Last       string        // the last failure that it met
 }
 
--- a/relay/record.go
+++ b/relay/record.go
@@ -111,7 +111,6 @@
 		zap.Int("status", e.Trace.Status),
 		zap.Int("events", e.Trace.Events),
 		zap.Int("reading", e.Trace.Reading),
-		milliseconds("held-ms", e.Trace.Held),
 		milliseconds("filled-ms", e.Trace.FilledIn),
 		milliseconds("predicted-ms", e.Trace.Predicted),
 		milliseconds("first-ms", e.Trace.FirstAfter),
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -18,9 +18,6 @@
 	// mostUnreachable is how many backend servers may be found unreachable for
 	// one request; each costs up to the dial timeout.
 	mostUnreachable = 3
-	// mostPrefillers is how many engines may be found unreachable that are to read
-	// a prompt, until the target reads it.
-	mostPrefillers = 2
 	// leastTimeLeft is the least time for which a request is sent: below it no
 	// backend server can answer.
 	leastTimeLeft = 5 * time.Millisecond
@@ -36,7 +33,7 @@
 type Placer interface {
 	// Place chooses a backend server that is not in tried, and holds room for
 	// the request there until the placement ends. Its error is a
-	// *models.Refusal, or a *Hold where the request is better placed later.
+	// *models.Refusal.
 	Place(e *Exchange, tried map[models.EngineID]bool) (Placement, error)
 	// MayRepeat takes one repeated request for a service from the budget.
 	MayRepeat(service models.ServiceName) bool
@@ -44,16 +41,6 @@
 	Repeated(service models.ServiceName)
 }
 
-// Hold is the error of a placement that is to be tried again after a time.
-type Hold struct {
-	For time.Duration
-}
-
-// Error implements error.
-func (h *Hold) Error() string {
-	return "the backend servers have to catch up"
-}
-
 // Placement is a place that a request was given.
 type Placement interface {
 	// Target runs the request.
@@ -128,7 +115,6 @@
 	ran         int // backend servers that may have run it
 	rejections  int
 	unreachable int
-	prefillers  int          // engines found unreachable that were to read the prompt
 	asked       bool         // an engine was asked to read the prompt for a target
 	filled      *filledCache // not yet taken by a target
 	begun       bool         // the caller has status and header
@@ -148,7 +134,7 @@
 func (d *delivery) run(ctx context.Context) error {
 	defer d.free(ctx)
 	for {
-		placement, err := d.place(ctx)
+		placement, err := d.sender.placer.Place(d.exchange, d.tried)
 		if err != nil {
 			return d.conclude(ctx, err)
 		}
@@ -166,21 +152,6 @@
 	}
 }
 
-// place returns a place once there is one.
-func (d *delivery) place(ctx context.Context) (Placement, error) {
-	for {
-		placement, err := d.sender.placer.Place(d.exchange, d.tried)
-		var hold *Hold
-		if !errors.As(err, &hold) {
-			return placement, err
-		}
-		d.exchange.Trace.Held += hold.For
-		if err := d.sender.clock.Sleep(ctx, hold.For); err != nil {
-			return nil, errors.Annotate(err, "the backend servers did not catch up")
-		}
-	}
-}
-
 // log tells why a backend server did not answer, and whether the request is
 // sent again.
 func (d *delivery) log(placement Placement, result Result, again bool, err error) {
@@ -290,8 +261,8 @@
 	d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": " + prefillFailure(answer, err)
 	if result == ResultUnreachable {
 		d.tried[prefiller.ID] = true
-		d.prefillers++
-		if ctx.Err() == nil && d.prefillers < mostPrefillers {
+		d.unreachable++
+		if ctx.Err() == nil && d.unreachable < mostUnreachable {
 			return errors.Annotatef(err, "prefill at %s", prefiller.ID)
 		}
 		return nil
