relay: prefillers out of reach do not use up the tries of targets

Cause: found in review: since failed prefills look for another place, each one out of reach counted among the three unreachable targets after which a request is refused.

Change: at most two prefillers out of reach, counted apart.

--- a/relay/sender.go
+++ b/relay/sender.go
@@ -18,6 +18,9 @@
 	// mostUnreachable is how many backend servers may be found unreachable for
 	// one request; each costs up to the dial timeout.
 	mostUnreachable = 3
+	// mostPrefillers is how many engines may be found unreachable that are to read
+	// a prompt, until the target reads it.
+	mostPrefillers = 2
 	// leastTimeLeft is the least time for which a request is sent: below it no
 	// backend server can answer.
 	leastTimeLeft = 5 * time.Millisecond
@@ -115,6 +118,7 @@
 	ran         int // backend servers that may have run it
 	rejections  int
 	unreachable int
+	prefillers  int          // engines found unreachable that were to read the prompt
 	asked       bool         // an engine was asked to read the prompt for a target
 	filled      *filledCache // not yet taken by a target
 	begun       bool         // the caller has status and header
@@ -261,8 +265,8 @@
 	d.exchange.Trace.Last = "prefill at " + string(prefiller.ID) + ": " + prefillFailure(answer, err)
 	if result == ResultUnreachable {
 		d.tried[prefiller.ID] = true
-		d.unreachable++
-		if ctx.Err() == nil && d.unreachable < mostUnreachable {
+		d.prefillers++
+		if ctx.Err() == nil && d.prefillers < mostPrefillers {
 			return errors.Annotatef(err, "prefill at %s", prefiller.ID)
 		}
 		return nil
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -183,7 +183,7 @@
 		w.placer.prefills = true
 		w.upstreams.prefillsLost = 100
 		w.served(http.StatusOK, "data: x\n\n")
-		w.is.True(w.upstreams.fills <= 3)
+		w.is.Equal(w.upstreams.fills, 2)
 		w.is.True(w.upstreams.calls[0].KVSource == nil) // the target reads it
 	})
 	t.Run("a target that leaves meanwhile gets nothing", func(t *testing.T) {
