--- a/billing/closer.go
+++ b/billing/closer.go
@@ -40,15 +40,12 @@
 
 // Closer freezes and reports windows while this daemon holds the lease.
 type Closer struct {
-	rows    Rows
-	leases  peer.Leases
-	reports peer.WindowReports
-	clock   peer.Clock // for the lease
-	wall    peer.Clock // for the windows
-	logger  *zap.Logger
-	window  time.Duration
-	latest  time.Duration // from a window's end to its report
-	vms     func() []string
+	rows     Rows
+	leases   peer.Leases
+	reports  peer.WindowReports
+	clocks   Clocks
+	logger   *zap.Logger
+	settings Settings
 
 	// Used by Step alone.
 	reported map[int64]bool
@@ -56,19 +53,21 @@
 	lookedAt time.Time
 }
 
-// NewCloser returns a closer that has reported nothing. Vms names those whose
-// counts are waited for.
-func NewCloser(rows Rows, leases peer.Leases, reports peer.WindowReports, clock, wall peer.Clock, logger *zap.Logger, window, latest time.Duration, vms func() []string) *Closer {
+// Clocks are those of a closer.
+type Clocks struct {
+	Lease peer.Clock // never goes back
+	Day   peer.Clock // tells the time of day, which windows go by
+}
+
+// NewCloser returns a closer that has reported nothing.
+func NewCloser(rows Rows, leases peer.Leases, reports peer.WindowReports, clocks Clocks, logger *zap.Logger, settings Settings) *Closer {
 	return &Closer{
 		rows:     rows,
 		leases:   leases,
 		reports:  reports,
-		clock:    clock,
-		wall:     wall,
+		clocks:   clocks,
 		logger:   logger,
-		window:   window,
-		latest:   latest,
-		vms:      vms,
+		settings: settings,
 		reported: map[int64]bool{},
 	}
 }
@@ -76,18 +75,18 @@
 // Step closes and reports the windows that are due.
 func (c *Closer) Step(ctx context.Context) {
 	authority := c.leases.Authority(models.LeaseUsage)
-	if !authority.Valid(c.clock.Now()) {
+	if !authority.Valid(c.clocks.Lease.Now()) {
 		return
 	}
-	now := c.wall.Now()
+	now := c.clocks.Day.Now()
 	if authority.Fence != c.fence {
 		// Another holder may have reported some windows or not.
 		c.fence = authority.Fence
 		clear(c.reported)
 	}
-	closed := now.Add(-time.Duration(closeShare * float64(c.latest)))
-	last := windowOf(closed, c.window) - 1
-	first := windowOf(now.Add(-lateFactor*c.latest), c.window)
+	closed := now.Add(-time.Duration(closeShare * float64(c.settings.Latest)))
+	last := windowOf(closed, c.settings.Window) - 1
+	first := windowOf(now.Add(-lateFactor*c.settings.Latest), c.settings.Window)
 	for number := first; number <= last; number++ {
 		if c.reported[number] {
 			continue
@@ -147,7 +146,7 @@
 		return nil, errors.Trace(err)
 	}
 	latest := c.latestRows(rows, number)
-	forced := now.Sub(windowEnd(number, c.window)) >= time.Duration(forceShare*float64(c.latest))
+	forced := now.Sub(windowEnd(number, c.settings.Window)) >= time.Duration(forceShare*float64(c.settings.Latest))
 	if !forced && !c.complete(latest) {
 		return nil, errIncomplete
 	}
@@ -200,7 +199,7 @@
 	for _, counted := range latest {
 		final[counted.vm] = final[counted.vm] || counted.final
 	}
-	for _, vm := range c.vms() {
+	for _, vm := range c.settings.VMs() {
 		if !final[vm] {
 			return false
 		}
--- a/billing/closer_test.go
+++ b/billing/closer_test.go
@@ -39,10 +39,10 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		closerOf := func(fence uint64) *billing.Closer {
-			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), clock, clock, zap.NewNop(), window, latest, nobody)
+			return billing.NewCloser(rows{store}, held(fence), receiver.of("vm"), billing.Clocks{Lease: clock, Day: clock}, zap.NewNop(), settings(nobody))
 		}
-		counter := billing.NewCounter("vm-1", "d", store, clock, zap.NewNop(), window, nobody)
-		late := billing.NewCounter("vm-2", "late", store, clock, zap.NewNop(), window, nobody)
+		counter := billing.NewCounter("vm-1", "d", store, clock, zap.NewNop(), settings(nobody))
+		late := billing.NewCounter("vm-2", "late", store, clock, zap.NewNop(), settings(nobody))
 		counter.Count("w")
 		late.Count("w")
 		counter.Flush(ctx)
@@ -79,9 +79,9 @@
 				store := platform.NewStore(clock)
 				receiver := &receiver{clock: clock}
 				vms := func() []string { return []string{"vm-1", "vm-2"} }
-				closer := billing.NewCloser(rows{store}, held(1), receiver.of("vm-1"), clock, clock, zap.NewNop(), window, latest, vms)
-				first := billing.NewCounter("vm-1", "a", store, clock, zap.NewNop(), window, nobody)
-				second := billing.NewCounter("vm-2", "b", store, clock, zap.NewNop(), window, nobody)
+				closer := billing.NewCloser(rows{store}, held(1), receiver.of("vm-1"), billing.Clocks{Lease: clock, Day: clock}, zap.NewNop(), settings(vms))
+				first := billing.NewCounter("vm-1", "a", store, clock, zap.NewNop(), settings(nobody))
+				second := billing.NewCounter("vm-2", "b", store, clock, zap.NewNop(), settings(nobody))
 				end := clock.Now().Truncate(window).Add(window)
 				first.Count("w")
 				second.Count("w")
--- a/billing/counter.go
+++ b/billing/counter.go
@@ -32,16 +32,22 @@
 	manyVMs = 40
 )
 
+// Settings of counters and closers.
+type Settings struct {
+	Window time.Duration   // length of a billing window
+	Latest time.Duration   // from a window's end to its report
+	VMs    func() []string // those that may have counts
+}
+
 // Counter counts requests by window and workspace. It implements
 // relay.UsageMeter.
 type Counter struct {
-	vm     string
-	daemon models.DaemonID
-	table  peer.Table
-	clock  peer.Clock // tells the time of day
-	logger *zap.Logger
-	window time.Duration
-	vms    func() []string
+	vm       string
+	daemon   models.DaemonID
+	table    peer.Table
+	clock    peer.Clock // tells the time of day
+	logger   *zap.Logger
+	settings Settings
 
 	mu      sync.Mutex
 	windows map[int64]*count
@@ -58,26 +64,24 @@
 	writtenAt time.Time
 }
 
-// NewCounter returns a counter of windows of a length. Daemon names this
-// process on its VM: two processes never write the same row. Vms names all that
-// count.
-func NewCounter(vm string, daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, window time.Duration, vms func() []string) *Counter {
+// NewCounter returns a counter. Daemon names this process on its VM: two
+// processes never write the same row. The clock tells the time of day.
+func NewCounter(vm string, daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, settings Settings) *Counter {
 	return &Counter{
-		vm:      vm,
-		daemon:  daemon,
-		table:   table,
-		clock:   clock,
-		logger:  logger,
-		window:  window,
-		vms:     vms,
-		windows: map[int64]*count{},
+		vm:       vm,
+		daemon:   daemon,
+		table:    table,
+		clock:    clock,
+		logger:   logger,
+		settings: settings,
+		windows:  map[int64]*count{},
 	}
 }
 
 // Count counts a request that a backend server has just begun to run.
 func (c *Counter) Count(workspace models.Workspace) {
 	at := c.clock.Now()
-	number := windowOf(at, c.window)
+	number := windowOf(at, c.settings.Window)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.windows[number]
@@ -115,17 +119,17 @@
 }
 
 func (c *Counter) due(now time.Time, all bool) map[int64]map[models.Workspace]int64 {
-	few := len(c.vms()) < manyVMs
+	few := len(c.settings.VMs()) < manyVMs
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	due := map[int64]map[models.Workspace]int64{}
 	for number, w := range c.windows {
-		if windowOf(now, c.window)-number > keptWindows {
+		if windowOf(now, c.settings.Window)-number > keptWindows {
 			delete(c.windows, number)
 			continue
 		}
-		over := !now.Before(windowEnd(number, c.window).Add(settleTime))
-		stale := few && now.Sub(w.writtenAt) >= c.window/flushesPerWindow
+		over := !now.Before(windowEnd(number, c.settings.Window).Add(settleTime))
+		stale := few && now.Sub(w.writtenAt) >= c.settings.Window/flushesPerWindow
 		if w.changed && (all || over || stale) || over && !w.final {
 			due[number] = maps.Clone(w.requests)
 			w.changed = false
@@ -143,7 +147,7 @@
 	c.writes++
 	name := countName(number, c.daemon, c.writes)
 	c.triedAt = c.clock.Now()
-	final := c.triedAt.After(windowEnd(number, c.window))
+	final := c.triedAt.After(windowEnd(number, c.settings.Window))
 	c.mu.Unlock()
 	value, err := encodeCounts(counts{vm: c.vm, final: final, requests: requests})
 	if err != nil {
--- a/billing/world_test.go
+++ b/billing/world_test.go
@@ -170,8 +170,8 @@
 		Duration: lease, Safety: lease / 6, Margin: lease / 10, Renew: lease / 3, Read: lease / 3,
 		Timeout: 700 * time.Millisecond, AfterRelease: lease,
 	})
-	p.counter = billing.NewCounter(vm, id, w.store, w.clock, logger, window, w.vms)
-	p.closer = billing.NewCloser(rows{w.store}, p.leases, w.receiver.of(vm), w.clock, w.clock, logger, window, latest, w.vms)
+	p.counter = billing.NewCounter(vm, id, w.store, w.clock, logger, settings(w.vms))
+	p.closer = billing.NewCloser(rows{w.store}, p.leases, w.receiver.of(vm), billing.Clocks{Lease: w.clock, Day: w.clock}, logger, settings(w.vms))
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, task := range []control.Task{p.leases, p.counter, p.closer} {
 		go p.run(w.clock, task)
@@ -382,3 +382,8 @@
 		}
 	}
 }
+
+// settings are those of all counters and closers of the tests.
+func settings(vms func() []string) billing.Settings {
+	return billing.Settings{Window: window, Latest: latest, VMs: vms}
+}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -54,14 +54,15 @@
 		func() []models.LeaseName { return names },
 		leaseSettings(settings.Lease, settings.Store.Timeout),
 	)
-	d.duties.counter = billing.NewCounter(settings.Name, process, store, d.wall, d.logger, settings.Duties.UsageWindow, d.vms)
+	windows := billing.Settings{Window: settings.Duties.UsageWindow, Latest: settings.Duties.UsageLatest, VMs: d.vms}
+	d.duties.counter = billing.NewCounter(settings.Name, process, store, d.wall, d.logger, windows)
 	if len(names) == 0 {
 		return
 	}
 	d.system.Spawn(&candidate{leases: d.duties.leases, sharer: d.sharing.sharer, clock: d.clock}, dutyStep)
 	calls := platform.NewDuties(settings.Duties.Address, dutyClient(), d.clock, settings.Name)
 	if settings.Duties.Usage {
-		closer := billing.NewCloser(store, d.duties.leases, calls, d.clock, d.wall, d.logger, settings.Duties.UsageWindow, settings.Duties.UsageLatest, d.vms)
+		closer := billing.NewCloser(store, d.duties.leases, calls, billing.Clocks{Lease: d.clock, Day: d.wall}, d.logger, windows)
 		d.system.Spawn(d.duties.counter, dutyStep)
 		d.system.Spawn(closer, dutyStep)
 	}
