--- a/feed/relay.go
+++ b/feed/relay.go
@@ -15,8 +15,9 @@
 const (
 	// directTime is how long the store is followed directly after another
 	// daemon failed to pass on changes: what has replaced that daemon is known
-	// by then.
-	directTime = 2 * time.Second
+	// by then. It is longer than a call of the store that fails, so that a daemon
+	// that could reach neither does not begin with the other daemon again.
+	directTime = 5 * time.Second
 	// waitParts is the part of the longest wait that a call takes which other
 	// daemons depend on, or which depends on another daemon: where both fall
 	// silent one after the other, a change is still known in time.
