--- a/policy/fleet/trace/compare_test.go
+++ b/policy/fleet/trace/compare_test.go
@@ -1,6 +1,7 @@
 package trace_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -51,7 +52,7 @@
 func BenchmarkCompare(b *testing.B) {
 	for b.Loop() {
 		for _, r := range trace.Compare(1) {
-			b.ReportMetric(r.Share(r.Planned), "share/"+r.Trace)
+			b.ReportMetric(r.Share(r.Planned), "share/"+strings.ReplaceAll(r.Trace, " ", "-"))
 		}
 	}
 }
