routing: a missing registration is doubted from the store's return on only

A row that goes missing within 3 s of a failure was kept for 2 s from when it was missed, though what lapsed is back 2 s after the store's return.

Ruled out: late news (the row's removal was known at once), the stale target of a prompt read elsewhere.

Two cases of TestFleet fail without it.

--- a/config/entry.go
+++ b/config/entry.go
@@ -44,6 +44,7 @@
 	Address netip.AddrPort
 	Timeout time.Duration // of one call
 	Notice  time.Duration // within which a store that went silent has to be noticed
+	Leave   time.Duration // within which a backend server that left gets no more requests
 }
 
 // EntryDuties is the section of the calls that one daemon makes for all. The
@@ -82,6 +83,7 @@
 	{"store.address", ``, true, "IP:port", "the platform's store", address(func(s *Entry) *netip.AddrPort { return &s.Store.Address })},
 	{"store.timeout", `"700ms"`, false, "duration", "for one call of the store beyond the wait that it asks for", duration(func(s *Entry) *time.Duration { return &s.Store.Timeout })},
 	{"store.notice", `"3s"`, false, "duration", "within which a store that went silent has to be noticed; calls that follow changes wait as long as that allows", duration(func(s *Entry) *time.Duration { return &s.Store.Notice })},
+	{"store.leave", `"2s"`, false, "duration", "within which a backend server that left gets no more requests; one that may only have lapsed while the store was away is kept for less", duration(func(s *Entry) *time.Duration { return &s.Store.Leave })},
 	{"duties.address", `""`, false, "IP:port", "where one daemon reports use and orders backend servers; empty: there are no such calls", optionalAddress(func(s *Entry) *netip.AddrPort { return &s.Duties.Address })},
 	{"duties.usage", `false`, false, "", "report billing windows", flag(func(s *Entry) *bool { return &s.Duties.Usage })},
 	{"duties.supply", `false`, false, "", "order backend servers", flag(func(s *Entry) *bool { return &s.Duties.Supply })},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,7 +65,7 @@
 	wait := settings.Store.Watch()
 	d.prepareSharing(store)
 	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.relay), d.clock, d.logger, wait)
-	d.fleet = routing.NewFleet(platform.NewRegistrations(d.sharing.relay), d.clock, d.logger, wait)
+	d.fleet = routing.NewFleet(platform.NewRegistrations(d.sharing.relay), d.clock, d.logger, wait, settings.Store.Leave)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Zone:    settings.Zone,
 		Retries: retrySettings(settings),
--- a/feed/schedule_test.go
+++ b/feed/schedule_test.go
@@ -169,7 +169,7 @@
 		s.reader = feed.NewReader(store)
 		relay := feed.NewRelay(s.reader, p, playMember{p, i}, p.clock, zap.NewNop())
 		s.configuration = routing.NewConfiguration(platform.NewRouting(relay), p.clock, zap.NewNop(), watch)
-		s.fleet = routing.NewFleet(platform.NewRegistrations(relay), p.clock, zap.NewNop(), watch)
+		s.fleet = routing.NewFleet(platform.NewRegistrations(relay), p.clock, zap.NewNop(), watch, keepTime)
 		p.sites = append(p.sites, s)
 	}
 	return p
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -17,9 +17,10 @@
 	// returnTime is how long registrations that lapsed while the store was away
 	// may take to be back after its return.
 	returnTime = 2 * time.Second
-	// doubtTime is how long after the store failed a missing registration is
-	// put down to that.
-	doubtTime = 3 * time.Second
+	// leaveMargin is what is left, of the time within which a backend server that
+	// left gets no more requests, for a request on its way and for a look at the
+	// registrations.
+	leaveMargin = 300 * time.Millisecond
 )
 
 // Fleet follows the registrations of the backend servers.
@@ -28,13 +29,15 @@
 	clock   peer.Clock
 	logger  *zap.Logger
 	wait    time.Duration
+	leave   time.Duration
 	current atomic.Pointer[Snapshot]
 	link    link
 
 	// Used by Step alone.
-	through  models.Revision
-	known    map[models.EngineID]registration
-	failedAt time.Time // when the store last failed; zero: never
+	through    models.Revision
+	known      map[models.EngineID]registration
+	failing    bool      // the last call of the store failed
+	returnedAt time.Time // when the store last was back; zero: it never failed
 }
 
 // registration is a backend server, and when it is to be dropped where its
@@ -50,13 +53,16 @@
 	ByService map[models.ServiceName][]models.Upstream // those that take new work, by identity
 }
 
-// NewFleet returns a follower that has read nothing yet.
-func NewFleet(source peer.UpstreamSource, clock peer.Clock, logger *zap.Logger, wait time.Duration) *Fleet {
+// NewFleet returns a follower that has read nothing yet. Each call of the
+// source waits up to wait for news; a backend server that left gets no more
+// requests after leave.
+func NewFleet(source peer.UpstreamSource, clock peer.Clock, logger *zap.Logger, wait, leave time.Duration) *Fleet {
 	return &Fleet{
 		source: source,
 		clock:  clock,
 		logger: logger,
 		wait:   wait,
+		leave:  leave,
 		link:   link{name: "registrations", logger: logger, clock: clock},
 		known:  map[models.EngineID]registration{},
 	}
@@ -72,11 +78,15 @@
 	changes, err := f.source.Follow(ctx, f.through, f.waitTime())
 	now := f.clock.Now()
 	if err != nil {
-		f.failedAt = now
+		f.failing = true
 		_ = f.clock.Sleep(ctx, f.link.failed(err))
 		return
 	}
 	f.link.reached()
+	if f.failing {
+		f.failing = false
+		f.returnedAt = now
+	}
 	if changes.All && changes.Through < f.through {
 		return // a lagging copy
 	}
@@ -144,8 +154,9 @@
 		return
 	}
 	r.lapsesAt = now
-	if !f.failedAt.IsZero() && now.Sub(f.failedAt) < doubtTime && !r.upstream.Draining {
-		r.lapsesAt = now.Add(returnTime)
+	if !f.returnedAt.IsZero() && !r.upstream.Draining {
+		back := f.returnedAt.Add(returnTime).Sub(now)
+		r.lapsesAt = now.Add(max(min(back, f.leave-leaveMargin), 0))
 	}
 	f.known[id] = r
 }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -102,6 +102,9 @@
 	return next, r.err
 }
 
+// leave is within which a backend server that left gets no more requests.
+const leave = 2 * time.Second
+
 // fleetWorld is a fleet that a test changes step by step.
 type fleetWorld struct {
 	t      *testing.T
@@ -112,7 +115,7 @@
 
 func newFleetWorld(t *testing.T) *fleetWorld {
 	w := &fleetWorld{t: t, is: is.New(t)}
-	w.fleet = routing.NewFleet(&w.source, system.NewClock(), zap.NewNop(), time.Minute)
+	w.fleet = routing.NewFleet(&w.source, system.NewClock(), zap.NewNop(), time.Minute, leave)
 	return w
 }
 
@@ -205,6 +208,24 @@
 			w.step(present(2))
 			w.takesWork("b")
 		}},
+		{"one that is gone a while after the store's return is not doubted for long", func(w *fleetWorld) {
+			w.step(all(1, upstream("a"), upstream("b")))
+			w.fail()
+			w.step(present(2))
+			w.pass(1500 * time.Millisecond)
+			w.step(removed(3, "a"))
+			w.pass(500 * time.Millisecond)
+			w.step(present(3))
+			w.takesWork("b")
+		}},
+		{"one that is gone right at the store's return gets no work for too long", func(w *fleetWorld) {
+			w.step(all(1, upstream("a"), upstream("b")))
+			w.fail()
+			w.step(removed(2, "a"))
+			w.pass(leave - 300*time.Millisecond)
+			w.step(present(2))
+			w.takesWork("b")
+		}},
 		{"a watch ends when one is due to be dropped", func(w *fleetWorld) {
 			w.step(all(1, upstream("a")))
 			w.fail()
