--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -87,7 +87,8 @@
 		broken := storeFaults[w.random.IntN(len(storeFaults))]
 		return func() { in.breakStore(broken.kind, broken.fault, d) }
 	}
-	return func() { in.operate(b, d) }
+	step := 1 + w.random.IntN(mostVersionStep)
+	return func() { in.operate(b, step, d) }
 }
 
 // cutStore makes the way of daemons to the store fail.
@@ -155,10 +156,10 @@
 
 // operate is the operators' work: a key is replaced, and a backend server
 // drains, is gone and comes back.
-func (in *injector) operate(b *backend, d time.Duration) {
+func (in *injector) operate(b *backend, step int, d time.Duration) {
 	w := in.world
 	w.note("operation")
-	w.changeKey()
+	w.changeKey(step)
 	w.register(b, "draining")
 	in.wait(d / 2)
 	w.store.Remove("servers", b.id)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -79,7 +79,7 @@
 		w.backends = append(w.backends, b)
 		w.register(b, "ready")
 	}
-	w.changeKey()
+	w.changeKey(1)
 	store := httptest.NewServer(w.store)
 	t.Cleanup(store.CloseClientConnections)
 	duties := httptest.NewServer(w.duties)
@@ -103,12 +103,16 @@
 	w.store.Put("servers", b.id, encode(w.t, row))
 }
 
-// changeKey writes a version of the configuration whose only key is a new one.
-func (w *world) changeKey() {
+// mostVersionStep is the most by which a version of the configuration grows.
+const mostVersionStep = 3
+
+// changeKey writes a version of the configuration, later by a step, whose only
+// key is a new one.
+func (w *world) changeKey(step int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	before := w.key
-	w.version += 1 + w.random.IntN(3)
+	w.version += step
 	w.key = fmt.Sprintf("key-%d", w.version)
 	route := func(name, kind, service string, attempts int, more map[string]any) map[string]any {
 		r := map[string]any{
