--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -159,7 +159,7 @@
 		}
 	}
 	if e.Service.Engine != nil && len(e.Prompt.Parts) > 0 {
-		return b.placePrompt(e, candidates, e.Trace.Sends > 0, now)
+		return b.placePrompt(e, candidates, e.Sends > 0, now)
 	}
 	return b.placeCall(candidates, now), nil
 }
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -274,7 +274,7 @@
 		is := is.New(t)
 		b := newBalancer(fleetOf(split()...))
 		e := promptExchange("a", 100)
-		e.Trace.Sends = 1
+		e.Sends = 1
 		placed, err := b.Place(e, map[models.EngineID]bool{"decode0": true})
 		is.NoErr(err)
 		_, ok := placed.Prefiller()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,8 +64,8 @@
 	store := platform.NewStore(settings.Store.Address, storeClient(), settings.Store.Timeout)
 	wait := settings.Store.Watch()
 	d.prepareSharing(store)
-	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.relay), d.clock, d.logger, wait)
-	d.fleet = routing.NewFleet(platform.NewRegistrations(d.sharing.relay), d.clock, d.logger, wait, settings.Store.Leave)
+	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.source), d.clock, d.logger, wait)
+	d.fleet = routing.NewFleet(platform.NewRegistrations(d.sharing.source), d.clock, d.logger, wait, settings.Store.Leave)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Zone:    settings.Zone,
 		Retries: retrySettings(settings),
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -41,7 +41,7 @@
 	server  *peerdaemon.Server
 	sharer  *balance.Sharer
 	reader  *feed.Reader
-	relay   *feed.Relay // what this daemon follows the store by
+	source  *feed.Source // what this daemon follows the store by
 }
 
 // Reader implements feed.Zone.
@@ -60,7 +60,7 @@
 	s := &d.sharing
 	s.client = peerdaemon.NewClient(insecure.NewCredentials(), shareTimeout, &s.traffic)
 	s.reader = feed.NewReader(store)
-	s.relay = feed.NewRelay(s.reader, s.client, s, d.clock, d.logger)
+	s.source = feed.NewSource(s.reader, s.client, s, d.clock, d.logger)
 }
 
 // startSharing listens for the other daemons and starts telling them.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -98,7 +99,7 @@
 type follower struct {
 	address netip.AddrPort
 	reader  *feed.Reader
-	relay   *feed.Relay
+	source  *feed.Source
 	through models.Revision
 	seen    map[string]bool
 	failed  bool // the last call
@@ -124,7 +125,7 @@
 			reader:  feed.NewReader(z.store),
 			seen:    map[string]bool{},
 		}
-		f.relay = feed.NewRelay(f.reader, z, member{z, i}, system.NewClock(), zap.NewNop())
+		f.source = feed.NewSource(f.reader, z, member{z, i}, system.NewClock(), zap.NewNop())
 		z.followers = append(z.followers, f)
 	}
 	return z
@@ -143,7 +144,7 @@
 		z.mu.Lock()
 		through := f.through
 		z.mu.Unlock()
-		changes, _, err := f.relay.Follow(z.t.Context(), servers, through, watch)
+		changes, _, err := f.source.Follow(z.t.Context(), servers, through, watch)
 		z.mu.Lock()
 		f.failed = err != nil
 		for _, row := range changes.Rows {
@@ -156,25 +157,29 @@
 	}
 }
 
-// Changes implements feed.Daemons. It waits half a second longer than asked
-// for an answer.
+// Changes implements feed.Daemons.
 func (z *zone) Changes(ctx context.Context, from netip.AddrPort, partition models.Partition, after models.Revision, wait time.Duration) (models.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
-	defer cancel()
 	for _, f := range z.followers {
-		if f.address != from {
-			continue
+		if f.address == from {
+			return ask(ctx, f.reader, func() bool { return z.isSilent(from) }, partition, after, wait)
 		}
-		changes, err := f.reader.Changes(ctx, partition, after, wait)
-		if z.isSilent(from) {
-			<-ctx.Done()
-			return models.Changes{}, ctx.Err()
-		}
-		return changes, err
 	}
 	return models.Changes{}, peer.NewFailure(peer.OutcomeNotDone, "nobody listens", nil)
 }
 
+// ask asks another daemon's reader, and waits half a second longer than that
+// may wait. Of one that is silent there is no answer.
+func ask(ctx context.Context, reader *feed.Reader, silent func() bool, partition models.Partition, after models.Revision, wait time.Duration) (models.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
+	defer cancel()
+	changes, err := reader.Changes(ctx, partition, after, wait)
+	if silent() {
+		<-ctx.Done()
+		return models.Changes{}, errors.Trace(ctx.Err())
+	}
+	return changes, err
+}
+
 func (z *zone) isSilent(address netip.AddrPort) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
--- a/feed/schedule_test.go
+++ b/feed/schedule_test.go
@@ -15,7 +15,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"quincewinch/feed"
@@ -167,9 +166,9 @@
 		}
 		store := platform.NewStore(s.address, &http.Client{Transport: s.wire}, callTimeout)
 		s.reader = feed.NewReader(store)
-		relay := feed.NewRelay(s.reader, p, playMember{p, i}, p.clock, zap.NewNop())
-		s.configuration = routing.NewConfiguration(platform.NewRouting(relay), p.clock, zap.NewNop(), watch)
-		s.fleet = routing.NewFleet(platform.NewRegistrations(relay), p.clock, zap.NewNop(), watch, keepTime)
+		source := feed.NewSource(s.reader, p, playMember{p, i}, p.clock, zap.NewNop())
+		s.configuration = routing.NewConfiguration(platform.NewRouting(source), p.clock, zap.NewNop(), watch)
+		s.fleet = routing.NewFleet(platform.NewRegistrations(source), p.clock, zap.NewNop(), watch, keepTime)
 		p.sites = append(p.sites, s)
 	}
 	return p
@@ -289,25 +288,20 @@
 
 // Changes implements feed.Daemons.
 func (p *play) Changes(ctx context.Context, from netip.AddrPort, partition models.Partition, after models.Revision, wait time.Duration) (models.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
-	defer cancel()
 	for _, s := range p.sites {
-		if s.address != from {
-			continue
-		}
-		changes, err := s.reader.Changes(ctx, partition, after, wait)
-		p.mu.Lock()
-		silent := p.silent[from]
-		p.mu.Unlock()
-		if silent {
-			<-ctx.Done()
-			return models.Changes{}, errors.Trace(ctx.Err())
+		if s.address == from {
+			return ask(ctx, s.reader, func() bool { return p.isSilent(from) }, partition, after, wait)
 		}
-		return changes, err
 	}
 	return models.Changes{}, peer.NewFailure(peer.OutcomeNotDone, "nobody listens", nil)
 }
 
+func (p *play) isSilent(address netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[address]
+}
+
 // playMember is one daemon's view of the zone. It implements feed.Zone.
 type playMember struct {
 	play *play
--- a/feed/relay.go
+++ b/feed/source.go
@@ -39,9 +39,9 @@
 	Shared() bool
 }
 
-// Relay follows the store through the daemon that reads it for the zone, and
+// Source follows the store through the daemon that reads it for the zone, and
 // directly where this one is that daemon or the other one fails.
-type Relay struct {
+type Source struct {
 	reader  *Reader
 	daemons Daemons
 	zone    Zone
@@ -53,65 +53,65 @@
 	through     netip.AddrPort // the daemon that changes come from, zero: the store
 }
 
-// NewRelay returns a relay that follows the store directly until the zone has
+// NewSource returns a source that follows the store directly until the zone has
 // another reader.
-func NewRelay(reader *Reader, daemons Daemons, zone Zone, clock peer.Clock, logger *zap.Logger) *Relay {
-	return &Relay{reader: reader, daemons: daemons, zone: zone, clock: clock, logger: logger}
+func NewSource(reader *Reader, daemons Daemons, zone Zone, clock peer.Clock, logger *zap.Logger) *Source {
+	return &Source{reader: reader, daemons: daemons, zone: zone, clock: clock, logger: logger}
 }
 
 // Follow implements peer.ChangeSource.
-func (r *Relay) Follow(ctx context.Context, partition models.Partition, after models.Revision, wait time.Duration) (models.Changes, bool, error) {
-	if address, ok := r.other(after); ok {
-		r.reader.Close(partition)
-		changes, err := r.daemons.Changes(ctx, address, partition, after, wait/waitParts)
+func (s *Source) Follow(ctx context.Context, partition models.Partition, after models.Revision, wait time.Duration) (models.Changes, bool, error) {
+	if address, ok := s.other(after); ok {
+		s.reader.Close(partition)
+		changes, err := s.daemons.Changes(ctx, address, partition, after, wait/waitParts)
 		if err == nil {
-			r.note(address, "it reads for the zone", nil)
+			s.note(address, "it reads for the zone", nil)
 			return changes, false, nil
 		}
-		r.avoid()
-		r.note(netip.AddrPort{}, "the daemon that reads for the zone did not answer", err)
+		s.avoid()
+		s.note(netip.AddrPort{}, "the daemon that reads for the zone did not answer", err)
 	} else {
-		r.note(netip.AddrPort{}, "no other daemon reads for the zone", nil)
+		s.note(netip.AddrPort{}, "no other daemon reads for the zone", nil)
 	}
-	if r.zone.Shared() {
+	if s.zone.Shared() {
 		wait /= waitParts
 	}
-	return r.reader.Follow(ctx, partition, after, wait)
+	return s.reader.Follow(ctx, partition, after, wait)
 }
 
 // other returns the daemon to ask. Where nothing is known yet, all rows are
 // needed, which the store alone has.
-func (r *Relay) other(after models.Revision) (netip.AddrPort, bool) {
+func (s *Source) other(after models.Revision) (netip.AddrPort, bool) {
 	if after == 0 {
 		return netip.AddrPort{}, false
 	}
-	now := r.clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Before(r.directUntil) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.directUntil) {
 		return netip.AddrPort{}, false
 	}
-	return r.zone.Reader()
+	return s.zone.Reader()
 }
 
-func (r *Relay) avoid() {
-	until := r.clock.Now().Add(directTime)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.directUntil = until
+func (s *Source) avoid() {
+	until := s.clock.Now().Add(directTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directUntil = until
 }
 
 // note logs where changes come from when that changes.
-func (r *Relay) note(through netip.AddrPort, why string, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.through == through {
+func (s *Source) note(through netip.AddrPort, why string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.through == through {
 		return
 	}
-	r.through = through
+	s.through = through
 	if through.IsValid() {
-		r.logger.Info("store followed through another daemon", zap.String("address", through.String()), zap.String("why", why))
+		s.logger.Info("store followed through another daemon", zap.String("address", through.String()), zap.String("why", why))
 		return
 	}
-	r.logger.Info("store followed directly", zap.String("why", why), zap.Error(err))
+	s.logger.Info("store followed directly", zap.String("why", why), zap.Error(err))
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -32,12 +32,12 @@
 	Deadline  time.Time
 
 	// Set by Sender.
+	Sends int // to backend servers so far
 	Trace Trace
 }
 
 // Trace is what became of a request, for its line in the log.
 type Trace struct {
-	Sends      int // to backend servers
 	Rejections int // by backend servers that did not run it
 	Engine     models.EngineID
 	Prefiller  models.EngineID // read the prompt for Engine; empty: Engine did
--- a/relay/record.go
+++ b/relay/record.go
@@ -85,8 +85,8 @@
 	if e.Trace.FirstAfter > 0 {
 		r.first.WithLabelValues(e.Route.Name).Observe(e.Trace.FirstAfter.Seconds())
 	}
-	if e.Trace.Sends > 0 {
-		r.sends.WithLabelValues(string(e.Service.Name)).Add(float64(e.Trace.Sends))
+	if e.Sends > 0 {
+		r.sends.WithLabelValues(string(e.Service.Name)).Add(float64(e.Sends))
 	}
 	r.logger.Info("request ended", append(fields, zap.String("outcome", code))...)
 }
@@ -106,7 +106,7 @@
 		zap.Int("tokens", e.Prompt.Tokens),
 		zap.String("engine", string(e.Trace.Engine)),
 		zap.String("prefiller", string(e.Trace.Prefiller)),
-		zap.Int("sends", e.Trace.Sends),
+		zap.Int("sends", e.Sends),
 		zap.Int("rejections", e.Trace.Rejections),
 		zap.Int("status", e.Trace.Status),
 		zap.Int("events", e.Trace.Events),
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -168,7 +168,7 @@
 		zap.String("prefiller", string(e.Trace.Prefiller)),
 		zap.String("result", string(result)),
 		zap.Bool("again", again),
-		zap.Int("sends", e.Trace.Sends),
+		zap.Int("sends", e.Sends),
 		zap.Int("attempts", e.Route.Attempts),
 		zap.Bool("repeatable", e.Route.Repeatable),
 		zap.String("last-event", d.events.lastID),
@@ -199,7 +199,7 @@
 	if d.filled != nil {
 		call.KVSource = &d.filled.source
 	}
-	d.exchange.Trace.Sends++
+	d.exchange.Sends++
 	answer, err := d.sender.upstreams.Send(ctx, target, call)
 	if err != nil {
 		return d.unanswered(ctx, err)
