policy/serving: copy cached parts of a prompt from another engine

Change: the engine that does the prefill is told the engine with the longest cached prefix, of its own zone if one has as much, and copies before it computes.

The tests fail with no engine accepted as a source.

--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -176,6 +176,28 @@
 	})
 }
 
+// A prompt whose engine is busy is prefilled by another one, which copies the
+// shared part.
+func TestSharedPartIsCopiedFromBusyEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(newFleet(engines(2, models.RoleDecode)...))
+		first := place(t, b, promptExchange("catalogue", 100))
+		_, copied := first.CopyFrom()
+		is.True(!copied)
+		first.ResponseStarted(nil)
+		first.End(relay.ResultServed)
+		busy := first.Target().ID
+		b.ReceiveShare(models.LoadShare{From: "d2", Sequence: 1, Loads: map[models.EngineID]models.ServerLoad{busy: {PrefillTokens: 500000}}})
+		second := place(t, b, promptExchange("catalogue", 200))
+		is.True(second.Target().ID != busy)
+		source, copied := second.CopyFrom()
+		is.True(copied)
+		is.Equal(source.ID, busy)
+		is.Equal(second.PrefillTokens(), 200)
+	})
+}
+
 func TestRemoteLoadIsCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -73,6 +73,9 @@
 // Prefiller implements relay.Placement.
 func (p placement) Prefiller() (models.Upstream, bool) { return models.Upstream{}, false }
 
+// CopyFrom implements relay.Placement.
+func (p placement) CopyFrom() (models.Upstream, bool) { return models.Upstream{}, false }
+
 // AcceptsWork implements relay.Placement.
 func (p placement) AcceptsWork() bool { return true }
 
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -12,6 +12,7 @@
 	balancer          *Balancer
 	target            *serverState
 	prefiller         *serverState // nil if the target prefills the prompt itself
+	source            *serverState // its cached parts of the prompt are copied; nil if none
 	prefillServer     *serverState // prefiller or else target; nil for a plain service
 	prefillTokens     int          // uncached prompt tokens that prefillServer has to prefill
 	tokensAhead       int          // tokens queued ahead of them at prefillServer at placement
@@ -36,6 +37,14 @@
 	return p.prefiller.upstream, true
 }
 
+// CopyFrom implements relay.Placement.
+func (p *placement) CopyFrom() (models.Upstream, bool) {
+	if p.source == nil {
+		return models.Upstream{}, false
+	}
+	return p.source.upstream, true
+}
+
 // AcceptsWork implements relay.Placement.
 func (p *placement) AcceptsWork() bool {
 	snapshot := p.balancer.fleet.Snapshot()
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -54,7 +54,7 @@
 		request.FetchRate = fetchRate(e.Service.Engine)
 	}
 	choice, ok := serving.Choose(request, engines)
-	if ok && choice.Prefiller >= 0 && b.fetchBlocked(candidates[choice.Prefiller], candidates[choice.Target], now) {
+	if ok && b.choiceBlocked(candidates, choice, now) {
 		request.FetchRate = 0
 		choice, ok = serving.Choose(request, engines)
 	}
@@ -69,6 +69,19 @@
 	return b.reservePrompt(e, candidates, choice, now), nil
 }
 
+// choiceBlocked reports whether a choice fetches KV cache between zones between
+// which fetching is blocked. The caller must hold b.mu.
+func (b *Balancer) choiceBlocked(candidates []*serverState, choice serving.Choice, now time.Time) bool {
+	reader := choice.Target
+	if choice.Prefiller >= 0 {
+		reader = choice.Prefiller
+		if b.fetchBlocked(candidates[choice.Prefiller], candidates[choice.Target], now) {
+			return true
+		}
+	}
+	return choice.Source >= 0 && b.fetchBlocked(candidates[choice.Source], candidates[reader], now)
+}
+
 func (b *Balancer) reservePrompt(e *relay.Exchange, candidates []*serverState, choice serving.Choice, now time.Time) *placement {
 	p := b.reserve(candidates[choice.Target], now)
 	p.predicted = choice.Predicted
@@ -83,6 +96,9 @@
 		b.queueSentPrompt(p.prefiller.upstream.ID, e.Prompt.Parts)
 		p.prefillServer = p.prefiller
 	}
+	if choice.Source >= 0 {
+		p.source = candidates[choice.Source]
+	}
 	p.target.cache.record(e.Prompt.Parts, capacity, now)
 	b.queueSentPrompt(p.target.upstream.ID, e.Prompt.Parts)
 	p.prefillTokens = choice.Uncached
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -43,6 +43,9 @@
 	PrefillOnly bool // only compute the KV cache of the prompt
 	// Where the prompt's KV cache is held; nil: nowhere.
 	KVSource *KVSource
+	// The engine whose cached parts of the prompt are copied before the rest is
+	// computed; zero: none.
+	CopyFrom netip.AddrPort
 }
 
 // KVSource identifies KV cache that an engine holds for one request.
--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -58,33 +58,48 @@
 type Choice struct {
 	Target    int
 	Prefiller int           // runs the prefill for the target; -1: the target does
+	Source    int           // the engine that does the prefill copies cached KV from it first; -1: none
 	Predicted time.Duration // from now to the first token
 	Uncached  int           // prompt tokens that need prefill
 }
 
+// prefill is how an engine gets the KV cache of a prompt: it copies what another
+// engine has cached beyond its own, and computes the rest.
+type prefill struct {
+	source   int // -1: nothing is copied
+	copied   int // tokens
+	uncached int // tokens to compute
+	copying  time.Duration
+	reading  time.Duration
+}
+
+// duration returns the time from the end of the backlog to the end of the
+// prefill.
+func (p prefill) duration() time.Duration {
+	return p.copying + p.reading
+}
+
 // Choose returns the choice of least cost, and reports false if no engine can
 // run the request. The cost is the predicted time to the first token plus
 // penalties, for example for the delay to other requests.
 func Choose(r Request, engines []Engine) (Choice, bool) {
-	maxCached := 0
-	for _, e := range engines {
-		maxCached = max(maxCached, min(e.Cached, r.Tokens))
-	}
-	best := Choice{Target: -1, Prefiller: -1}
+	sources := findSources(r, engines)
+	best := Choice{Target: -1, Prefiller: -1, Source: -1}
 	var bestCost time.Duration
-	prefiller, uncached, prefillTime := bestPrefiller(r, engines, maxCached)
+	prefiller, plan := bestPrefiller(r, engines, sources)
 	for i, e := range engines {
 		if e.Role == models.RolePrefill {
 			continue
 		}
-		choice, cost := directChoice(r, e, i, maxCached)
+		choice, cost := directChoice(r, e, i, sources)
 		if best.Target < 0 || cost < bestCost {
 			best, bestCost = choice, cost
 		}
 		if prefiller < 0 || r.FetchRate <= 0 {
 			continue
 		}
-		choice, cost = splitChoice(r, e, i, prefiller, uncached, prefillTime)
+		choice, cost = splitChoice(r, e, i, engines[prefiller].Backlog, plan)
+		choice.Prefiller = prefiller
 		if cost < bestCost {
 			best, bestCost = choice, cost
 		}
@@ -94,46 +109,45 @@
 
 // directChoice returns the choice and cost of an engine that runs the prefill
 // itself.
-func directChoice(r Request, e Engine, index, maxCached int) (Choice, time.Duration) {
-	uncached := uncachedTokens(r, e)
-	prefillTime := tokenTime(uncached, e.Rate)
-	predicted := e.Backlog + prefillTime + setupTime
-	cost := predicted + time.Duration(prefillWeight*float64(prefillTime)) + penalties(r, e) + duplicateCost(maxCached-min(e.Cached, r.Tokens))
-	return Choice{Target: index, Prefiller: -1, Predicted: predicted, Uncached: uncached}, cost
+func directChoice(r Request, e Engine, index int, s sources) (Choice, time.Duration) {
+	plan := s.plan(r, e)
+	predicted := e.Backlog + plan.duration() + setupTime
+	cost := predicted + occupancy(plan) + penalties(r, e)
+	return Choice{Target: index, Prefiller: -1, Source: plan.source, Predicted: predicted, Uncached: plan.uncached}, cost
 }
 
 // splitChoice returns the choice and cost of an engine that fetches the KV
 // cache after the prefill on another one. The prefill of its own backlog comes
 // before the fetch.
-func splitChoice(r Request, e Engine, index, prefiller, uncached int, prefillTime time.Duration) (Choice, time.Duration) {
+func splitChoice(r Request, e Engine, index int, prefillBacklog time.Duration, plan prefill) (Choice, time.Duration) {
 	fetch := fetchLatency + tokenTime(r.Tokens, r.FetchRate)
-	predicted := max(prefillTime, e.Backlog) + fetch + setupTime
+	predicted := max(prefillBacklog+plan.duration(), e.Backlog) + fetch + setupTime
 	cost := predicted + fetch + penalties(r, e)
-	return Choice{Target: index, Prefiller: prefiller, Predicted: predicted, Uncached: uncached}, cost
+	return Choice{Target: index, Source: plan.source, Predicted: predicted, Uncached: plan.uncached}, cost
 }
 
 // bestPrefiller returns the index of the prefill engine of least cost, -1 if
-// there is none, the prompt tokens that need prefill there, and the time until
-// that prefill is done.
-func bestPrefiller(r Request, engines []Engine, maxCached int) (index, uncached int, prefillTime time.Duration) {
+// there is none, and how it prefills the prompt.
+func bestPrefiller(r Request, engines []Engine, s sources) (index int, plan prefill) {
 	index = -1
 	var bestCost time.Duration
 	for i, e := range engines {
 		if e.Role != models.RolePrefill {
 			continue
 		}
-		tokens := uncachedTokens(r, e)
-		ownTime := tokenTime(tokens, e.Rate)
-		cost := e.Backlog + ownTime + time.Duration(prefillWeight*float64(ownTime)) + penalties(r, e) + duplicateCost(maxCached-min(e.Cached, r.Tokens))
+		candidate := s.plan(r, e)
+		cost := e.Backlog + candidate.duration() + occupancy(candidate) + penalties(r, e)
 		if index < 0 || cost < bestCost {
-			index, uncached, prefillTime, bestCost = i, tokens, e.Backlog+ownTime, cost
+			index, plan, bestCost = i, candidate, cost
 		}
 	}
-	return index, uncached, prefillTime
+	return index, plan
 }
 
-func uncachedTokens(r Request, e Engine) int {
-	return max(r.Tokens-e.Cached, 1)
+// occupancy returns the cost of a prefill to other requests: it delays those
+// that come after it, and what it copies takes memory at two engines.
+func occupancy(p prefill) time.Duration {
+	return time.Duration(prefillWeight*float64(p.reading)) + duplicateCost(p.copied)
 }
 
 func penalties(r Request, e Engine) time.Duration {
--- a/policy/serving/choose_test.go
+++ b/policy/serving/choose_test.go
@@ -75,6 +75,34 @@
 	})
 }
 
+func TestChooseCopies(t *testing.T) {
+	withFetch := serving.Request{Zone: "z", Tokens: 10000, FetchRate: 1e6}
+	tests := []struct {
+		name    string
+		request serving.Request
+		engines []serving.Engine
+		target  int
+		source  int
+	}{
+		{"from the engine that has the prompt cached and a long backlog", withFetch, []serving.Engine{decode(), decode(cached(9000), backlog(time.Second))}, 0, 1},
+		{"from the one that has more of it", withFetch, []serving.Engine{decode(), decode(cached(4000), backlog(time.Second)), decode(cached(9000), backlog(time.Second))}, 0, 2},
+		{"from the same zone", withFetch, []serving.Engine{decode(), decode(cached(9000), elsewhere, backlog(time.Second)), decode(cached(9000), backlog(time.Second))}, 0, 2},
+		{"not from a failing engine", withFetch, []serving.Engine{decode(), decode(cached(9000), failing)}, 0, -1},
+		{"not at all if engines do not fetch", serving.Request{Zone: "z", Tokens: 10000}, []serving.Engine{decode(), decode(cached(9000), backlog(5*time.Second))}, 0, -1},
+		{"not a few tokens", withFetch, []serving.Engine{decode(), decode(cached(500), backlog(time.Second))}, 0, -1},
+		{"nothing that the engine has itself", withFetch, []serving.Engine{decode(cached(9000)), decode(cached(9000), backlog(time.Second))}, 0, -1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			choice, ok := serving.Choose(test.request, test.engines)
+			is.True(ok)
+			is.Equal(choice.Target, test.target)
+			is.Equal(choice.Source, test.source)
+		})
+	}
+}
+
 func TestPrefillRate(t *testing.T) {
 	t.Run("follows the answers", func(t *testing.T) {
 		is := is.New(t)
--- a/policy/serving/load_test.go
+++ b/policy/serving/load_test.go
@@ -19,8 +19,9 @@
 	sharedParts  = 85                     // number of different shared parts
 	objective    = 800 * time.Millisecond // for the first token
 	loadDuration = 60 * time.Second
-	perSecond    = 12.6 // requests
-	burst        = 2.0  // factor on perSecond in one of every three periods of 5 s
+	perSecond    = 12.6  // requests
+	fetchRate    = 1.3e6 // tokens of KV cache per second between engines
+	burst        = 2.0   // factor on perSecond in one of every three periods of 5 s
 )
 
 // simEngine is a simulated engine that prefills prompts one after another.
@@ -46,10 +47,11 @@
 	return f
 }
 
-// prefill queues the prefill of a prompt and returns when it is done.
-func (e *simEngine) prefill(shared int, now time.Duration) time.Duration {
+// prefill queues the prefill of a prompt and returns when it is done. If copied
+// is set, the shared part is copied from another engine instead of computed.
+func (e *simEngine) prefill(shared int, copied bool, now time.Duration) time.Duration {
 	tokens := ownTokens
-	if !e.cachedParts[shared] {
+	if !e.cachedParts[shared] && !copied {
 		tokens += sharedTokens
 	}
 	e.cachedParts[shared] = true
@@ -63,6 +65,21 @@
 
 // byPolicy places prompts with serving.Choose.
 func byPolicy(f fleet, shared int, now time.Duration) time.Duration {
+	return place(f, f.views(shared, now), shared, now)
+}
+
+// byPolicyWithoutCopies places prompts with serving.Choose where each engine has
+// failed lately, so that cached parts are copied from none.
+func byPolicyWithoutCopies(f fleet, shared int, now time.Duration) time.Duration {
+	views := f.views(shared, now)
+	for i := range views {
+		views[i].Penalty = time.Nanosecond
+	}
+	return place(f, views, shared, now)
+}
+
+// views returns the engines as a placement of a prompt sees them.
+func (f fleet) views(shared int, now time.Duration) []serving.Engine {
 	engines := make([]serving.Engine, len(f))
 	for i, e := range f {
 		engines[i] = serving.Engine{Role: e.role, Slots: 64, Rate: e.rate, Backlog: max(e.freeAt-now, 0)}
@@ -70,7 +87,11 @@
 			engines[i].Cached = sharedTokens
 		}
 	}
-	c, ok := serving.Choose(serving.Request{Tokens: sharedTokens + ownTokens, FetchRate: 1.3e6}, engines)
+	return engines
+}
+
+func place(f fleet, engines []serving.Engine, shared int, now time.Duration) time.Duration {
+	c, ok := serving.Choose(serving.Request{Tokens: sharedTokens + ownTokens, FetchRate: fetchRate}, engines)
 	if !ok {
 		return loadDuration
 	}
@@ -79,7 +100,7 @@
 		prefiller = f[c.Prefiller]
 		f[c.Target].cachedParts[shared] = true
 	}
-	return prefiller.prefill(shared, now) + 100*time.Millisecond
+	return prefiller.prefill(shared, c.Source >= 0, now) + 100*time.Millisecond
 }
 
 // byBacklog places each prompt on the decode engine with the shortest backlog.
@@ -90,7 +111,7 @@
 			shortest = e
 		}
 	}
-	return shortest.prefill(shared, now) + 100*time.Millisecond
+	return shortest.prefill(shared, false, now) + 100*time.Millisecond
 }
 
 // simulate returns the share of requests whose first token came within the
@@ -131,6 +152,26 @@
 	}
 }
 
+// A shared part that some engine has cached is copied, not computed again.
+func TestCopiesSharedParts(t *testing.T) {
+	var served, without float64
+	var prefilled, prefilledWithout int
+	for seed := range uint64(10) {
+		onTime, tokens := simulate(seed, byPolicy)
+		served += onTime
+		prefilled += tokens
+		onTime, tokens = simulate(seed, byPolicyWithoutCopies)
+		without += onTime
+		prefilledWithout += tokens
+	}
+	if served <= without {
+		t.Errorf("shares of requests in time: %.3f in sum, want more than %.3f without copies", served, without)
+	}
+	if prefilled >= prefilledWithout {
+		t.Errorf("prefilled tokens: %d, want fewer than %d without copies", prefilled, prefilledWithout)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	engines := make([]serving.Engine, 120)
 	for i := range engines {
@@ -140,7 +181,7 @@
 		}
 		engines[i].Order = i
 	}
-	request := serving.Request{Zone: "z", Tokens: sharedTokens + ownTokens, FetchRate: 1.3e6}
+	request := serving.Request{Zone: "z", Tokens: sharedTokens + ownTokens, FetchRate: fetchRate}
 	for b.Loop() {
 		serving.Choose(request, engines)
 	}
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -153,6 +153,8 @@
 
 func (p *fakePlacement) Target() models.Upstream { return p.target }
 
+func (p *fakePlacement) CopyFrom() (models.Upstream, bool) { return models.Upstream{}, false }
+
 func (p *fakePlacement) Prefiller() (models.Upstream, bool) {
 	return models.Upstream{ID: models.EngineID("prefiller-" + strconv.Itoa(p.placer.placed))}, p.placer.usePrefiller
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,9 @@
 	// Prefiller is the engine that prefills the prompt for the target; false if
 	// the target does so itself.
 	Prefiller() (models.Upstream, bool)
+	// CopyFrom is the engine whose cached parts of the prompt are copied to the
+	// one that prefills it; false if nothing is copied.
+	CopyFrom() (models.Upstream, bool)
 	// AcceptsWork reports whether the target still accepts new requests: it may
 	// have started draining since it was chosen.
 	AcceptsWork() bool
@@ -202,6 +206,8 @@
 	}
 	if d.prefilled != nil {
 		call.KVSource = &d.prefilled.source
+	} else {
+		call.CopyFrom = copyAddress(placement)
 	}
 	d.exchange.Sends++
 	answer, err := d.sender.upstreams.Send(ctx, target, call)
@@ -256,6 +262,7 @@
 		placement.PrefillEnded(ResultLeaving)
 		return nil
 	}
+	call.CopyFrom = copyAddress(placement)
 	d.exchange.Trace.Prefiller = prefiller.ID
 	started := d.sender.clock.Now()
 	source, answer, err := d.sender.upstreams.Prefill(ctx, prefiller, call)
@@ -281,6 +288,16 @@
 	return nil
 }
 
+// copyAddress returns the address of the engine that a placement copies cached
+// parts of the prompt from, zero if there is none.
+func copyAddress(placement Placement) netip.AddrPort {
+	source, ok := placement.CopyFrom()
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return source.Address
+}
+
 // prefillResult returns the result of a call to a prefiller.
 func prefillResult(ctx context.Context, source models.KVSource, answer peer.UpstreamResponse, err error) Result {
 	switch {
