policy/serving: learn setup and rate of prefill apart, wait for a slot in proportion

Hypothesis: predictions were 70 ms too long for short prompts and, when a burst came, 300 ms too short, since 100 ms of setup were assumed, answers faster than that were thrown away, and an engine without a free slot cost 2 s however many requests waited there. Better ones balance better.

Change: setup (from short prompts) and rate (from long ones) are learned, as is the time from a fetch to the first token and the time in a slot; the wait for a slot grows with the requests that wait. The first observations weigh more.

Tried first: moving averages of the durations.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -28,6 +28,11 @@
 	// retryBudgetFactor is the fraction of the retry budget that is used: the
 	// platform sees requests later than they are counted here.
 	retryBudgetFactor = 0.8
+	// initialStart and initialRunTime are the assumed times from the fetch of KV
+	// cache to the first token, and in a slot of an engine, before any request
+	// has been observed.
+	initialStart   = 40 * time.Millisecond
+	initialRunTime = 400 * time.Millisecond
 	// maxUrgency is the highest urgency value, the least urgent, that engines
 	// accept.
 	maxUrgency = 9
@@ -51,11 +56,13 @@
 	settings Settings
 	random   *rand.Rand
 
-	mu           sync.Mutex
-	states       map[models.EngineID]*serverState
-	budgets      map[models.ServiceName]*retry.Budget
-	prefillRates map[rateKey]*serving.PrefillRate
-	daemons      int // sharing the retry budget, this one included
+	mu             sync.Mutex
+	states         map[models.EngineID]*serverState
+	budgets        map[models.ServiceName]*retry.Budget
+	prefillTimings map[timingKey]*serving.PrefillTiming
+	startTimes     map[models.ServiceName]*serving.Typical // from the fetch of KV cache to the first token
+	runTimes       map[models.ServiceName]*serving.Typical // in a slot of an engine
+	daemons        int                                     // sharing the retry budget, this one included
 
 	capacity      map[models.ServiceName]int // KV cache of one engine in tokens
 	loadShares    map[models.DaemonID]receivedShare
@@ -75,9 +82,9 @@
 	from, to models.Zone
 }
 
-// rateKey identifies engines that are expected to prefill at the same rate,
+// timingKey identifies engines that are expected to prefill equally fast,
 // differences between single engines aside. They share one estimate.
-type rateKey struct {
+type timingKey struct {
 	service models.ServiceName
 	role    models.Role
 }
@@ -85,18 +92,20 @@
 // New returns a balancer with no load recorded.
 func New(fleet FleetView, clock peer.Clock, settings Settings, seed uint64) *Balancer {
 	return &Balancer{
-		fleet:        fleet,
-		clock:        clock,
-		settings:     settings,
-		random:       rand.New(rand.NewPCG(seed, 0)),
-		states:       map[models.EngineID]*serverState{},
-		budgets:      map[models.ServiceName]*retry.Budget{},
-		prefillRates: map[rateKey]*serving.PrefillRate{},
-		daemons:      1,
-		capacity:     map[models.ServiceName]int{},
-		loadShares:   map[models.DaemonID]receivedShare{},
-		remoteLoads:  map[models.EngineID]models.ServerLoad{},
-		fetchRecords: map[zonePair]fetchRecord{},
+		fleet:          fleet,
+		clock:          clock,
+		settings:       settings,
+		random:         rand.New(rand.NewPCG(seed, 0)),
+		states:         map[models.EngineID]*serverState{},
+		budgets:        map[models.ServiceName]*retry.Budget{},
+		prefillTimings: map[timingKey]*serving.PrefillTiming{},
+		startTimes:     map[models.ServiceName]*serving.Typical{},
+		runTimes:       map[models.ServiceName]*serving.Typical{},
+		daemons:        1,
+		capacity:       map[models.ServiceName]int{},
+		loadShares:     map[models.DaemonID]receivedShare{},
+		remoteLoads:    map[models.EngineID]models.ServerLoad{},
+		fetchRecords:   map[zonePair]fetchRecord{},
 	}
 }
 
@@ -224,16 +233,27 @@
 	}
 }
 
-// prefillRate returns the prefill rate estimate for engines of the same service
-// and role as upstream. The caller must hold b.mu.
-func (b *Balancer) prefillRate(upstream models.Upstream) *serving.PrefillRate {
-	key := rateKey{service: upstream.Service, role: upstream.Role}
-	r, ok := b.prefillRates[key]
+// prefillTiming returns the prefill timing of engines of the same service and
+// role as upstream. The caller must hold b.mu.
+func (b *Balancer) prefillTiming(upstream models.Upstream) *serving.PrefillTiming {
+	key := timingKey{service: upstream.Service, role: upstream.Role}
+	t, ok := b.prefillTimings[key]
 	if !ok {
-		r = serving.NewPrefillRate(upstream.Role == models.RolePrefill)
-		b.prefillRates[key] = r
+		t = serving.NewPrefillTiming(upstream.Role == models.RolePrefill)
+		b.prefillTimings[key] = t
 	}
-	return r
+	return t
+}
+
+// typical returns the typical duration of a service, a new one with an initial value if
+// there is none. The caller must hold b.mu.
+func typical(durations map[models.ServiceName]*serving.Typical, service models.ServiceName, initial time.Duration) *serving.Typical {
+	a, ok := durations[service]
+	if !ok {
+		a = serving.NewTypical(initial)
+		durations[service] = a
+	}
+	return a
 }
 
 // placeCall places a request for a plain service on the least loaded of
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -17,6 +17,10 @@
 	prefillTokens     int          // uncached prompt tokens that prefillServer has to prefill
 	tokensAhead       int          // tokens queued ahead of them at prefillServer at placement
 	predicted         time.Duration
+	copying           time.Duration // of cached parts by prefillServer, as predicted
+	fetching          time.Duration // of the KV cache from the prefiller, as predicted
+	prefilledAt       time.Time     // when the prefiller had answered
+	startedAt         time.Time     // when the response started
 	urgency           int
 	placedAt          time.Time
 	prefillDone       bool
@@ -77,6 +81,7 @@
 	defer p.balancer.mu.Unlock()
 	if result == relay.ResultServed {
 		p.observePrefill(now)
+		p.prefilledAt = now
 	}
 	p.releasePrefill()
 	if p.prefiller != nil && !p.prefillerReleased {
@@ -91,7 +96,11 @@
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
 	p.target.unreachableCount = 0
+	p.startedAt = now
 	p.observePrefill(now)
+	if !p.prefilledAt.IsZero() {
+		typical(p.balancer.startTimes, p.target.upstream.Service, initialStart).Observe(now.Sub(p.prefilledAt) - p.fetching)
+	}
 }
 
 // observePrefill records that the prompt has been prefilled and updates the
@@ -101,7 +110,7 @@
 		return
 	}
 	p.releasePrefill()
-	p.balancer.prefillRate(p.prefillServer.upstream).Observe(p.tokensAhead+p.prefillTokens, now.Sub(p.placedAt))
+	p.balancer.prefillTiming(p.prefillServer.upstream).Observe(p.tokensAhead+p.prefillTokens, now.Sub(p.placedAt)-p.copying)
 }
 
 // releasePrefill removes the prompt from the pending prefill tokens of
@@ -153,5 +162,8 @@
 	p.releasePrefill()
 	p.releasePrefiller()
 	p.recordFetch(result, now)
+	if result == relay.ResultServed && !p.startedAt.IsZero() {
+		typical(p.balancer.runTimes, p.target.upstream.Service, initialRunTime).Observe(now.Sub(p.startedAt))
+	}
 	p.target.recordResult(result, now)
 }
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -49,7 +49,12 @@
 	for i, s := range candidates {
 		engines[i] = b.engineView(e, s, orders[i], now)
 	}
-	request := serving.Request{Zone: b.settings.Zone, Tokens: promptTokens(e.Prompt)}
+	request := serving.Request{
+		Zone:    b.settings.Zone,
+		Tokens:  promptTokens(e.Prompt),
+		Start:   typical(b.startTimes, e.Service.Name, initialStart).Duration(),
+		RunTime: typical(b.runTimes, e.Service.Name, initialRunTime).Duration(),
+	}
 	if !retried {
 		request.FetchRate = fetchRate(e.Service.Engine)
 	}
@@ -85,6 +90,8 @@
 func (b *Balancer) reservePrompt(e *relay.Exchange, candidates []*serverState, choice serving.Choice, now time.Time) *placement {
 	p := b.reserve(candidates[choice.Target], now)
 	p.predicted = choice.Predicted
+	p.copying = choice.Copying
+	p.fetching = choice.Fetching
 	p.urgency = min(max(e.Rank, 0), maxUrgency)
 	b.capacity[e.Service.Name] = e.Service.Engine.Capacity
 	capacity := cacheCapacity(e.Service.Engine.Capacity)
@@ -138,7 +145,8 @@
 // engineView returns the engine data for package serving. The caller must hold
 // b.mu.
 func (b *Balancer) engineView(e *relay.Exchange, s *serverState, order int, now time.Time) serving.Engine {
-	rate := b.prefillRate(s.upstream).TokensPerSecond()
+	timing := b.prefillTiming(s.upstream)
+	rate := timing.TokensPerSecond()
 	others := b.remoteLoads[s.upstream.ID]
 	return serving.Engine{
 		Zone:    s.upstream.Zone,
@@ -147,6 +155,7 @@
 		Running: s.running + others.Running,
 		Backlog: time.Duration(float64(s.prefillTokens+others.PrefillTokens) / rate * float64(time.Second)),
 		Rate:    rate,
+		Setup:   timing.Setup(),
 		Cached:  s.cache.cachedPrefix(e.Prompt.Parts),
 		Order:   order,
 		Penalty: time.Duration(s.decayedFailures(now) * float64(failurePenalty)),
--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -11,17 +11,12 @@
 )
 
 const (
-	// setupTime is the time an engine needs before the prefill of a prompt and,
-	// after it, to generate the first token.
-	setupTime = 100 * time.Millisecond
 	// fetchLatency is the time until the first byte when an engine fetches KV
 	// cache from another one.
 	fetchLatency = 10 * time.Millisecond
 	// crossZonePenalty is added for an engine in another availability zone:
 	// traffic between zones is charged for.
 	crossZonePenalty = 4 * time.Millisecond
-	// fullBatchPenalty is added for an engine without a free slot in its batch.
-	fullBatchPenalty = 2 * time.Second
 	// prefillWeight is the share of the prefill time that is added to the cost
 	// again, because it delays the requests that come after.
 	prefillWeight = 1.0
@@ -42,6 +37,7 @@
 	Running int           // requests in flight there
 	Backlog time.Duration // time until the prefill of the prompts sent there is done
 	Rate    float64       // prompt tokens per second in prefill
+	Setup   time.Duration // for an empty prompt
 	Cached  int           // leading tokens of the prompt in its cache
 	Order   int           // place in the prompt's rendezvous order of engines, from 0
 	Penalty time.Duration // for recent failures
@@ -52,6 +48,10 @@
 	Zone      models.Zone // of the daemon
 	Tokens    int         // in its prompt
 	FetchRate float64     // KV cache tokens per second between engines; 0: engines do not fetch
+	// Start is the time from the fetch of the whole KV cache to the first token.
+	Start time.Duration
+	// RunTime is how long a request occupies a slot of the engine that generates.
+	RunTime time.Duration
 }
 
 // Choice is the engines chosen for a request, given by index.
@@ -61,6 +61,8 @@
 	Source    int           // the engine that does the prefill copies cached KV from it first; -1: none
 	Predicted time.Duration // from now to the first token
 	Uncached  int           // prompt tokens that need prefill
+	Copying   time.Duration // of cached KV from Source, before the prefill
+	Fetching  time.Duration // of the whole KV cache from Prefiller by Target
 }
 
 // prefill is how an engine gets the KV cache of a prompt: it copies what another
@@ -98,7 +100,7 @@
 		if prefiller < 0 || r.FetchRate <= 0 {
 			continue
 		}
-		choice, cost = splitChoice(r, e, i, engines[prefiller].Backlog, plan)
+		choice, cost = splitChoice(r, e, i, engines[prefiller], plan)
 		choice.Prefiller = prefiller
 		if cost < bestCost {
 			best, bestCost = choice, cost
@@ -111,19 +113,20 @@
 // itself.
 func directChoice(r Request, e Engine, index int, s sources) (Choice, time.Duration) {
 	plan := s.plan(r, e)
-	predicted := e.Backlog + plan.duration() + setupTime
+	predicted := max(e.Backlog, slotWait(r, e)) + plan.duration() + e.Setup
 	cost := predicted + occupancy(plan) + penalties(r, e)
-	return Choice{Target: index, Prefiller: -1, Source: plan.source, Predicted: predicted, Uncached: plan.uncached}, cost
+	return Choice{Target: index, Prefiller: -1, Source: plan.source, Predicted: predicted, Uncached: plan.uncached, Copying: plan.copying}, cost
 }
 
 // splitChoice returns the choice and cost of an engine that fetches the KV
 // cache after the prefill on another one. The prefill of its own backlog comes
 // before the fetch.
-func splitChoice(r Request, e Engine, index int, prefillBacklog time.Duration, plan prefill) (Choice, time.Duration) {
+func splitChoice(r Request, e Engine, index int, prefiller Engine, plan prefill) (Choice, time.Duration) {
 	fetch := fetchLatency + tokenTime(r.Tokens, r.FetchRate)
-	predicted := max(prefillBacklog+plan.duration(), e.Backlog) + fetch + setupTime
+	prefilled := prefiller.Backlog + plan.duration() + prefiller.Setup
+	predicted := max(prefilled, e.Backlog, slotWait(r, e)) + fetch + r.Start
 	cost := predicted + fetch + penalties(r, e)
-	return Choice{Target: index, Source: plan.source, Predicted: predicted, Uncached: plan.uncached}, cost
+	return Choice{Target: index, Source: plan.source, Predicted: predicted, Uncached: plan.uncached, Copying: plan.copying, Fetching: fetch}, cost
 }
 
 // bestPrefiller returns the index of the prefill engine of least cost, -1 if
@@ -155,12 +158,18 @@
 	if e.Zone != r.Zone {
 		cost += crossZonePenalty
 	}
-	if e.Slots > 0 && e.Running >= e.Slots {
-		cost += fullBatchPenalty
-	}
 	return cost
 }
 
+// slotWait returns the time until an engine's batch has a free slot, with the
+// requests that wait for one already before this one.
+func slotWait(r Request, e Engine) time.Duration {
+	if e.Slots <= 0 || e.Running < e.Slots {
+		return 0
+	}
+	return r.RunTime * time.Duration(e.Running-e.Slots+1) / time.Duration(e.Slots)
+}
+
 func duplicateCost(tokens int) time.Duration {
 	const thousand = 1000
 	return time.Duration(float64(tokens) / thousand * float64(duplicatePenalty))
--- a/policy/serving/choose_test.go
+++ b/policy/serving/choose_test.go
@@ -42,7 +42,7 @@
 func failing(e *serving.Engine) { e.Penalty = time.Second }
 
 func TestChoose(t *testing.T) {
-	request := serving.Request{Zone: "z", Tokens: 10000, FetchRate: 1e6}
+	request := serving.Request{Zone: "z", Tokens: 10000, FetchRate: 1e6, RunTime: 400 * time.Millisecond}
 	tests := []struct {
 		name      string
 		engines   []serving.Engine
@@ -103,27 +103,42 @@
 	}
 }
 
-func TestPrefillRate(t *testing.T) {
+func TestPrefillTiming(t *testing.T) {
 	t.Run("follows the answers", func(t *testing.T) {
 		is := is.New(t)
-		r := serving.NewPrefillRate(false)
+		timing := serving.NewPrefillTiming(false)
 		for range 100 {
-			r.Observe(10000, 1100*time.Millisecond)
+			timing.Observe(0, 30*time.Millisecond)
+			timing.Observe(10000, 1030*time.Millisecond)
 		}
-		is.True(r.TokensPerSecond() > 9900 && r.TokensPerSecond() < 10100)
+		is.True(timing.Setup() > 29*time.Millisecond && timing.Setup() < 31*time.Millisecond)
+		is.True(timing.TokensPerSecond() > 9900 && timing.TokensPerSecond() < 10100)
+	})
+	t.Run("leaves the initial value within a few answers", func(t *testing.T) {
+		is := is.New(t)
+		timing := serving.NewPrefillTiming(true)
+		for range 5 {
+			timing.Observe(0, 30*time.Millisecond)
+			timing.Observe(10000, 130*time.Millisecond)
+		}
+		is.True(timing.Setup() < 40*time.Millisecond)
+		is.True(timing.TokensPerSecond() > 80000)
 	})
 	t.Run("a single outlier changes little", func(t *testing.T) {
 		is := is.New(t)
-		r := serving.NewPrefillRate(false)
-		before := r.TokensPerSecond()
-		r.Observe(5000, time.Hour)
-		is.True(r.TokensPerSecond() > 0.8*before)
+		timing := serving.NewPrefillTiming(false)
+		for range 20 {
+			timing.Observe(5000, 300*time.Millisecond)
+		}
+		before := timing.TokensPerSecond()
+		timing.Observe(5000, time.Hour)
+		is.True(timing.TokensPerSecond() > 0.8*before)
 	})
-	t.Run("short prompts are ignored", func(t *testing.T) {
+	t.Run("short prompts say nothing about the rate", func(t *testing.T) {
 		is := is.New(t)
-		r := serving.NewPrefillRate(true)
-		before := r.TokensPerSecond()
-		r.Observe(100, time.Second)
-		is.Equal(r.TokensPerSecond(), before)
+		timing := serving.NewPrefillTiming(true)
+		before := timing.TokensPerSecond()
+		timing.Observe(100, time.Second)
+		is.Equal(timing.TokensPerSecond(), before)
 	})
 }
