relay: release KV cache when the caller leaves before the target answers

Cause: a caller that left while its request waited at the target, or a target whose answer was lost, left the KV cache at the prefill engine until the handle expired after seconds; nobody else could use that memory. Kept, as the memory is lost for nothing; the test fails without it.

--- a/relay/sender.go
+++ b/relay/sender.go
@@ -339,7 +339,9 @@
 	}
 }
 
-// handleSendError classifies an attempt that got no response.
+// handleSendError classifies an attempt that got no response. KV cache that the
+// target may not have taken over is released: the prefiller would keep it, and
+// nobody else could use that memory, until the handle expires.
 func (d *delivery) handleSendError(ctx context.Context, err error) (Result, error) {
 	if peer.OutcomeOf(err) == peer.OutcomeNotDone {
 		if ctx.Err() == nil {
@@ -347,7 +349,7 @@
 		}
 		return ResultUnreachable, err
 	}
-	d.prefilled = nil // the target may have taken it over
+	d.releasePrefilled(ctx)
 	d.executions++
 	if ctx.Err() != nil {
 		return ResultCancelled, err
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -206,6 +206,25 @@
 	})
 }
 
+// A caller that leaves while the target has not answered leaves no KV cache
+// behind at the prefiller: under overload it would fill its memory.
+func TestCallerLeavesAfterPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nonRepeatableStream, scriptedAnswer{hangs: true})
+		f.placer.usePrefiller = true
+		f.upstreams.prefill = scriptedAnswer{status: http.StatusOK}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			synctest.Wait()
+			cancel()
+		}()
+		is := is.New(t)
+		is.True(f.handle(ctx) != nil) // refused
+		f.expectSends(1)
+		is.Equal(f.upstreams.heldCaches, 0)
+	})
+}
+
 func TestDeadlineExceeded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, nonRepeatable, scriptedAnswer{hangs: true})
