balance: record cached parts when they have been prefilled, not when sent

Engines had 25 to 45 requests waiting and 3 to 10 running (their own reports): they prefill one prompt at a time. Callers left after 2 s, but the parts of their prompts, never read, stood in every daemon's estimate of the cache; the next prompts were sent to copy what nobody had, and read it all. A request that an engine rejected also counted as an observed prefill, so that the rate rose just when engines were full. Ruled out: KV cache held at prefill engines (0.6 handles each), slots (running below 12).

Change: parts are recorded and announced once the first event or the handle has arrived; a rejection is no observation.

--- a/balance/placement.go
+++ b/balance/placement.go
@@ -11,11 +11,12 @@
 type placement struct {
 	balancer          *Balancer
 	target            *serverState
-	prefiller         *serverState // nil if the target prefills the prompt itself
-	source            *serverState // its cached parts of the prompt are copied; nil if none
-	prefillServer     *serverState // prefiller or else target; nil for a plain service
-	prefillTokens     int          // uncached prompt tokens that prefillServer has to prefill
-	tokensAhead       int          // tokens queued ahead of them at prefillServer at placement
+	prefiller         *serverState        // nil if the target prefills the prompt itself
+	source            *serverState        // its cached parts of the prompt are copied; nil if none
+	prefillServer     *serverState        // prefiller or else target; nil for a plain service
+	parts             []models.PromptPart // of the prompt; nil for a plain service
+	prefillTokens     int                 // uncached prompt tokens that prefillServer has to prefill
+	tokensAhead       int                 // tokens queued ahead of them at prefillServer at placement
 	predicted         time.Duration
 	copying           time.Duration // of cached parts by prefillServer, as predicted
 	fetching          time.Duration // of the KV cache from the prefiller, as predicted
@@ -82,6 +83,9 @@
 	if result == relay.ResultServed {
 		p.observePrefill(now)
 		p.prefilledAt = now
+		if p.prefiller != nil {
+			p.recordCached(p.prefiller, now)
+		}
 	}
 	p.releasePrefill()
 	if p.prefiller != nil && !p.prefillerReleased {
@@ -98,11 +102,24 @@
 	p.target.unreachableCount = 0
 	p.startedAt = now
 	p.observePrefill(now)
+	p.recordCached(p.target, now)
 	if !p.prefilledAt.IsZero() {
 		typical(p.balancer.startTimes, p.target.upstream.Service, initialStart).Observe(now.Sub(p.prefilledAt) - p.fetching)
 	}
 }
 
+// recordCached records that an engine has the prompt in its KV cache. A request
+// that ends before its prompt was prefilled leaves nothing there. The caller must
+// hold the balancer's lock.
+func (p *placement) recordCached(engine *serverState, now time.Time) {
+	if len(p.parts) == 0 {
+		return
+	}
+	b := p.balancer
+	engine.cache.record(p.parts, cacheCapacity(b.capacity[engine.upstream.Service]), now)
+	b.queueSentPrompt(engine.upstream.ID, p.parts)
+}
+
 // observePrefill records that the prompt has been prefilled and updates the
 // prefill rate estimate. The caller must hold the balancer's lock.
 func (p *placement) observePrefill(now time.Time) {
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -94,20 +94,16 @@
 	p.fetching = choice.Fetching
 	p.urgency = min(max(e.Rank, 0), maxUrgency)
 	b.capacity[e.Service.Name] = e.Service.Engine.Capacity
-	capacity := cacheCapacity(e.Service.Engine.Capacity)
+	p.parts = e.Prompt.Parts
 	p.prefillServer = p.target
 	if choice.Prefiller >= 0 {
 		p.prefiller = candidates[choice.Prefiller]
 		p.prefiller.running++
-		p.prefiller.cache.record(e.Prompt.Parts, capacity, now)
-		b.queueSentPrompt(p.prefiller.upstream.ID, e.Prompt.Parts)
 		p.prefillServer = p.prefiller
 	}
 	if choice.Source >= 0 {
 		p.source = candidates[choice.Source]
 	}
-	p.target.cache.record(e.Prompt.Parts, capacity, now)
-	b.queueSentPrompt(p.target.upstream.ID, e.Prompt.Parts)
 	p.prefillTokens = choice.Uncached
 	p.tokensAhead = p.prefillServer.prefillTokens + b.remoteLoads[p.prefillServer.upstream.ID].PrefillTokens
 	p.prefillServer.prefillTokens += p.prefillTokens
--- a/balance/state.go
+++ b/balance/state.go
@@ -81,6 +81,7 @@
 	case relay.ResultFailed:
 		s.recordFailure(now)
 	case relay.ResultRejected:
+		s.unreachableCount = 0
 		s.backoffUntil = now.Add(rejectedBackoff)
 	case relay.ResultMoved:
 		s.backoffUntil = now.Add(maxBackoff)
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -230,7 +230,6 @@
 // handleResponse handles a response whose header has arrived.
 func (d *delivery) handleResponse(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
 	if answer.NotRun {
-		placement.ResponseStarted(answer.Load)
 		d.releasePrefilled(ctx)
 		return d.handleRejection(answer)
 	}
