policy/admission: short prompts first, refuse what would be late while a queue stands

Change: within a rank, urgency goes by the work until the first token, prompts that are late in any case go last. A request whose first event is predicted after 0.6 of its caller's patience is refused at once, with a Retry-After at which the queue has become short enough, spread; one that came back may wait 0.4 of it. While the average wait is over 0.3 of the latency target, what would be late is refused as well, unless its own work makes it late.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -12,6 +12,7 @@
 
 	"quincewinch/models"
 	"quincewinch/peer"
+	"quincewinch/policy/admission"
 	"quincewinch/policy/retry"
 	"quincewinch/policy/serving"
 	"quincewinch/relay"
@@ -64,6 +65,7 @@
 	runTimes       map[models.ServiceName]*serving.Typical // in a slot of an engine
 	daemons        int                                     // sharing the retry budget, this one included
 
+	queues        map[models.ServiceName]*admission.Queue
 	capacity      map[models.ServiceName]int // KV cache of one engine in tokens
 	loadShares    map[models.DaemonID]receivedShare
 	remoteLoads   map[models.EngineID]models.ServerLoad // sum of all load shares
@@ -102,6 +104,7 @@
 		startTimes:     map[models.ServiceName]*serving.Typical{},
 		runTimes:       map[models.ServiceName]*serving.Typical{},
 		daemons:        1,
+		queues:         map[models.ServiceName]*admission.Queue{},
 		capacity:       map[models.ServiceName]int{},
 		loadShares:     map[models.DaemonID]receivedShare{},
 		remoteLoads:    map[models.EngineID]models.ServerLoad{},
@@ -256,6 +259,16 @@
 	return a
 }
 
+// queue returns the queue of a service's engines. The caller must hold b.mu.
+func (b *Balancer) queue(service models.ServiceName) *admission.Queue {
+	q, ok := b.queues[service]
+	if !ok {
+		q = &admission.Queue{}
+		b.queues[service] = q
+	}
+	return q
+}
+
 // placeCall places a request for a plain service on the least loaded of
 // callChoices backend servers drawn at random, so that daemons with the same
 // view of the load do not all choose the same one. The caller must hold b.mu.
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -340,3 +340,42 @@
 	t.Helper()
 	is.New(t).NoErr(system.NewClock().Sleep(t.Context(), d))
 }
+
+// While the engines' queues are too long, prompts are refused at once and told
+// when to come back; those that have come back are not.
+func TestPromptIsRefusedUnderOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(newFleet(engines(2, models.RoleDecode)...))
+		loads := map[models.EngineID]models.ServerLoad{"decode0": {PrefillTokens: 100000}, "decode1": {PrefillTokens: 100000}}
+		b.ReceiveShare(models.LoadShare{From: "d2", Sequence: 1, Loads: loads})
+		e := promptExchange("catalogue", 100)
+		e.Route = models.PathRoute{LatencyTarget: 300 * time.Millisecond, Timeout: 5 * time.Second}
+		e.Deadline = system.NewClock().Now().Add(5 * time.Second)
+		_, err := b.Place(e, nil)
+		refusal := relay.RefusalOf(err)
+		is.Equal(refusal.Code, models.RefusalOverload)
+		is.True(refusal.NotRun)
+		is.True(refusal.RetryAfter > 0)
+		advance(t, 3*time.Second) // the load share has expired
+		_, err = b.Place(e, nil)
+		is.NoErr(err)
+	})
+}
+
+// Of two prompts of one rank, the engine is to run the short one first.
+func TestShortPromptIsMoreUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer(newFleet(engines(1, models.RoleDecode)...))
+		// An answer teaches the daemon how long a short prompt takes.
+		place(t, b, shortExchange("a")).ResponseStarted(nil)
+		short := place(t, b, shortExchange("b"))
+		is.New(t).True(short.Urgency() < place(t, b, promptExchange("c", 100)).Urgency())
+	})
+}
+
+func shortExchange(id string) *relay.Exchange {
+	e := promptExchange(id, 0)
+	e.Prompt = models.Prompt{Tokens: 50, Parts: []models.PromptPart{{ID: id, Tokens: 50}}}
+	return e
+}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quincewinch/models"
+	"quincewinch/policy/admission"
 	"quincewinch/policy/serving"
 	"quincewinch/relay"
 )
@@ -24,6 +25,10 @@
 	// is shared with the other daemons ahead of the usual interval: prefilling
 	// them takes longer than a load share takes to arrive.
 	urgentPrefillTokens = 2000
+	// returnedShare is the share of a route's timeout below which the time left
+	// to a caller shows that it was refused before: callers come back with what
+	// is left of their time.
+	returnedShare = 0.75
 	// maxFetchFailures is the number of consecutive failed fetches between two
 	// zones after which fetching between them is blocked for fetchBlockTime. A
 	// network partition lasts seconds.
@@ -49,19 +54,19 @@
 	for i, s := range candidates {
 		engines[i] = b.engineView(e, s, orders[i], now)
 	}
-	request := serving.Request{
+	prompt := serving.Request{
 		Zone:    b.settings.Zone,
 		Tokens:  promptTokens(e.Prompt),
 		Start:   typical(b.startTimes, e.Service.Name, initialStart).Duration(),
 		RunTime: typical(b.runTimes, e.Service.Name, initialRunTime).Duration(),
 	}
 	if !retried {
-		request.FetchRate = fetchRate(e.Service.Engine)
+		prompt.FetchRate = fetchRate(e.Service.Engine)
 	}
-	choice, ok := serving.Choose(request, engines)
+	choice, ok := serving.Choose(prompt, engines)
 	if ok && b.choiceBlocked(candidates, choice, now) {
-		request.FetchRate = 0
-		choice, ok = serving.Choose(request, engines)
+		prompt.FetchRate = 0
+		choice, ok = serving.Choose(prompt, engines)
 	}
 	if !ok {
 		return nil, &models.Refusal{
@@ -71,7 +76,31 @@
 			RetryAfter: noBackendRetryAfter,
 		}
 	}
-	return b.reservePrompt(e, candidates, choice, now), nil
+	request := admissionRequest(e, choice, now)
+	standing := b.queue(e.Service.Name).Observe(request, now)
+	if ok, retryAfter := admission.Admit(request, standing, b.random.Float64()); !ok && !retried {
+		return nil, &models.Refusal{
+			Code:       models.RefusalOverload,
+			Message:    "the engines' queues are too long: first event in " + choice.Predicted.String(),
+			NotRun:     true,
+			RetryAfter: retryAfter,
+		}
+	}
+	p := b.reservePrompt(e, candidates, choice, now)
+	p.urgency = min(admission.Urgency(request), maxUrgency)
+	return p, nil
+}
+
+// admissionRequest describes a request and its placement to package admission.
+func admissionRequest(e *relay.Exchange, choice serving.Choice, now time.Time) admission.Request {
+	return admission.Request{
+		Rank:      e.Rank,
+		Unloaded:  choice.Unloaded,
+		Predicted: choice.Predicted,
+		Target:    e.Route.LatencyTarget,
+		Left:      e.Deadline.Sub(now),
+		Returned:  e.CallerTimeout > 0 && float64(e.CallerTimeout) < returnedShare*float64(e.Route.Timeout),
+	}
 }
 
 // choiceBlocked reports whether a choice fetches KV cache between zones between
@@ -92,7 +121,6 @@
 	p.predicted = choice.Predicted
 	p.copying = choice.Copying
 	p.fetching = choice.Fetching
-	p.urgency = min(max(e.Rank, 0), maxUrgency)
 	b.capacity[e.Service.Name] = e.Service.Engine.Capacity
 	p.parts = e.Prompt.Parts
 	p.prefillServer = p.target
--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -60,6 +60,7 @@
 	Prefiller int           // runs the prefill for the target; -1: the target does
 	Source    int           // the engine that does the prefill copies cached KV from it first; -1: none
 	Predicted time.Duration // from now to the first token
+	Unloaded  time.Duration // likewise if the engines had nothing else to do
 	Uncached  int           // prompt tokens that need prefill
 	Copying   time.Duration // of cached KV from Source, before the prefill
 	Fetching  time.Duration // of the whole KV cache from Prefiller by Target
@@ -113,9 +114,10 @@
 // itself.
 func directChoice(r Request, e Engine, index int, s sources) (Choice, time.Duration) {
 	plan := s.plan(r, e)
-	predicted := max(e.Backlog, slotWait(r, e)) + plan.duration() + e.Setup
+	unloaded := plan.duration() + e.Setup
+	predicted := max(e.Backlog, slotWait(r, e)) + unloaded
 	cost := predicted + occupancy(plan) + penalties(r, e)
-	return Choice{Target: index, Prefiller: -1, Source: plan.source, Predicted: predicted, Uncached: plan.uncached, Copying: plan.copying}, cost
+	return Choice{Target: index, Prefiller: -1, Source: plan.source, Predicted: predicted, Unloaded: unloaded, Uncached: plan.uncached, Copying: plan.copying}, cost
 }
 
 // splitChoice returns the choice and cost of an engine that fetches the KV
@@ -123,10 +125,11 @@
 // before the fetch.
 func splitChoice(r Request, e Engine, index int, prefiller Engine, plan prefill) (Choice, time.Duration) {
 	fetch := fetchLatency + tokenTime(r.Tokens, r.FetchRate)
+	unloaded := plan.duration() + prefiller.Setup + fetch + r.Start
 	prefilled := prefiller.Backlog + plan.duration() + prefiller.Setup
 	predicted := max(prefilled, e.Backlog, slotWait(r, e)) + fetch + r.Start
 	cost := predicted + fetch + penalties(r, e)
-	return Choice{Target: index, Source: plan.source, Predicted: predicted, Uncached: plan.uncached, Copying: plan.copying, Fetching: fetch}, cost
+	return Choice{Target: index, Source: plan.source, Predicted: predicted, Unloaded: unloaded, Uncached: plan.uncached, Copying: plan.copying, Fetching: fetch}, cost
 }
 
 // bestPrefiller returns the index of the prefill engine of least cost, -1 if
