policy/supply: no reserved engines while cheap ones run, as many as the load needs otherwise

Change: a zone's limit is filled with cheap engines; reserved ones stand in for half of it when it has lost them. Where cheap ones are too expensive, reserved ones follow the peak number of busy engines of the last 20 s, twice that; none is released before a peak can have been seen; zones get equal numbers, cheaper ones the remainder.

--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -170,15 +170,14 @@
 // b.mu.
 func (b *Balancer) engineView(e *relay.Exchange, s *serverState, order int, now time.Time) serving.Engine {
 	timing := b.prefillTiming(s.upstream)
-	rate := timing.TokensPerSecond()
 	others := b.remoteLoads[s.upstream.ID]
 	return serving.Engine{
 		Zone:    s.upstream.Zone,
 		Role:    s.upstream.Role,
 		Slots:   s.upstream.Slots,
 		Running: s.running + others.Running,
-		Backlog: time.Duration(float64(s.prefillTokens+others.PrefillTokens) / rate * float64(time.Second)),
-		Rate:    rate,
+		Backlog: b.backlog(s),
+		Rate:    timing.TokensPerSecond(),
 		Setup:   timing.Setup(),
 		Cached:  s.cache.cachedPrefix(e.Prompt.Parts),
 		Order:   order,
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -71,7 +71,7 @@
 		d.system.Spawn(closer, dutyInterval)
 	}
 	if settings.Duties.OrderServers {
-		manager := supply.NewManager(d.configuration.Routing, d.fleet.Snapshot, settings.Zones, d.duties.leases, calls, d.clock, d.logger)
+		manager := supply.NewManager(d.configuration.Routing, d.fleet.Snapshot, settings.Zones, d.duties.leases, calls, d.balancer, d.clock, d.logger)
 		d.system.Spawn(manager, dutyInterval)
 	}
 }
--- a/supply/manager.go
+++ b/supply/manager.go
@@ -23,6 +23,13 @@
 	failedRetryDelay = 2 * time.Second
 )
 
+// Load provides how busy backend servers are.
+type Load interface {
+	// Busy returns how many backend servers of a service are busy now, partly
+	// busy ones as fractions.
+	Busy(service models.ServiceName) float64
+}
+
 // Manager orders backend servers for all services that have supply limits.
 type Manager struct {
 	routing func() *models.Routing
@@ -30,12 +37,14 @@
 	zones   []models.Zone
 	leases  peer.Leases
 	supply  peer.Supply
+	load    Load
 	clock   peer.Clock
 	logger  *zap.Logger
 
 	// Used only by Step.
 	fence      uint64
 	lastOrders map[orderKey]order
+	demands    map[models.ServiceName]*policy.Demand
 }
 
 // orderKey identifies what an order applies to.
@@ -52,29 +61,33 @@
 }
 
 // NewManager returns a manager that has placed no orders.
-func NewManager(view func() *models.Routing, fleet func() *routing.Snapshot, zones []models.Zone, leases peer.Leases, supply peer.Supply, clock peer.Clock, logger *zap.Logger) *Manager {
+func NewManager(view func() *models.Routing, fleet func() *routing.Snapshot, zones []models.Zone, leases peer.Leases, supply peer.Supply, load Load, clock peer.Clock, logger *zap.Logger) *Manager {
 	return &Manager{
 		routing:    view,
 		fleet:      fleet,
 		zones:      zones,
 		leases:     leases,
 		supply:     supply,
+		load:       load,
 		clock:      clock,
 		logger:     logger,
 		lastOrders: map[orderKey]order{},
+		demands:    map[models.ServiceName]*policy.Demand{},
 	}
 }
 
 // Step places the orders that are due. A change of the fencing number discards
 // the record of earlier orders, since another daemon may have held the lease.
 func (m *Manager) Step(ctx context.Context) {
+	now := m.clock.Now()
 	authority := m.leases.Authority(models.LeaseServers)
-	if !authority.Valid(m.clock.Now()) {
+	if !authority.Valid(now) {
 		return
 	}
 	if authority.Fence != m.fence {
 		m.fence = authority.Fence
 		clear(m.lastOrders)
+		clear(m.demands)
 	}
 	view, fleet := m.routing(), m.fleet()
 	if view == nil || fleet == nil {
@@ -85,12 +98,24 @@
 			continue
 		}
 		zones := m.countRegistered(service.Name, fleet)
-		for i, wanted := range policy.Plan(service, zones) {
+		for i, wanted := range policy.Plan(service, zones, m.demand(service.Name, now), now) {
 			m.placeOrder(ctx, authority, *service.Supply, wanted, zones[i/2])
 		}
 	}
 }
 
+// demand samples how many backend servers of a service are busy, and returns the
+// record of it.
+func (m *Manager) demand(service models.ServiceName, now time.Time) *policy.Demand {
+	demand, ok := m.demands[service]
+	if !ok {
+		demand = &policy.Demand{}
+		m.demands[service] = demand
+	}
+	demand.Observe(m.load.Busy(service), now)
+	return demand
+}
+
 // countRegistered returns the number of registered backend servers of a service
 // in each zone.
 func (m *Manager) countRegistered(service models.ServiceName, fleet *routing.Snapshot) []policy.Zone {
