report: summarize request logs over time

Change: `quincewinch report FILE...` prints per interval what was served, late and refused, how far predictions of the first event were off, and which engines did the work.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -61,7 +61,7 @@
 	app.Command("table", "Read and edit the table's rows.")
 	app.Command("fleet", "Show the engines.")
 	return []func(*kingpin.Application) (string, command){
-		registerServe, registerEntry, registerDemo, registerCheckSettings, registerSettings, registerCompare,
+		registerServe, registerEntry, registerDemo, registerCheckSettings, registerSettings, registerCompare, registerReport,
 		registerWorkspaceList, registerWorkspaceCreate,
 		registerKeyList, registerKeyGive, registerKeyWithdraw,
 		registerTableColumns, registerTableList, registerTablePut, registerTableDelete,
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -41,6 +41,7 @@
 	Rejections         int // by backend servers that did not run the request
 	Engine             models.EngineID
 	Prefiller          models.EngineID // ran the prefill for Engine; empty if Engine did
+	CopiedFrom         models.EngineID // cached parts were copied from there; empty: none were
 	PrefillTokens      int             // prompt tokens to prefill, as predicted
 	PrefillDuration    time.Duration   // of the call to Prefiller, 0 if there was none
 	Status             int
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -225,6 +225,8 @@
 	trace.Predicted = placement.Predicted()
 	trace.PrefillTokens = placement.PrefillTokens()
 	trace.Prefiller = ""
+	source, _ := placement.CopyFrom()
+	trace.CopiedFrom = source.ID
 }
 
 // handleResponse handles a response whose header has arrived.
