relay, balance, supply, membership: faults noted while reading

A response over 1 MiB that broke off on a repeatable route was sent again and begun twice, as was a resumed stream whose second engine answered 300 or more: the caller got a second header in the middle of the body. Neither is retried once part of it has gone out; a stream that cannot be resumed there tries the next engine. Both tests failed before. Leave counted up a share's sequence beside Step without a lock; it is behind one, the test runs both. Lines that said "removed" and "ordered" for failed calls are warnings of their own now.

--- a/balance/share.go
+++ b/balance/share.go
@@ -56,14 +56,14 @@
 	clock    peer.Clock
 	logger   *zap.Logger
 
-	// Used only by Step and Leave.
-	sequence    uint64
+	// Used only by Step.
 	sharedAt    time.Time
 	lastPeers   int  // number of daemons that the last load share was sent to
 	sentZoneSum bool // the sum of the zone was sent with the last load share
 
 	mu       sync.Mutex
-	leads    bool // zone leader, or all other daemons are direct peers
+	sequence uint64 // of the last share
+	leads    bool   // zone leader, or all other daemons are direct peers
 	inFlight map[models.DaemonID]bool
 	failures map[models.DaemonID]int
 }
@@ -207,8 +207,7 @@
 		leaders[id] = others[id]
 	}
 	sum := s.balancer.NextZoneSum()
-	s.sequence++
-	sum.Sequence = s.sequence
+	sum.Sequence = s.nextSequence()
 	sum.Address = s.self.Address
 	s.sendAll(ctx, sum, leaders)
 }
@@ -234,14 +233,20 @@
 }
 
 func (s *Sharer) send(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer) {
-	s.sequence++
 	share.From = s.self.From
 	share.Zone = s.self.Zone
 	share.Address = s.self.Address
-	share.Sequence = s.sequence
+	share.Sequence = s.nextSequence()
 	s.sendAll(ctx, share, to)
 }
 
+func (s *Sharer) nextSequence() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	return s.sequence
+}
+
 func (s *Sharer) sendAll(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer) {
 	for id, other := range to {
 		if s.beginSend(id) {
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -220,3 +220,22 @@
 		is.True(n.knowsSharedPart(4, "catalogue", 200)) // of zone z0
 	})
 }
+
+// A daemon that stops says so while a share may be on its way.
+func TestLeaveDuringStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 3, 1)
+		self := models.LoadShare{From: "vm-000", Zone: "z0", Address: n.addresses[0]}
+		sharer := balance.NewSharer(self, n.daemon(0), others{n, "vm-000"}, n, system.NewClock(), zap.NewNop())
+		var steps sync.WaitGroup
+		steps.Go(func() {
+			for range 100 {
+				sharer.Step(t.Context())
+				_ = system.NewClock().Sleep(t.Context(), 100*time.Millisecond) // ends with the test
+			}
+		})
+		advance(t, 3*time.Second)
+		sharer.Leave(t.Context())
+		steps.Wait()
+	})
+}
--- a/membership/members.go
+++ b/membership/members.go
@@ -159,7 +159,11 @@
 			Conditions: []models.Condition{{Key: key, Revision: other.row}},
 			Writes:     []models.Write{{Key: key, Delete: true}},
 		})
-		m.logger.Info("registration of a silent daemon removed", zap.String("daemon", string(id)), zap.Error(err))
+		if err != nil {
+			m.logger.Warn("cannot remove the registration of a silent daemon", zap.String("daemon", string(id)), zap.Error(err))
+			continue
+		}
+		m.logger.Info("registration of a silent daemon removed", zap.String("daemon", string(id)))
 	}
 }
 
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -174,6 +174,7 @@
 
 // recordingReply records the response to the caller.
 type recordingReply struct {
+	begun        int // calls of Begin
 	status       int
 	header       http.Header
 	body         strings.Builder
@@ -181,6 +182,7 @@
 }
 
 func (r *recordingReply) Begin(status int, header http.Header, _ int64) {
+	r.begun++
 	r.status = status
 	r.header = header
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -237,6 +237,9 @@
 	}
 	d.prefilled = nil
 	d.executions++
+	if d.headerWritten && answer.Status >= minFailureStatus {
+		return ResultFailed, errors.Errorf("the stream cannot be resumed: the backend server answered %d", answer.Status)
+	}
 	if d.exchange.Route.Stream && answer.Status < minFailureStatus {
 		return d.relayStream(ctx, placement, answer)
 	}
@@ -380,11 +383,17 @@
 	case ResultRejected, ResultMoved:
 		return d.rejections < maxRejections && d.sender.placer.TakeRetry(e.Service.Name)
 	case ResultFailed:
-		return e.Route.Repeatable && d.executions < e.Route.Attempts && d.sender.placer.TakeRetry(e.Service.Name)
+		return e.Route.Repeatable && !d.partlyRelayed() && d.executions < e.Route.Attempts && d.sender.placer.TakeRetry(e.Service.Name)
 	}
 	return false
 }
 
+// partlyRelayed reports whether the caller has received part of a response that
+// no other backend server can continue.
+func (d *delivery) partlyRelayed() bool {
+	return d.headerWritten && !d.exchange.Route.Stream
+}
+
 // recordUsage bills the request once, however often it is sent.
 func (d *delivery) recordUsage() {
 	if d.billed || d.exchange.Workspace == "" {
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,6 +98,26 @@
 	})
 }
 
+// A response that has begun to reach the caller cannot begin again.
+func TestResponseBeginsOnce(t *testing.T) {
+	t.Run("large response that breaks off", func(t *testing.T) {
+		large := strings.Repeat("x", 2<<20)
+		f := newFixture(t, repeatable, scriptedAnswer{status: http.StatusOK, body: large, breaksAfter: len(large) - 1}, success)
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.expectSends(1)
+		f.is.Equal(f.reply.begun, 1)
+	})
+	t.Run("failure of the engine that resumes a stream", func(t *testing.T) {
+		const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
+		f := newFixture(t, resumable,
+			scriptedAnswer{status: http.StatusOK, body: first + second, breaksAfter: len(first) + 5},
+			scriptedAnswer{status: http.StatusNotFound, body: "oh"})
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.is.Equal(f.reply.begun, 1)
+		f.is.Equal(f.reply.body.String(), first)
+	})
+}
+
 func TestStream(t *testing.T) {
 	const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
 	t.Run("stream interrupted within an event resumes after the last complete one", func(t *testing.T) {
--- a/supply/manager.go
+++ b/supply/manager.go
@@ -151,18 +151,19 @@
 	case !ordered && present == wanted.Count:
 		return
 	}
-	err := m.supply.Set(ctx, authority, wanted)
-	m.lastOrders[key] = order{count: wanted.Count, repeatAt: now.Add(limits.Startup + repeatDelay)}
-	if err != nil {
-		m.lastOrders[key] = order{count: wanted.Count, repeatAt: now.Add(failedRetryDelay)}
-	}
-	m.logger.Info("backend servers ordered",
+	fields := []zap.Field{
 		zap.String("service", string(wanted.Service)),
 		zap.String("zone", string(wanted.Zone)),
 		zap.Bool("cheap", wanted.Cheap),
 		zap.Int("count", wanted.Count),
 		zap.Int("present", present),
 		zap.Uint64("fence", authority.Fence),
-		zap.Error(err),
-	)
+	}
+	if err := m.supply.Set(ctx, authority, wanted); err != nil {
+		m.lastOrders[key] = order{count: wanted.Count, repeatAt: now.Add(failedRetryDelay)}
+		m.logger.Warn("backend servers not ordered", append(fields, zap.Error(err))...)
+		return
+	}
+	m.lastOrders[key] = order{count: wanted.Count, repeatAt: now.Add(limits.Startup + repeatDelay)}
+	m.logger.Info("backend servers ordered", fields...)
 }
