policy/serving, balance: lighter prefill weight, dearer zone crossings, more of the cache believed

Hypothesis: the weights were set when a prompt whose engine was busy had to be read again; now that it is copied, balance is worth more than affinity.

--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -16,7 +16,7 @@
 const (
 	// cacheFraction is the fraction of an engine's KV cache capacity that is
 	// assumed to hold cached prompt parts; running requests use the rest.
-	cacheFraction = 0.6
+	cacheFraction = 0.85
 	// assumedCapacity is the cache capacity in tokens that is assumed until the
 	// configuration of a service is known. It is larger than that of any current
 	// engine, so that nothing is evicted.
--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -16,10 +16,10 @@
 	fetchLatency = 10 * time.Millisecond
 	// crossZonePenalty is added for an engine in another availability zone:
 	// traffic between zones is charged for.
-	crossZonePenalty = 4 * time.Millisecond
+	crossZonePenalty = 10 * time.Millisecond
 	// prefillWeight is the share of the prefill time that is added to the cost
 	// again, because it delays the requests that come after.
-	prefillWeight = 1.0
+	prefillWeight = 0.5
 	// duplicatePenalty is added for each thousand prompt tokens that another
 	// engine has cached and this one has not: they would be cached twice.
 	duplicatePenalty = 8 * time.Millisecond
