--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -376,6 +376,7 @@
 
 func shortExchange(id string) *relay.Exchange {
 	e := promptExchange(id, 0)
+	e.Route.LatencyTarget = 400 * time.Millisecond
 	e.Prompt = models.Prompt{Tokens: 50, Parts: []models.PromptPart{{ID: id, Tokens: 50}}}
 	return e
 }
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -11,20 +11,20 @@
 )
 
 const (
-	// shortWork is the time to the first token on an idle engine up to which a
-	// request goes before longer ones: it delays them little.
-	shortWork = 60 * time.Millisecond
+	// shortShare is the share of its latency target that a request may need on an
+	// idle engine to go before longer ones: it delays them little.
+	shortShare = 0.2
 	// classes is the number of urgency classes within a rank.
 	classes = 3
 	// waitShare is the share of its latency target that a request may wait for
 	// engines if it will be late in any case.
 	waitShare = 0.5
-	// returnedShare is the share of the time that callers wait for a first token
-	// which a request may wait that has been refused before.
+	// patienceShare is the share of the time that callers wait for a first token
+	// up to which requests are admitted while no queue stands: predictions are off
+	// by some of the rest. returnedShare is the same for requests that have been
+	// refused before, while a queue stands.
+	patienceShare = 0.6
 	returnedShare = 0.4
-	// firstShare is the same share for a request that has not been refused, while
-	// no queue stands.
-	firstShare = 0.6
 	// standingWait is the average wait from which a queue stands, in latency
 	// targets, and averageTime the time constant of the average.
 	standingWait = 0.3
@@ -58,7 +58,7 @@
 	switch {
 	case r.Target > 0 && r.Unloaded > r.Target:
 		return urgency + 2
-	case r.Unloaded > shortWork:
+	case float64(r.Unloaded) > shortShare*float64(r.Target):
 		return urgency + 1
 	}
 	return urgency
@@ -104,10 +104,10 @@
 func maxPredicted(r Request, standing bool) time.Duration {
 	leave := max(leaveTargets*r.Target, minLeave)
 	switch {
+	case !standing:
+		return time.Duration(patienceShare * float64(leave))
 	case r.Returned:
 		return time.Duration(returnedShare * float64(leave))
-	case standing:
-		return max(r.Target, r.Unloaded+time.Duration(waitShare*float64(r.Target)))
 	}
-	return time.Duration(firstShare * float64(leave))
+	return max(r.Target, r.Unloaded+time.Duration(waitShare*float64(r.Target)))
 }
