balance, models: learned timings and busy share in files of their own, cached prompts named so

Reading the change as a newcomer: the balancer's file had grown by two subjects, and what daemons tell each other were "sent" prompts, which they are not since parts are recorded when prefilled.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -14,7 +14,6 @@
 	"quincewinch/peer"
 	"quincewinch/policy/admission"
 	"quincewinch/policy/retry"
-	"quincewinch/policy/serving"
 	"quincewinch/relay"
 	"quincewinch/routing"
 )
@@ -29,11 +28,6 @@
 	// retryBudgetFactor is the fraction of the retry budget that is used: the
 	// platform sees requests later than they are counted here.
 	retryBudgetFactor = 0.8
-	// initialStart and initialRunTime are the assumed times from the fetch of KV
-	// cache to the first token, and in a slot of an engine, before any request
-	// has been observed.
-	initialStart   = 40 * time.Millisecond
-	initialRunTime = 400 * time.Millisecond
 	// maxUrgency is the highest urgency value, the least urgent, that engines
 	// accept.
 	maxUrgency = 9
@@ -57,22 +51,20 @@
 	settings Settings
 	random   *rand.Rand
 
-	mu             sync.Mutex
-	states         map[models.EngineID]*serverState
-	budgets        map[models.ServiceName]*retry.Budget
-	prefillTimings map[timingKey]*serving.PrefillTiming
-	startTimes     map[models.ServiceName]*serving.Typical // from the fetch of KV cache to the first token
-	runTimes       map[models.ServiceName]*serving.Typical // in a slot of an engine
-	daemons        int                                     // sharing the retry budget, this one included
+	mu      sync.Mutex
+	states  map[models.EngineID]*serverState
+	budgets map[models.ServiceName]*retry.Budget
+	timings timings
+	daemons int // sharing the retry budget, this one included
 
-	queues        map[models.ServiceName]*admission.Queue
-	capacity      map[models.ServiceName]int // KV cache of one engine in tokens
-	loadShares    map[models.DaemonID]receivedShare
-	remoteLoads   map[models.EngineID]models.ServerLoad // sum of all load shares
-	unsentPrompts []models.SentPrompt
-	// zonePrompts are the prompts sent by the daemons of this zone since its
-	// last zone sum.
-	zonePrompts  []models.SentPrompt
+	queues          map[models.ServiceName]*admission.Queue
+	capacity        map[models.ServiceName]int // KV cache of one engine in tokens
+	loadShares      map[models.DaemonID]receivedShare
+	remoteLoads     map[models.EngineID]models.ServerLoad // sum of all load shares
+	unsharedPrompts []models.CachedPrompt
+	// zonePrompts are the prompts that the daemons of this zone had prefilled
+	// since its last zone sum.
+	zonePrompts  []models.CachedPrompt
 	changed      bool // the load has changed since the last share
 	urgent       bool // a long prompt was sent since the last share
 	zoneUrgent   bool // likewise by another daemon of this zone, since the last zone sum
@@ -84,31 +76,22 @@
 	from, to models.Zone
 }
 
-// timingKey identifies engines that are expected to prefill equally fast,
-// differences between single engines aside. They share one estimate.
-type timingKey struct {
-	service models.ServiceName
-	role    models.Role
-}
-
 // New returns a balancer with no load recorded.
 func New(fleet FleetView, clock peer.Clock, settings Settings, seed uint64) *Balancer {
 	return &Balancer{
-		fleet:          fleet,
-		clock:          clock,
-		settings:       settings,
-		random:         rand.New(rand.NewPCG(seed, 0)),
-		states:         map[models.EngineID]*serverState{},
-		budgets:        map[models.ServiceName]*retry.Budget{},
-		prefillTimings: map[timingKey]*serving.PrefillTiming{},
-		startTimes:     map[models.ServiceName]*serving.Typical{},
-		runTimes:       map[models.ServiceName]*serving.Typical{},
-		daemons:        1,
-		queues:         map[models.ServiceName]*admission.Queue{},
-		capacity:       map[models.ServiceName]int{},
-		loadShares:     map[models.DaemonID]receivedShare{},
-		remoteLoads:    map[models.EngineID]models.ServerLoad{},
-		fetchRecords:   map[zonePair]fetchRecord{},
+		fleet:        fleet,
+		clock:        clock,
+		settings:     settings,
+		random:       rand.New(rand.NewPCG(seed, 0)),
+		states:       map[models.EngineID]*serverState{},
+		budgets:      map[models.ServiceName]*retry.Budget{},
+		timings:      newTimings(),
+		daemons:      1,
+		queues:       map[models.ServiceName]*admission.Queue{},
+		capacity:     map[models.ServiceName]int{},
+		loadShares:   map[models.DaemonID]receivedShare{},
+		remoteLoads:  map[models.EngineID]models.ServerLoad{},
+		fetchRecords: map[zonePair]fetchRecord{},
 	}
 }
 
@@ -236,70 +219,6 @@
 	}
 }
 
-// busyBacklog is the backlog from which an engine counts as fully busy.
-const busyBacklog = 100 * time.Millisecond
-
-// Busy returns how many backend servers of a service are busy with requests of
-// all daemons. Each counts with its share of slots in use or, where that is
-// more, its prefill backlog. It implements supply.Load.
-func (b *Balancer) Busy(service models.ServiceName) float64 {
-	now := b.clock.Now()
-	snapshot := b.fleet.Snapshot()
-	if snapshot == nil {
-		return 0
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.sumRemoteLoads(now)
-	total := 0.0
-	for _, upstream := range snapshot.ByService[service] {
-		total += b.busyShare(b.stateOf(upstream))
-	}
-	return total
-}
-
-// busyShare returns how busy a backend server is, from 0 to 1. The caller must
-// hold b.mu.
-func (b *Balancer) busyShare(s *serverState) float64 {
-	others := b.remoteLoads[s.upstream.ID]
-	share := 0.0
-	if s.upstream.Slots > 0 {
-		share = float64(s.running+others.Running) / float64(s.upstream.Slots)
-	}
-	share = max(share, b.backlog(s).Seconds()/busyBacklog.Seconds())
-	return min(share, 1)
-}
-
-// backlog returns the time until the prompts sent to an engine are prefilled.
-// The caller must hold b.mu.
-func (b *Balancer) backlog(s *serverState) time.Duration {
-	tokens := s.prefillTokens + b.remoteLoads[s.upstream.ID].PrefillTokens
-	return time.Duration(float64(tokens) / b.prefillTiming(s.upstream).TokensPerSecond() * float64(time.Second))
-}
-
-// prefillTiming returns the prefill timing of engines of the same service and
-// role as upstream. The caller must hold b.mu.
-func (b *Balancer) prefillTiming(upstream models.Upstream) *serving.PrefillTiming {
-	key := timingKey{service: upstream.Service, role: upstream.Role}
-	t, ok := b.prefillTimings[key]
-	if !ok {
-		t = serving.NewPrefillTiming(upstream.Role == models.RolePrefill)
-		b.prefillTimings[key] = t
-	}
-	return t
-}
-
-// typical returns the typical duration of a service, a new one with an initial value if
-// there is none. The caller must hold b.mu.
-func typical(durations map[models.ServiceName]*serving.Typical, service models.ServiceName, initial time.Duration) *serving.Typical {
-	a, ok := durations[service]
-	if !ok {
-		a = serving.NewTypical(initial)
-		durations[service] = a
-	}
-	return a
-}
-
 // queue returns the queue of a service's engines. The caller must hold b.mu.
 func (b *Balancer) queue(service models.ServiceName) *admission.Queue {
 	q, ok := b.queues[service]
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -80,15 +80,16 @@
 	now := p.balancer.clock.Now()
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
+	if p.prefiller == nil {
+		return
+	}
 	if result == relay.ResultServed {
 		p.observePrefill(now)
 		p.prefilledAt = now
-		if p.prefiller != nil {
-			p.recordCached(p.prefiller, now)
-		}
+		p.recordCached(p.prefiller, now)
 	}
 	p.releasePrefill()
-	if p.prefiller != nil && !p.prefillerReleased {
+	if !p.prefillerReleased {
 		p.prefiller.recordResult(result, now)
 	}
 	p.releasePrefiller()
@@ -104,7 +105,7 @@
 	p.observePrefill(now)
 	p.recordCached(p.target, now)
 	if !p.prefilledAt.IsZero() {
-		typical(p.balancer.startTimes, p.target.upstream.Service, initialStart).Observe(now.Sub(p.prefilledAt) - p.fetching)
+		p.balancer.timings.start(p.target.upstream.Service).Observe(now.Sub(p.prefilledAt) - p.fetching)
 	}
 }
 
@@ -117,7 +118,7 @@
 	}
 	b := p.balancer
 	engine.cache.record(p.parts, cacheCapacity(b.capacity[engine.upstream.Service]), now)
-	b.queueSentPrompt(engine.upstream.ID, p.parts)
+	b.queueCachedPrompt(engine.upstream.ID, p.parts)
 }
 
 // observePrefill records that the prompt has been prefilled and updates the
@@ -127,7 +128,7 @@
 		return
 	}
 	p.releasePrefill()
-	p.balancer.prefillTiming(p.prefillServer.upstream).Observe(p.tokensAhead+p.prefillTokens, now.Sub(p.placedAt)-p.copying)
+	p.balancer.timings.prefill(p.prefillServer.upstream).Observe(p.tokensAhead+p.prefillTokens, now.Sub(p.placedAt)-p.copying)
 }
 
 // releasePrefill removes the prompt from the pending prefill tokens of
@@ -180,7 +181,7 @@
 	p.releasePrefiller()
 	p.recordFetch(result, now)
 	if result == relay.ResultServed && !p.startedAt.IsZero() {
-		typical(p.balancer.runTimes, p.target.upstream.Service, initialRunTime).Observe(now.Sub(p.startedAt))
+		p.balancer.timings.run(p.target.upstream.Service).Observe(now.Sub(p.startedAt))
 	}
 	p.target.recordResult(result, now)
 }
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -57,8 +57,8 @@
 	prompt := serving.Request{
 		Zone:    b.settings.Zone,
 		Tokens:  promptTokens(e.Prompt),
-		Start:   typical(b.startTimes, e.Service.Name, initialStart).Duration(),
-		RunTime: typical(b.runTimes, e.Service.Name, initialRunTime).Duration(),
+		Start:   b.timings.start(e.Service.Name).Duration(),
+		RunTime: b.timings.run(e.Service.Name).Duration(),
 	}
 	if !retried {
 		prompt.FetchRate = fetchRate(e.Service.Engine)
@@ -169,7 +169,7 @@
 // engineView returns the engine data for package serving. The caller must hold
 // b.mu.
 func (b *Balancer) engineView(e *relay.Exchange, s *serverState, order int, now time.Time) serving.Engine {
-	timing := b.prefillTiming(s.upstream)
+	timing := b.timings.prefill(s.upstream)
 	others := b.remoteLoads[s.upstream.ID]
 	return serving.Engine{
 		Zone:    s.upstream.Zone,
--- a/balance/share.go
+++ b/balance/share.go
@@ -32,7 +32,7 @@
 	// maxSendFailures is the number of consecutive failed sends after which a
 	// daemon is considered unreachable and its connection is reopened.
 	maxSendFailures = 2
-	// maxQueuedPrompts bounds each queue of sent prompts that are not shared yet.
+	// maxQueuedPrompts bounds each queue of cached prompts that are not shared yet.
 	maxQueuedPrompts = 512
 )
 
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -32,8 +32,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	share.Loads = b.ownLoads()
-	share.Prompts = b.unsentPrompts
-	b.unsentPrompts = nil
+	share.Prompts = b.unsharedPrompts
+	b.unsharedPrompts = nil
 	changed = b.changed
 	b.changed = false
 	b.urgent = false
@@ -41,7 +41,7 @@
 }
 
 // NextZoneSum returns the sum of the loads of this zone's daemons, and the
-// prompts that they have sent since the previous sum.
+// prompts that they had prefilled since the previous sum.
 func (b *Balancer) NextZoneSum() models.LoadShare {
 	now := b.clock.Now()
 	b.mu.Lock()
@@ -138,9 +138,9 @@
 	if snapshot == nil {
 		return
 	}
-	for _, sent := range share.Prompts {
-		if upstream, ok := snapshot.ByID[sent.Server]; ok {
-			b.stateOf(upstream).cache.record(sent.Parts, cacheCapacity(b.capacity[upstream.Service]), now)
+	for _, cached := range share.Prompts {
+		if upstream, ok := snapshot.ByID[cached.Server]; ok {
+			b.stateOf(upstream).cache.record(cached.Parts, cacheCapacity(b.capacity[upstream.Service]), now)
 		}
 	}
 	if share.Zone == b.settings.Zone && !IsZoneSum(share.From) {
@@ -161,20 +161,20 @@
 	}
 }
 
-// queueSentPrompt queues a sent prompt for the next load share and zone sum. The
+// queueCachedPrompt queues a cached prompt for the next load share and zone sum. The
 // caller must hold b.mu.
-func (b *Balancer) queueSentPrompt(server models.EngineID, parts []models.PromptPart) {
+func (b *Balancer) queueCachedPrompt(server models.EngineID, parts []models.PromptPart) {
 	b.changed = true
-	sent := models.SentPrompt{Server: server, Parts: parts}
-	if len(b.unsentPrompts) < maxQueuedPrompts {
-		b.unsentPrompts = append(b.unsentPrompts, sent)
+	cached := models.CachedPrompt{Server: server, Parts: parts}
+	if len(b.unsharedPrompts) < maxQueuedPrompts {
+		b.unsharedPrompts = append(b.unsharedPrompts, cached)
 	}
-	b.queueForZoneSum(sent)
+	b.queueForZoneSum(cached)
 }
 
 // queueForZoneSum queues prompts for the next sum of this zone; the oldest are
 // dropped above maxQueuedPrompts. The caller must hold b.mu.
-func (b *Balancer) queueForZoneSum(prompts ...models.SentPrompt) {
+func (b *Balancer) queueForZoneSum(prompts ...models.CachedPrompt) {
 	b.zonePrompts = append(b.zonePrompts, prompts...)
 	b.zonePrompts = b.zonePrompts[max(0, len(b.zonePrompts)-maxQueuedPrompts):]
 }
--- a/models/share.go
+++ b/models/share.go
@@ -11,8 +11,8 @@
 	Sequence uint64         // incremented for each share of one process
 	Leaving  bool           // the sender is about to stop
 	Loads    map[EngineID]ServerLoad
-	Prompts  []SentPrompt // sent since the previous share
-	Relayed  []LoadShare  // sums of other zones that the sender forwards
+	Prompts  []CachedPrompt // prefilled since the previous share
+	Relayed  []LoadShare    // sums of other zones that the sender forwards
 }
 
 // Peer is the address and zone of another daemon.
@@ -27,9 +27,9 @@
 	PrefillTokens int // prompt tokens not yet prefilled
 }
 
-// SentPrompt is a prompt that was sent to a backend server, which from then on
-// has its parts in its prefix cache.
-type SentPrompt struct {
+// CachedPrompt is a prompt that an engine has prefilled or fetched, and has in its
+// prefix cache from then on.
+type CachedPrompt struct {
 	Server EngineID
 	Parts  []PromptPart
 }
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -89,7 +89,7 @@
 		}
 	}
 	for _, sent := range form.GetPrompts() {
-		prompt := models.SentPrompt{Server: models.EngineID(sent.GetServer())}
+		prompt := models.CachedPrompt{Server: models.EngineID(sent.GetServer())}
 		for _, part := range sent.GetParts() {
 			prompt.Parts = append(prompt.Parts, models.PromptPart{ID: part.GetId(), Tokens: int(part.GetTokens())})
 		}
--- a/peer/daemon/share_test.go
+++ b/peer/daemon/share_test.go
@@ -19,7 +19,7 @@
 		Sequence: 7,
 		Leaving:  true,
 		Loads:    map[models.EngineID]models.ServerLoad{"e1": {Running: 3, PrefillTokens: 4000}},
-		Prompts:  []models.SentPrompt{{Server: "e1", Parts: []models.PromptPart{{ID: "5c", Tokens: 800}, {ID: "91", Tokens: 410}}}},
+		Prompts:  []models.CachedPrompt{{Server: "e1", Parts: []models.PromptPart{{ID: "5c", Tokens: 800}, {ID: "91", Tokens: 410}}}},
 		Relayed: []models.LoadShare{{
 			From: "zone/b", Zone: "b", Address: netip.MustParseAddrPort("10.0.0.2:7780"), Sequence: 9,
 			Loads: map[models.EngineID]models.ServerLoad{"e2": {Running: 1}},
