--- a/commands/report.go
+++ b/commands/report.go
@@ -1,9 +1,7 @@
 package commands
 
 import (
-	"io"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -33,19 +31,25 @@
 	if c.interval <= 0 {
 		return errors.NotValidf("interval %s", c.interval)
 	}
-	var readers []io.Reader
+	var requests []report.Request
 	for _, name := range c.files {
-		file, err := os.Open(name)
+		found, err := readLog(name)
 		if err != nil {
-			return errors.Annotate(err, "cannot open the log")
+			return err
 		}
-		defer file.Close()
-		// A log may end within a line.
-		readers = append(readers, file, strings.NewReader("\n"))
+		requests = append(requests, found...)
 	}
-	requests, err := report.Read(io.MultiReader(readers...))
+	return report.Write(env.stdout, report.Summarize(requests, c.interval), c.interval)
+}
+
+func readLog(name string) ([]report.Request, error) {
+	file, err := os.Open(name)
 	if err != nil {
-		return err
+		return nil, errors.Annotate(err, "cannot open the log")
 	}
-	return report.Write(env.stdout, report.Summarize(requests, c.interval), c.interval)
+	requests, err := report.Read(file)
+	if closeErr := file.Close(); err == nil && closeErr != nil {
+		err = closeErr
+	}
+	return requests, errors.Annotatef(err, "log %s", name)
 }
--- a/policy/serving/source.go
+++ b/policy/serving/source.go
@@ -84,18 +84,19 @@
 	p := prefill{source: from.index}
 	if from.index >= 0 {
 		p.copied = min(from.engine.Cached, r.Tokens) - available
-		p.copying = fetchLatency + tokenTime(p.copied, r.FetchRate)*zoneFactor(from.engine.Zone, e.Zone)
+		p.copying = copyTime(p.copied, r.FetchRate, from.engine.Zone != e.Zone)
 	}
 	p.uncached = max(r.Tokens-available-p.copied, 1)
 	p.reading = tokenTime(p.uncached, e.Rate)
 	return p
 }
 
-// zoneFactor returns how much longer a copy between two zones takes than one
-// within a zone.
-func zoneFactor(from, to models.Zone) time.Duration {
-	if from != to {
-		return crossZoneFetchFactor
+// copyTime returns how long a copy of KV cache takes within a zone or between
+// zones.
+func copyTime(tokens int, fetchRate float64, crossZone bool) time.Duration {
+	transfer := tokenTime(tokens, fetchRate)
+	if crossZone {
+		transfer *= crossZoneFetchFactor
 	}
-	return 1
+	return fetchLatency + transfer
 }
