--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -20,9 +20,6 @@
 	// prefillWeight is the share of the prefill time that is added to the cost
 	// again, because it delays the requests that come after.
 	prefillWeight = 0.5
-	// duplicatePenalty is added for each thousand prompt tokens that another
-	// engine has cached and this one has not: they would be cached twice.
-	duplicatePenalty = 8 * time.Millisecond
 	// orderPenalty breaks ties between engines: it is added for each place in
 	// the prompt's rendezvous order of engines.
 	orderPenalty = 3 * time.Millisecond
@@ -151,9 +148,9 @@
 }
 
 // occupancy returns the cost of a prefill to other requests: it delays those
-// that come after it, and what it copies takes memory at two engines.
+// that come after it.
 func occupancy(p prefill) time.Duration {
-	return time.Duration(prefillWeight*float64(p.reading)) + duplicateCost(p.copied)
+	return time.Duration(prefillWeight * float64(p.reading))
 }
 
 func penalties(r Request, e Engine) time.Duration {
@@ -173,11 +170,6 @@
 	return r.RunTime * time.Duration(e.Running-e.Slots+1) / time.Duration(e.Slots)
 }
 
-func duplicateCost(tokens int) time.Duration {
-	const thousand = 1000
-	return time.Duration(float64(tokens) / thousand * float64(duplicatePenalty))
-}
-
 func tokenTime(tokens int, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
