entry: a planned stop answers each request that has been read

Change: the daemon closes its listener, then each connection without an unanswered request, until none is open; Shutdown is left to readiness and metrics.

--- /dev/null
+++ b/entry/connections.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"quincewinch/peer"
+)
+
+// drainInterval is the time between two looks for idle connections while the
+// daemon stops.
+const drainInterval = 10 * time.Millisecond
+
+// connections tracks the connections of callers, so that a planned stop answers
+// each request that has been read. Shutdown of http.Server does not: it drops
+// requests that it has read but not yet passed to the handler.
+type connections struct {
+	mu   sync.Mutex
+	open map[*trackedConn]bool
+}
+
+// listen returns a listener whose connections are tracked.
+func (c *connections) listen(listener net.Listener) net.Listener {
+	return &trackedListener{Listener: listener, connections: c}
+}
+
+// stateChanged implements http.Server.ConnState for the server that accepts the
+// connections. A connection is idle again once an answer has been written.
+func (c *connections) stateChanged(conn net.Conn, state http.ConnState) {
+	if tracked, ok := conn.(*trackedConn); ok && state == http.StateIdle {
+		tracked.unanswered.Store(false)
+	}
+}
+
+// drain closes connections without an unanswered request until none is open. It
+// returns the error of ctx if there are others until it ends.
+func (c *connections) drain(ctx context.Context, clock peer.Clock) error {
+	for c.closeIdle() > 0 {
+		if err := clock.Sleep(ctx, drainInterval); err != nil {
+			return errors.Annotatef(err, "%d connections with unanswered requests", c.count())
+		}
+	}
+	return nil
+}
+
+// closeIdle closes connections without an unanswered request, and returns how
+// many others are open.
+func (c *connections) closeIdle() (others int) {
+	c.mu.Lock()
+	var idle []*trackedConn
+	for conn := range c.open {
+		if conn.unanswered.Load() {
+			others++
+			continue
+		}
+		idle = append(idle, conn)
+	}
+	c.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close() // the caller may have closed it
+	}
+	return others
+}
+
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+func (c *connections) add(conn *trackedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil {
+		c.open = map[*trackedConn]bool{}
+	}
+	c.open[conn] = true
+}
+
+func (c *connections) remove(conn *trackedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
+// trackedListener accepts tracked connections.
+type trackedListener struct {
+	net.Listener
+	connections *connections
+}
+
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err // net/http looks at its type
+	}
+	tracked := &trackedConn{Conn: conn, connections: l.connections}
+	l.connections.add(tracked)
+	return tracked, nil
+}
+
+// trackedConn is a connection that knows whether it has an unanswered request:
+// whether bytes have been read since the server last called it idle.
+type trackedConn struct {
+	net.Conn
+	connections *connections
+	unanswered  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.unanswered.Store(true)
+	}
+	return n, err
+}
+
+// CloseWrite closes the sending side, as net/http does before it closes a
+// connection whose caller may still be sending.
+func (c *trackedConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.connections.remove(c)
+	return c.Conn.Close()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,21 +26,23 @@
 
 // Daemon is one entry process with its listeners and background tasks.
 type Daemon struct {
-	settings      atomic.Pointer[config.Entry]
-	logger        *zap.Logger
-	clock         peer.Clock
-	wall          peer.Clock // wall-clock time, for billing windows
-	droppedLines  func() int64
-	registry      *prometheus.Registry
-	system        *control.System
-	configuration *routing.Configuration
-	fleet         *routing.Fleet
-	balancer      *balance.Balancer
-	callerServer  *http.Server
-	sharing       sharing
-	duties        duties
-	servers       []*http.Server
-	stopping      atomic.Bool
+	settings        atomic.Pointer[config.Entry]
+	logger          *zap.Logger
+	clock           peer.Clock
+	wall            peer.Clock // wall-clock time, for billing windows
+	droppedLines    func() int64
+	registry        *prometheus.Registry
+	system          *control.System
+	configuration   *routing.Configuration
+	fleet           *routing.Fleet
+	balancer        *balance.Balancer
+	callerServer    *http.Server
+	callers         net.Listener
+	connections     connections // of callers
+	sharing         sharing
+	duties          duties
+	internalServers []*http.Server // readiness and metrics
+	stopping        atomic.Bool
 }
 
 // New returns a daemon that has not been started. The function droppedLines
@@ -105,31 +107,53 @@
 		ReadHeaderTimeout: settings.Callers.HeaderTimeout,
 		IdleTimeout:       settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    settings.Callers.HeaderBytes,
+		ConnState:         d.connections.stateChanged,
 	}
-	if err := d.serve(d.callerServer, settings.Callers.Address); err != nil {
+	listener, err := bind(settings.Callers.Address)
+	if err != nil {
 		return err
 	}
+	d.callers = d.connections.listen(listener)
+	d.serve(d.callerServer, d.callers)
 	readiness := &http.Server{Handler: platform.NewReadiness(d.Ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
-	if err := d.serve(readiness, settings.ReadinessAddress); err != nil {
+	if err := d.serveInternal(readiness, settings.ReadinessAddress); err != nil {
 		return err
 	}
 	metricsServer := &http.Server{Handler: d.metrics(), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
-	return d.serve(metricsServer, settings.MetricsAddress)
+	return d.serveInternal(metricsServer, settings.MetricsAddress)
+}
+
+// serveInternal serves an address that callers do not use until the daemon has
+// stopped serving them.
+func (d *Daemon) serveInternal(server *http.Server, address netip.AddrPort) error {
+	listener, err := bind(address)
+	if err != nil {
+		return err
+	}
+	d.internalServers = append(d.internalServers, server)
+	d.serve(server, listener)
+	return nil
 }
 
-func (d *Daemon) serve(server *http.Server, address netip.AddrPort) error {
+func bind(address netip.AddrPort) (net.Listener, error) {
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
-		return errors.Annotatef(err, "cannot listen at %s", address)
+		return nil, errors.Annotatef(err, "cannot listen at %s", address)
 	}
+	return listener, nil
+}
+
+// serve serves a listener in the background until the server or, at a stop, the
+// listener is closed.
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
 	server.ErrorLog = zap.NewStdLog(d.logger)
-	d.servers = append(d.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.logger.Error("HTTP server failed", zap.String("address", address.String()), zap.Error(err))
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) || d.stopping.Load() && errors.Is(err, net.ErrClosed) {
+			return
 		}
+		d.logger.Error("HTTP server failed", zap.String("address", listener.Addr().String()), zap.Error(err))
 	}()
-	return nil
 }
 
 // Spawn runs a task at an interval until the daemon stops.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 )
 
@@ -58,9 +59,12 @@
 	_ = d.clock.Sleep(ctx, times.accept)
 	finishing, cancel := context.WithTimeout(ctx, times.finish)
 	defer cancel()
-	for _, server := range d.servers {
+	if err := d.stopCallers(finishing); err != nil {
+		d.logger.Warn("connections still active at the end of the grace time", zap.Error(err))
+	}
+	for _, server := range d.internalServers {
 		if err := server.Shutdown(finishing); err != nil {
-			d.logger.Warn("connections still active at the end of the grace time", zap.Error(err))
+			d.logger.Warn("internal server not shut down", zap.Error(err))
 		}
 	}
 	closing, cancel := context.WithTimeout(ctx, times.closing)
@@ -70,3 +74,15 @@
 	d.stopSharing(closing)
 	d.logger.Info("daemon stopped")
 }
+
+// stopCallers stops accepting connections and returns once all requests that have
+// been read are answered, or with the error of ctx.
+func (d *Daemon) stopCallers(ctx context.Context) error {
+	if err := d.callers.Close(); err != nil {
+		return errors.Annotate(err, "cannot stop listening")
+	}
+	if err := d.connections.drain(ctx, d.clock); err != nil {
+		return err
+	}
+	return errors.Annotate(d.callerServer.Close(), "cannot close the callers' server")
+}
