--- a/entry/connections_test.go
+++ b/entry/connections_test.go
@@ -59,6 +59,7 @@
 	}
 	_, err = io.Copy(io.Discard, response.Body)
 	is.New(t).NoErr(err)
+	is.New(t).NoErr(response.Body.Close())
 	return response.StatusCode
 }
 
