--- a/policy/supply/plan.go
+++ b/policy/supply/plan.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// replacementShare is the share of a zone's limit that is filled with
-	// reserved backend servers when the zone has lost all its cheap ones.
+	// replacementShare is the share of a zone's limit, rounded up, that is filled
+	// with reserved backend servers when the zone has lost all its cheap ones.
 	// Reserved ones start within seconds, while cheap ones may be unavailable for
 	// longer; the rest of the limit is left for cheap ones.
 	replacementShare = 0.5
@@ -95,7 +95,7 @@
 func targetCounts(limits models.SupplyLimits, z Zone) (reserved, cheap int) {
 	switch {
 	case z.Cheap == 0 && z.Reserved == 0:
-		reserved = int(replacementShare * float64(limits.Max))
+		reserved = int(math.Ceil(replacementShare * float64(limits.Max)))
 		return reserved, limits.Max - reserved
 	case z.Cheap >= z.Reserved:
 		return 0, limits.Max
--- a/policy/supply/plan_test.go
+++ b/policy/supply/plan_test.go
@@ -35,6 +35,11 @@
 	t.Run("reserved servers replace part of a zone's lost cheap ones", func(t *testing.T) {
 		expectCounts(t, limits, supply.Zone{Name: "a"}, 3, 3)
 	})
+	t.Run("more than half of an odd limit", func(t *testing.T) {
+		odd := limits
+		odd.Max = 3
+		expectCounts(t, odd, supply.Zone{Name: "a"}, 2, 1)
+	})
 	t.Run("reserved servers stay while there are no cheap ones", func(t *testing.T) {
 		expectCounts(t, limits, supply.Zone{Name: "a", Reserved: 3}, 3, 3)
 	})
