--- a/balance/cache.go
+++ b/balance/cache.go
@@ -7,7 +7,7 @@
 )
 
 // promptCache estimates which prompt parts an engine has in its KV cache, from
-// the requests sent to it. Parts are evicted in least recently used order.
+// the prompts that it prefilled or fetched. Parts are evicted in least recently used order.
 type promptCache struct {
 	parts  map[string]cachedPart
 	tokens int
@@ -34,7 +34,7 @@
 	return tokens
 }
 
-// record adds the parts of a prompt that has been sent, and evicts the least
+// record adds the parts of a prompt that is now cached, and evicts the least
 // recently used parts while the total exceeds capacity.
 func (c *promptCache) record(parts []models.PromptPart, capacity int, now time.Time) {
 	for _, part := range parts {
--- a/policy/serving/rate.go
+++ b/policy/serving/rate.go
@@ -44,8 +44,8 @@
 	return time.Duration(t.current * float64(time.Second))
 }
 
-// Observe moves the estimate towards a duration by a share of itself, whatever
-// the distance.
+// Observe moves the estimate towards a duration, by at most a fixed share of the
+// estimate, so that a single long wait moves it no more than a short one.
 func (t *Typical) Observe(d time.Duration) {
 	t.count++
 	step := t.current * weight(t.count) / 2
--- a/policy/supply/demand.go
+++ b/policy/supply/demand.go
@@ -5,8 +5,8 @@
 )
 
 const (
-	// peakWindow is how long a peak of the load is remembered: load that
-	// has come once comes again.
+	// peakWindow is how long a peak of the load is remembered, so that backend
+	// servers are not released between two bursts.
 	peakWindow = 20 * time.Second
 	// settleTime is how long the load is observed before it is acted on: after a
 	// start backend servers register one by one.
