--- a/lib/knownred/knownred_test.go
+++ b/lib/knownred/knownred_test.go
@@ -130,7 +130,7 @@
 		is.NoErr(err)
 		var out strings.Builder
 		is.NoErr(summarize(&out, list, r, nil))
-		is.Equal(out.String(), "\n2 passed, 2 failed, 1 skipped (tests and subtests)\n"+
+		is.Equal(out.String(), "\n2 passed, 2 failed, 1 skipped\n"+
 			"known failures: 1\n"+
 			"  example/a | TestFails/one | go test ./a | one is wrong | 7\n"+
 			"OK\n")
--- a/lib/knownred/main.go
+++ b/lib/knownred/main.go
@@ -82,7 +82,7 @@
 
 // summarize ends the log: the counts, the known failures and what differs.
 func summarize(out io.Writer, list []entry, r *results, found []string) error {
-	text := fmt.Sprintf("\n%d passed, %d failed, %d skipped (tests and subtests)\n", r.count(passed), r.count(failed), r.count(skipped))
+	text := fmt.Sprintf("\n%d passed, %d failed, %d skipped\n", r.count(passed), r.count(failed), r.count(skipped))
 	text += fmt.Sprintf("known failures: %d\n", len(list))
 	for _, e := range list {
 		text += "  " + e.String() + "\n"
