platform, entry: a store that returns from an older copy is logged and measured

The store's client reads the era that each answer states. A rise is logged once per daemon, and exported as quincewinch_entry_store_era. No decision depends on it yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,8 @@
 func (d *Daemon) Start() error {
 	settings := d.settings.Load()
 	store := platform.NewStore(settings.Store.Address, storeClient(), settings.Store.Timeout)
+	store.SetRestoreListener(d.storeRestored)
+	d.gauge("store_era", "Era of the platform's store: rises each time that it returns from an older copy.", func() float64 { return float64(store.Era()) })
 	wait := settings.Store.MaxWatchWait()
 	d.prepareSharing(store)
 	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.source), d.clock, d.logger, wait)
@@ -86,6 +88,11 @@
 	return nil
 }
 
+// storeRestored logs that the store has returned from an older copy.
+func (d *Daemon) storeRestored(before, era uint64) {
+	d.logger.Warn("store returned from an older copy", zap.Uint64("era", era), zap.Uint64("era-before", before))
+}
+
 // newHandler returns the chain of filters that handles each request.
 func (d *Daemon) newHandler() relay.Handler {
 	upstreams := platform.NewUpstreams(platform.NewTransport(upstreamTransport))
