--- a/feed/schedule_test.go
+++ b/feed/schedule_test.go
@@ -5,10 +5,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -45,87 +43,10 @@
 	zoneSize         = 4 // daemons of the zone
 )
 
-// faultyTransport carries one daemon's calls to the store and injects faults.
-type faultyTransport struct {
-	store *emulator.Store
-	clock peer.Clock
-
-	mu          sync.Mutex
-	fault       emulator.Fault
-	latency     time.Duration // of each response
-	changed     chan struct{}
-	lastFaultAt time.Time // when a fault last began or ended
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t *faultyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	ctx, cancel := context.WithCancelCause(r.Context())
-	defer cancel(nil)
-	fault, latency, changed := t.state()
-	if fault == emulator.FaultUnavailable {
-		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
-	}
-	if fault == emulator.FaultHang {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	answer := make(chan *http.Response, 1)
-	go func() {
-		recorder := httptest.NewRecorder()
-		t.store.ServeHTTP(recorder, r.WithContext(ctx))
-		answer <- recorder.Result()
-	}()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-changed:
-			// A call that waits when the store stops answering gets no response.
-			if fault, _, changed = t.state(); fault == emulator.FaultHang {
-				<-ctx.Done()
-				return nil, ctx.Err()
-			}
-		case response := <-answer:
-			if err := t.clock.Sleep(ctx, latency); err != nil {
-				return nil, err
-			}
-			if fault == emulator.FaultLoseAnswer {
-				return nil, io.ErrUnexpectedEOF
-			}
-			return response, nil
-		}
-	}
-}
-
-func (t *faultyTransport) state() (emulator.Fault, time.Duration, chan struct{}) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.fault, t.latency, t.changed
-}
-
-func (t *faultyTransport) set(fault emulator.Fault, latency time.Duration) {
-	now := t.clock.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.fault != emulator.FaultNone || t.latency > 0 || fault != emulator.FaultNone || latency > 0 {
-		t.lastFaultAt = now
-	}
-	t.fault, t.latency = fault, latency
-	close(t.changed)
-	t.changed = make(chan struct{})
-}
-
-// healthySince reports whether there has been no fault since a time.
-func (t *faultyTransport) healthySince(since time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.fault == emulator.FaultNone && t.latency == 0 && t.lastFaultAt.Before(since)
-}
-
 // scheduleDaemon is a daemon of a schedule.
 type scheduleDaemon struct {
 	address       netip.AddrPort
-	transport     *faultyTransport
+	connection    *emulator.Connection
 	reader        *feed.Reader
 	configuration *routing.Configuration
 	fleet         *routing.Fleet
@@ -161,10 +82,10 @@
 	}
 	for i := range zoneSize {
 		d := &scheduleDaemon{
-			address:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
-			transport: &faultyTransport{store: s.store, clock: s.clock, changed: make(chan struct{})},
+			address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
+			connection: emulator.NewConnection(s.store),
 		}
-		store := platform.NewStore(d.address, &http.Client{Transport: d.transport}, callTimeout)
+		store := platform.NewStore(d.address, &http.Client{Transport: d.connection}, callTimeout)
 		d.reader = feed.NewReader(store)
 		source := feed.NewSource(d.reader, s, scheduleZone{s, i}, s.clock, zap.NewNop())
 		d.configuration = routing.NewConfiguration(platform.NewRouting(source), s.clock, zap.NewNop(), followWait)
@@ -218,9 +139,9 @@
 	case 5:
 		s.store.Compact()
 	case 6:
-		d.transport.set(emulator.Fault(s.random.IntN(4)), 0)
+		d.connection.Set(emulator.Fault(s.random.IntN(4)), 0)
 	case 7:
-		d.transport.set(emulator.FaultNone, time.Duration(s.random.IntN(2))*300*time.Millisecond)
+		d.connection.Set(emulator.FaultNone, time.Duration(s.random.IntN(2))*300*time.Millisecond)
 	case 8:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -268,7 +189,7 @@
 			s.t.Fatalf("seed %d: daemon %d returned from version %d to %d", s.seed, i, d.version, version)
 		}
 		d.version = version
-		if !d.transport.healthySince(now.Add(-2 * propagationBound)) {
+		if !d.connection.HealthySince(now.Add(-2 * propagationBound)) {
 			continue
 		}
 		if version < s.version && now.Sub(s.writtenAt) > propagationBound {
