--- a/feed/schedule_test.go
+++ b/feed/schedule_test.go
@@ -69,12 +69,13 @@
 	version   uint64
 	writtenAt time.Time
 	goneAt    map[models.EngineID]time.Time // when a registration was removed or began to drain
+	startedAt map[models.EngineID]time.Time // start of the registered incarnation
 }
 
 func newSchedule(t *testing.T, seed uint64) *schedule {
 	s := &schedule{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), clock: system.NewClock(), store: emulator.NewStore(),
-		silent: map[netip.AddrPort]bool{}, goneAt: map[models.EngineID]time.Time{},
+		silent: map[netip.AddrPort]bool{}, goneAt: map[models.EngineID]time.Time{}, startedAt: map[models.EngineID]time.Time{},
 	}
 	s.configure()
 	for i := range 6 {
@@ -96,8 +97,22 @@
 }
 
 // run runs the schedule and checks the daemons at every step.
-func (s *schedule) run() {
-	ctx, stop := context.WithCancel(s.t.Context())
+func (s *schedule) run(injectEvent, check func()) {
+	stop := s.start()
+	defer stop()
+	for end := s.clock.Now().Add(scheduleDuration); s.clock.Now().Before(end); {
+		if s.random.IntN(4) == 0 {
+			injectEvent()
+		}
+		// Sleep fails only when the test ends.
+		_ = s.clock.Sleep(s.t.Context(), checkInterval)
+		check()
+	}
+}
+
+// start makes all daemons follow the store.
+func (s *schedule) start() (stop func()) {
+	ctx, cancel := context.WithCancel(s.t.Context())
 	var running sync.WaitGroup
 	follow := func(step func(context.Context)) {
 		running.Go(func() {
@@ -110,16 +125,10 @@
 		follow(d.configuration.Step)
 		follow(d.fleet.Step)
 	}
-	for end := s.clock.Now().Add(scheduleDuration); s.clock.Now().Before(end); {
-		if s.random.IntN(4) == 0 {
-			s.injectEvent()
-		}
-		// Sleep fails only when the test ends.
-		_ = s.clock.Sleep(ctx, checkInterval)
-		s.check()
+	return func() {
+		cancel()
+		running.Wait()
 	}
-	stop()
-	running.Wait()
 }
 
 // injectEvent makes one random change or fault.
@@ -160,12 +169,15 @@
 }
 
 func (s *schedule) register(id models.EngineID, state string) {
-	delete(s.goneAt, id)
-	if state != "ready" {
-		s.goneAt[id] = s.clock.Now()
+	now := s.clock.Now()
+	if state == "ready" {
+		delete(s.goneAt, id)
+		s.startedAt[id] = now
+	} else {
+		s.goneAt[id] = now
 	}
 	s.put(string(platform.PartitionUpstreams), string(id), map[string]any{
-		"service": "s", "address": "10.1.0.1:80", "zone": "z", "slots": 8, "state": state,
+		"service": "s", "address": "10.1.0.1:80", "zone": "z", "slots": 8, "state": state, "born": s.startedAt[id].UnixMilli(),
 	})
 }
 
@@ -255,6 +267,9 @@
 		if t.Failed() {
 			return
 		}
-		synctest.Test(t, func(t *testing.T) { newSchedule(t, *firstSeed+i).run() })
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(t, *firstSeed+i)
+			s.run(s.injectEvent, s.check)
+		})
 	}
 }
