platform, routing, feed: revisions carry the era of the store

Cause: the store returned from an older copy and gave versions out again. Daemons went on from the version that they had read: what was written at or below it was never read, lists of all registrations were ignored as stale, a read that got 410 was repeated without a pause, and followers of the zone's reader went the same way. The class of fault: a position in a history that is taken to name the same state forever.

models.Revision now consists of the store's era and the version, so it never goes back and is never given out twice; all comparisons stay as they are. A reader tells its followers that the store has returned, so that they list at once instead of waiting.

Registrations of the copy are not believed where more is known: a backend server that was seen to drain stays draining until it starts again, one that had left gets no work for 5 s unless it registers anew, and one that is missing has the time that it has after an outage. The first call after a failed one does not wait, so that a daemon that was cut off knows the era before it counts as in touch again.

Ruled out: reading the era without changing revisions, and resetting each follower by hand. It needs the reset in every place, now and later; a follower that is told the era by another call would still send the old version once.

--- a/feed/reader.go
+++ b/feed/reader.go
@@ -51,7 +51,8 @@
 // Changes waits up to wait for rows of a partition that are written after a
 // revision. It fails with a *peer.Failure of OutcomeNotDone as soon as this
 // daemon does not follow the partition in the store, or if it no longer keeps
-// all changes since that revision.
+// all changes since that revision, and with one of OutcomeRestored if the store
+// has returned from an older copy since.
 func (r *Reader) Changes(ctx context.Context, partition models.Partition, after models.Revision, wait time.Duration) (models.Changes, error) {
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -76,6 +77,9 @@
 	if !h.following {
 		return models.Changes{}, nil, peer.NewFailure(peer.OutcomeNotDone, "the store is not followed here at the moment", nil)
 	}
+	if h.from.Era() > after.Era() {
+		return models.Changes{}, nil, peer.NewFailure(peer.OutcomeRestored, "the store has returned from an older copy since that revision", nil)
+	}
 	changes, known := h.changesAfter(after)
 	if !known {
 		return models.Changes{}, nil, peer.NewFailure(peer.OutcomeNotDone, "changes since that revision are no longer known here", nil)
--- a/feed/source.go
+++ b/feed/source.go
@@ -70,8 +70,12 @@
 			s.logOrigin(address, "it reads for the zone", nil)
 			return changes, false, nil
 		}
-		s.suspendRemote()
-		s.logOrigin(netip.AddrPort{}, "the daemon that reads for the zone did not answer", err)
+		if peer.OutcomeOf(err) == peer.OutcomeRestored {
+			after = 0 // only the store has all rows
+		} else {
+			s.suspendRemote()
+			s.logOrigin(netip.AddrPort{}, "the daemon that reads for the zone did not answer", err)
+		}
 	} else {
 		s.logOrigin(netip.AddrPort{}, "no other daemon reads for the zone", nil)
 	}
--- a/models/table.go
+++ b/models/table.go
@@ -20,10 +20,36 @@
 	PartitionMarkers Partition = "markers" // IDs of committed transactions
 )
 
-// Revision is a version number of the table. Each committed transaction
-// increments it by one; zero is the empty table.
+const (
+	// EraBits is the number of bits of a Revision that hold the era.
+	EraBits = 24
+	// versionBits is the number of bits of a Revision that hold the version.
+	versionBits = 64 - EraBits
+)
+
+// Revision orders the states of the table. It consists of an era, which
+// increases each time that the table returns from an older copy, and of a
+// version, which each committed transaction increments by one and which such a
+// return sets back. A revision of a later era is greater than any of an earlier
+// one, so revisions never go back and are never given out twice. Zero is the
+// empty table.
 type Revision uint64
 
+// NewRevision returns the revision of a version in an era.
+func NewRevision(era, version uint64) Revision {
+	return Revision(era<<versionBits | version)
+}
+
+// Era returns the era of the table.
+func (r Revision) Era() uint64 {
+	return uint64(r >> versionBits)
+}
+
+// Version returns the version within the era.
+func (r Revision) Version() uint64 {
+	return uint64(r & (1<<versionBits - 1))
+}
+
 // RowKey identifies a row.
 type RowKey struct {
 	Partition Partition
@@ -65,13 +91,18 @@
 // writes a marker row of that name, by which a retry after a lost answer
 // detects that the first attempt was committed.
 type Transaction struct {
-	ID         string
+	ID string
+	// Basis is a revision of the era in which the state that the transaction
+	// depends on was read. In another era it is not committed. Zero: it depends
+	// on no state other than Conditions.
+	Basis      Revision
 	Conditions []Condition
 	Writes     []Write
 }
 
 // Changes lists the rows of a partition written after a given revision, oldest
-// first. Through is the revision up to which the list is complete.
+// first. Through is the revision up to which the list is complete. If its era is
+// later than that of the given revision, the list has all rows of the partition.
 type Changes struct {
 	Rows         []Row
 	Through      Revision
--- a/peer/daemon/follow.go
+++ b/peer/daemon/follow.go
@@ -5,10 +5,12 @@
 	"net/netip"
 	"time"
 
+	"github.com/juju/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"quincewinch/models"
+	"quincewinch/peer"
 	"quincewinch/peer/daemon/proto"
 )
 
@@ -33,6 +35,9 @@
 		After:     uint64(after),
 		Wait:      int64(wait),
 	})
+	if status.Code(err) == codes.FailedPrecondition {
+		return models.Changes{}, peer.NewFailure(peer.OutcomeRestored, "read the changes of another daemon", errors.Trace(err))
+	}
 	if err != nil {
 		return models.Changes{}, newUnknownFailure(err)
 	}
@@ -45,6 +50,9 @@
 		return nil, status.Error(codes.Unimplemented, "this daemon does not pass on changes of the store")
 	}
 	changes, err := s.changes.Changes(ctx, models.Partition(form.GetPartition()), models.Revision(form.GetAfter()), time.Duration(form.GetWait()))
+	if peer.OutcomeOf(err) == peer.OutcomeRestored {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
--- a/peer/failure.go
+++ b/peer/failure.go
@@ -15,6 +15,7 @@
 	OutcomeRefused  Outcome = "refused"  // rejected; a retry will fail too; no effect
 	OutcomeStale    Outcome = "stale"    // rejected: stale fencing number; no effect
 	OutcomeMissing  Outcome = "missing"  // what it names does not exist; no effect
+	OutcomeRestored Outcome = "restored" // rejected: the table has returned from an older copy; no effect
 )
 
 // Failure is the error of a failed call to a peer.
--- a/peer/platform/marker.go
+++ b/peer/platform/marker.go
@@ -21,5 +21,5 @@
 	key := MarkerKey(transaction.ID)
 	conditions := append([]models.Condition{{Key: key, Revision: markerRevision}}, transaction.Conditions...)
 	writes := append([]models.Write{{Key: key, Value: []byte(value)}}, transaction.Writes...)
-	return models.Transaction{ID: transaction.ID, Conditions: conditions, Writes: writes}
+	return models.Transaction{ID: transaction.ID, Basis: transaction.Basis, Conditions: conditions, Writes: writes}
 }
--- a/peer/platform/wire/wire.go
+++ b/peer/platform/wire/wire.go
@@ -52,6 +52,7 @@
 // Transaction is the JSON message for models.Transaction.
 type Transaction struct {
 	ID         string      `json:"id"`
+	Basis      uint64      `json:"basis,omitempty"`
 	Conditions []Condition `json:"conditions"`
 	Writes     []Write     `json:"writes"`
 }
@@ -183,7 +184,7 @@
 
 // FromTransaction converts a transaction to its JSON message.
 func FromTransaction(transaction models.Transaction) Transaction {
-	message := Transaction{ID: transaction.ID}
+	message := Transaction{ID: transaction.ID, Basis: uint64(transaction.Basis)}
 	for _, condition := range transaction.Conditions {
 		message.Conditions = append(message.Conditions, Condition{
 			Key:      FromRowKey(condition.Key),
@@ -202,7 +203,7 @@
 
 // ToModel converts the message to a transaction.
 func (t Transaction) ToModel() models.Transaction {
-	transaction := models.Transaction{ID: t.ID}
+	transaction := models.Transaction{ID: t.ID, Basis: models.Revision(t.Basis)}
 	for _, condition := range t.Conditions {
 		transaction.Conditions = append(transaction.Conditions, models.Condition{
 			Key:      condition.Key.ToModel(),
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -20,6 +20,14 @@
 	// leaveMargin is the part of leaveTimeout that is reserved for requests in
 	// flight and for reading the registrations.
 	leaveMargin = 300 * time.Millisecond
+	// reappearanceDelay is how long a backend server that had left gets no
+	// requests when it is registered again in an older copy of the store, unless
+	// it registers anew. By then, registrations that should not be there are
+	// removed again.
+	reappearanceDelay = 5 * time.Second
+	// departureRetention is how long a backend server that left is remembered:
+	// longer than a copy of the store may be old.
+	departureRetention = time.Minute
 )
 
 // Fleet follows the registrations of backend servers in the store.
@@ -35,15 +43,23 @@
 	// Used only by Step.
 	through     models.Revision
 	known       map[models.EngineID]registration
+	departed    map[models.EngineID]departure
 	failing     bool      // the last call to the store failed
-	recoveredAt time.Time // when the store last recovered; zero if it never failed
+	recoveredAt time.Time // when the store last recovered or returned from an older copy; zero if it never did
 }
 
 // registration is a known backend server. One whose registration is missing is
-// dropped at dropAt.
+// dropped at dropAt. One that had left is not used until usableAt.
 type registration struct {
 	upstream models.Upstream
 	dropAt   time.Time // zero if it is registered
+	usableAt time.Time // zero if it is usable
+}
+
+// departure is a backend server that was dropped.
+type departure struct {
+	upstream models.Upstream
+	at       time.Time
 }
 
 // Snapshot is a read-only snapshot of the fleet.
@@ -65,6 +81,7 @@
 		leaveTimeout: leaveTimeout,
 		outage:       outageTracker{name: "registrations", logger: logger, clock: clock},
 		known:        map[models.EngineID]registration{},
+		departed:     map[models.EngineID]departure{},
 	}
 }
 
@@ -75,7 +92,9 @@
 
 // Step waits for one batch of changes and applies it.
 func (f *Fleet) Step(ctx context.Context) {
-	changes, err := f.source.Follow(ctx, f.through, f.nextWait())
+	wait := f.nextWait()
+	sentAt := f.clock.Now()
+	changes, err := f.source.Follow(ctx, f.through, wait)
 	now := f.clock.Now()
 	if err != nil {
 		f.failing = true
@@ -83,40 +102,55 @@
 		return
 	}
 	f.outage.recordSuccess()
-	if f.failing {
-		f.failing = false
-		f.recoveredAt = now
-	}
 	if changes.All && changes.Through < f.through {
 		return // read from a stale replica of the store
 	}
-	f.apply(changes, now)
+	restored := f.through > 0 && changes.Through.Era() > f.through.Era()
+	switch {
+	case restored && !f.failing && now.Sub(sentAt) >= wait:
+		// The call waited in vain: the store may have returned at any time since it
+		// was sent.
+		f.recoveredAt = sentAt
+	case restored, f.failing:
+		f.recoveredAt = now
+	}
+	f.failing = false
+	f.apply(changes, restored, now)
 	f.through = max(f.through, changes.Through)
+	f.forgetDepartures(now)
 	changed := f.dropExpired(now)
+	changed = f.endDelays(now) || changed
 	if changed || len(changes.Present) > 0 || len(changes.Removed) > 0 || f.Snapshot() == nil {
 		f.publish()
 	}
 }
 
 // nextWait returns how long the next call may wait. It ends no later than the
-// next registration is due to be dropped.
+// next registration is due to be dropped or used.
 func (f *Fleet) nextWait() time.Duration {
 	now := f.clock.Now()
-	wait := f.wait
+	wait := f.outage.limitWait(f.wait)
 	for _, r := range f.known {
-		if !r.dropAt.IsZero() {
-			wait = min(wait, max(r.dropAt.Sub(now), time.Millisecond))
+		for _, due := range []time.Time{r.dropAt, r.usableAt} {
+			if !due.IsZero() {
+				wait = min(wait, max(due.Sub(now), time.Millisecond))
+			}
 		}
 	}
 	return wait
 }
 
-// apply updates the known registrations.
-func (f *Fleet) apply(changes models.UpstreamChanges, now time.Time) {
+// apply updates the known registrations. If the store has returned from an older
+// copy, a registration may be one that had been withdrawn.
+func (f *Fleet) apply(changes models.UpstreamChanges, restored bool, now time.Time) {
 	present := map[models.EngineID]bool{}
 	for _, upstream := range changes.Present {
 		present[upstream.ID] = true
-		f.register(upstream)
+		var usableAt time.Time
+		if left, ok := f.departed[upstream.ID]; ok && restored && left.upstream.SameIncarnation(upstream) {
+			usableAt = now.Add(reappearanceDelay)
+		}
+		f.register(upstream, usableAt)
 	}
 	for _, id := range changes.Removed {
 		f.markMissing(id, now)
@@ -131,9 +165,10 @@
 	}
 }
 
-func (f *Fleet) register(upstream models.Upstream) {
+func (f *Fleet) register(upstream models.Upstream, usableAt time.Time) {
+	upstream.Draining = upstream.Draining || f.hasDrained(upstream)
 	before, ok := f.known[upstream.ID]
-	f.known[upstream.ID] = registration{upstream: upstream}
+	f.known[upstream.ID] = registration{upstream: upstream, usableAt: usableAt}
 	if ok && before.upstream == upstream && before.dropAt.IsZero() {
 		return
 	}
@@ -148,6 +183,13 @@
 	)
 }
 
+// hasDrained reports whether a backend server was seen to drain since its start.
+// It never accepts work again.
+func (f *Fleet) hasDrained(upstream models.Upstream) bool {
+	before, left := f.known[upstream.ID].upstream, f.departed[upstream.ID].upstream
+	return before.Draining && before.SameIncarnation(upstream) || left.Draining && left.SameIncarnation(upstream)
+}
+
 // markMissing marks a backend server whose registration is missing to be
 // dropped. After an outage of the store it gets time to register again, but no
 // longer than leaveTimeout less leaveMargin, and none if it was draining.
@@ -173,21 +215,47 @@
 			continue
 		}
 		delete(f.known, id)
+		f.departed[id] = departure{upstream: r.upstream, at: now}
 		dropped = true
 		f.logger.Info("backend server removed", zap.String("engine", string(id)), zap.String("why", "its registration is missing"))
 	}
 	return dropped
 }
 
+// endDelays makes the backend servers usable whose delay is over, and reports
+// whether there were any.
+func (f *Fleet) endDelays(now time.Time) bool {
+	ended := false
+	for id, r := range f.known {
+		if r.usableAt.IsZero() || now.Before(r.usableAt) {
+			continue
+		}
+		r.usableAt = time.Time{}
+		f.known[id] = r
+		ended = true
+	}
+	return ended
+}
+
+func (f *Fleet) forgetDepartures(now time.Time) {
+	for id, left := range f.departed {
+		if now.Sub(left.at) > departureRetention {
+			delete(f.departed, id)
+		}
+	}
+}
+
 func (f *Fleet) publish() {
 	snapshot := &Snapshot{
 		ByID:      map[models.EngineID]models.Upstream{},
 		ByService: map[models.ServiceName][]models.Upstream{},
 	}
 	for id, r := range f.known {
-		snapshot.ByID[id] = r.upstream
-		if !r.upstream.Draining {
-			snapshot.ByService[r.upstream.Service] = append(snapshot.ByService[r.upstream.Service], r.upstream)
+		upstream := r.upstream
+		upstream.Draining = upstream.Draining || !r.usableAt.IsZero()
+		snapshot.ByID[id] = upstream
+		if !upstream.Draining {
+			snapshot.ByService[upstream.Service] = append(snapshot.ByService[upstream.Service], upstream)
 		}
 	}
 	for _, upstreams := range snapshot.ByService {
--- a/routing/watch.go
+++ b/routing/watch.go
@@ -55,7 +55,7 @@
 
 // Step waits for one change of the configuration and applies it.
 func (c *Configuration) Step(ctx context.Context) {
-	routing, through, err := c.source.Follow(ctx, c.through, c.wait)
+	routing, through, err := c.source.Follow(ctx, c.through, c.outage.limitWait(c.wait))
 	if err != nil {
 		// Sleep fails only when the process stops.
 		_ = c.clock.Sleep(ctx, c.outage.recordFailure(err))
@@ -97,6 +97,15 @@
 	backoff   time.Duration // after the last failure
 }
 
+// limitWait returns how long the next call may wait. The first call after a failed
+// one does not wait, so that its answer shows at once what the store is now.
+func (t *outageTracker) limitWait(wait time.Duration) time.Duration {
+	if !t.startedAt.IsZero() {
+		return 0
+	}
+	return wait
+}
+
 // recordFailure returns the backoff until the next call, and logs the start of
 // an outage.
 func (t *outageTracker) recordFailure(err error) time.Duration {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -203,6 +203,9 @@
 func (s *Store) commit(transaction models.Transaction) (models.Revision, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if transaction.Basis > 0 && transaction.Basis.Era() != s.revision.Era() {
+		return 0, false, peer.NewFailure(peer.OutcomeRestored, "the table has returned from an older copy", nil)
+	}
 	for _, condition := range transaction.Conditions {
 		if s.rows[condition.Key].Revision != condition.Revision {
 			return 0, false, peer.NewFailure(peer.OutcomeConflict, "row "+condition.Key.Name+" has changed", nil)
