control: leases across a store that returned from an older copy

With its lease row gone, or older than the last takeover, the next holder took the fencing number that the last one had, while that one still had authority; a daemon that an old row named took the lease for its own; one that started in between took a lease that it found no row of; and a renewal could succeed by chance, its version having been given out again.

What the table shows of a lease counts only if it was written in the current era. Otherwise each daemon waits, from when it saw the era, until no authority from before can be left; so does one that finds no row, unless the table has never returned. The daemon whose authority lasts takes the lease back at once; nobody else can have had it. A fencing number is one more than the revision that its holder had read up to. A takeover is conditional on the rows as read there, so the next one has read its commit: numbers grow within an era, also when an old holder's late write has replaced the row, and eras grow above them.

Bound of the gap without a holder: none if the holder reaches the store before its authority ends, otherwise the lease's duration and margin from when a candidate has read the new era.

Ruled out: a marker row per era on which all writes are conditional (a second return may lose it); the row's number plus one (a late write may set it back).

--- a/control/lease.go
+++ b/control/lease.go
@@ -49,6 +49,12 @@
 }
 
 // Leases acquires, renews and releases leases in the platform's table.
+//
+// The table may return from an older copy, in which a lease has an earlier holder
+// or none. A daemon then drops its leases, and may take one back at once while
+// its authority from before lasts; all others wait until no such authority can be
+// left. A fencing number is one more than the revision up to which its holder had
+// read the table, so that no two takeovers have the same one.
 type Leases struct {
 	self     Candidate
 	table    peer.Table
@@ -64,14 +70,15 @@
 	held             map[models.LeaseName]*heldLease
 	droppedRevisions map[models.LeaseName]models.Revision // holder row revisions of leases no longer held
 	watched          map[models.LeaseName]*watchedLease
-	rebalances       map[models.LeaseName]int // releases in favour of a better holder
-	everRead         bool                     // the leases have been read at least once
-	renewalUncertain bool                     // the outcome of the latest renewal is unknown
-	through          models.Revision          // revision that the leases were read up to
-	readAt           time.Time                // of the latest read; zero: read at once
-	reachableSince   time.Time                // since when reads succeed; zero: the latest failed
-	renewalSentAt    time.Time                // when the latest renewal was sent
-	renewedAt        time.Time                // when the latest successful renewal was sent
+	reclaims         map[models.LeaseName]models.Authority // held when the table returned from an older copy
+	rebalances       map[models.LeaseName]int              // releases in favour of a better holder
+	everRead         bool                                  // the leases have been read at least once
+	renewalUncertain bool                                  // the outcome of the latest renewal is unknown
+	through          models.Revision                       // revision that the leases were read up to
+	readAt           time.Time                             // of the latest read; zero: read at once
+	reachableSince   time.Time                             // since when reads succeed; zero: the latest failed
+	renewalSentAt    time.Time                             // when the latest renewal was sent
+	renewedAt        time.Time                             // when the latest successful renewal was sent
 }
 
 // heldLease is a lease that this daemon holds. Its authority may expire while
@@ -99,6 +106,7 @@
 		held:             map[models.LeaseName]*heldLease{},
 		droppedRevisions: map[models.LeaseName]models.Revision{},
 		watched:          map[models.LeaseName]*watchedLease{},
+		reclaims:         map[models.LeaseName]models.Authority{},
 		rebalances:       map[models.LeaseName]int{},
 	}
 }
@@ -122,11 +130,11 @@
 }
 
 // Holds reports whether this daemon holds any lease, whether or not its
-// authority is still valid.
+// authority is still valid, or may take one back.
 func (l *Leases) Holds() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.held) > 0
+	return len(l.held)+len(l.reclaims) > 0
 }
 
 // Step renews the held leases and takes over free ones.
@@ -163,6 +171,8 @@
 		l.renewSeparately(ctx, leases)
 	case peer.OutcomeOf(err) == peer.OutcomeUnknown:
 		l.suspendRenewals()
+	case peer.OutcomeOf(err) == peer.OutcomeRestored:
+		l.requestRead()
 	}
 }
 
@@ -314,18 +324,20 @@
 // addHeld adds a lease to those held, unless this daemon is leaving. With a zero
 // deadline the lease gives no authority until it is renewed.
 func (l *Leases) addHeld(state models.LeaseState, revision models.Revision, deadline time.Time) (heldLease, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	h := heldLease{
 		state: state,
 		authority: models.Authority{
-			Lease:    state.Name,
-			Fence:    state.Fence,
-			Deadline: deadline,
-			Guard:    models.Condition{Key: holderKey(state.Name), Revision: revision},
+			Lease:     state.Name,
+			Fence:     state.Fence,
+			Deadline:  deadline,
+			Guard:     models.Condition{Key: holderKey(state.Name), Revision: revision},
+			Continues: l.reclaims[state.Name].Fence,
 		},
 		lapseRecorded: deadline.IsZero(),
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	delete(l.reclaims, state.Name)
 	if l.leaving {
 		return h, false
 	}
--- a/control/lease_codec.go
+++ b/control/lease_codec.go
@@ -20,6 +20,7 @@
 	Fence      uint64 `json:"fence"`
 	DurationMS int64  `json:"duration-ms"`
 	Released   bool   `json:"released"`
+	Era        uint64 `json:"era,omitempty"`
 }
 
 type renewalJSON struct {
@@ -54,6 +55,7 @@
 		Fence:      state.Fence,
 		DurationMS: state.Duration.Milliseconds(),
 		Released:   state.Released,
+		Era:        state.Era,
 	})
 	return models.Write{Key: holderKey(state.Name), Value: value}, errors.Annotate(err, "cannot encode a lease")
 }
@@ -78,6 +80,7 @@
 		Fence:    decoded.Fence,
 		Duration: time.Duration(decoded.DurationMS) * time.Millisecond,
 		Released: decoded.Released,
+		Era:      decoded.Era,
 	}, nil
 }
 
--- a/control/lease_watch.go
+++ b/control/lease_watch.go
@@ -76,6 +76,9 @@
 	if l.reachableSince.IsZero() {
 		l.reachableSince = now
 	}
+	if l.everRead && changes.Through.Era() > l.through.Era() {
+		l.forget(now)
+	}
 	for _, row := range changes.Rows {
 		l.applyRow(row, now)
 	}
@@ -92,6 +95,24 @@
 	return l.through, l.everRead, l.readAt.IsZero() || now.Sub(l.readAt) >= l.settings.ReadInterval
 }
 
+// forget discards what was read and held before the table returned from an older
+// copy. The caller holds l.mu.
+func (l *Leases) forget(now time.Time) {
+	for name, authority := range l.reclaims {
+		if !authority.Valid(now) {
+			delete(l.reclaims, name)
+		}
+	}
+	for name, h := range l.held {
+		if h.authority.Valid(now) {
+			l.reclaims[name] = h.authority
+		}
+		l.recordEvent(h.state, "lost", "the table returned from an older copy")
+	}
+	clear(l.held)
+	clear(l.watched)
+}
+
 // applyRow updates the watched lease from a row. The caller holds l.mu.
 func (l *Leases) applyRow(row models.Row, now time.Time) {
 	name, isHolder, ok := parseLeaseKey(row.Key)
@@ -138,33 +159,37 @@
 	}
 	dropped := l.droppedRevisions[name]
 	leaving := l.leaving
+	through := l.through
 	l.mu.Unlock()
 	switch {
 	case leaving:
 	case isHeld:
 		l.rebalance(ctx, h, candidates)
-	case w.state.Holder == l.self.Daemon && !w.state.Released && w.holderRevision > dropped:
+	case w.state.Holder == l.self.Daemon && !w.state.Released && w.state.Era == through.Era() && w.holderRevision > dropped:
 		// A takeover committed but its answer was lost.
 		l.addHeld(w.state, w.holderRevision, time.Time{})
 	default:
-		l.contend(ctx, w, candidates)
+		l.contend(ctx, w, through, candidates)
 	}
 }
 
 // contend takes over a lease if it is free and the delay for this daemon's rank
-// has passed.
-func (l *Leases) contend(ctx context.Context, w watchedLease, candidates []Candidate) {
+// has passed. The lease was read from the table up to the revision through.
+func (l *Leases) contend(ctx context.Context, w watchedLease, through models.Revision, candidates []Candidate) {
 	reached := l.tableReachableSince()
 	if reached.IsZero() {
 		return
 	}
-	free, why := l.freeSince(w)
+	free, why := l.freeSince(w, through.Era())
 	// After an outage of the table all daemons see all leases as free at the same
 	// time, so the delay by rank starts when the table became reachable.
 	if free.Before(reached) {
 		free = reached
 	}
 	turn := free.Add(time.Duration(leaseRank(w.state.Name, l.self, candidates)) * l.settings.RankDelay)
+	if l.reclaimable(w.state.Name) {
+		turn, why = time.Time{}, "held here when the table returned from an older copy"
+	}
 	if l.clock.Now().Before(turn) {
 		return
 	}
@@ -172,11 +197,12 @@
 	state := models.LeaseState{
 		Name:     w.state.Name,
 		Holder:   l.self.Daemon,
-		Fence:    w.state.Fence + 1,
+		Fence:    uint64(through) + 1,
 		Renewal:  w.state.Renewal + 1,
 		Duration: l.settings.Duration,
+		Era:      through.Era(),
 	}
-	revision, err := l.takeOver(ctx, w, state)
+	revision, err := l.takeOver(ctx, w, through, state)
 	if err != nil {
 		l.requestRead()
 		return
@@ -187,8 +213,17 @@
 	}
 }
 
+// reclaimable reports whether this daemon still has the authority under a lease
+// that it had when the table returned from an older copy.
+func (l *Leases) reclaimable(name models.LeaseName) bool {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reclaims[name].Valid(now)
+}
+
 // takeOver writes both rows of a lease if neither has changed since it was read.
-func (l *Leases) takeOver(ctx context.Context, w watchedLease, state models.LeaseState) (models.Revision, error) {
+func (l *Leases) takeOver(ctx context.Context, w watchedLease, through models.Revision, state models.LeaseState) (models.Revision, error) {
 	holder, err := holderWrite(state)
 	if err != nil {
 		return 0, err
@@ -200,6 +235,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.settings.Timeout)
 	defer cancel()
 	return l.table.Transact(ctx, models.Transaction{
+		Basis: through,
 		Conditions: []models.Condition{
 			{Key: holder.Key, Revision: w.holderRevision},
 			{Key: renewal.Key, Revision: w.renewalRevision},
@@ -208,15 +244,19 @@
 	})
 }
 
-// freeSince returns the time from which a lease may be taken over, and why.
-func (l *Leases) freeSince(w watchedLease) (time.Time, string) {
+// freeSince returns the time from which a lease may be taken over, and why. What
+// the table shows of a lease counts only if it was written in the current era:
+// otherwise a later holder may still have authority.
+func (l *Leases) freeSince(w watchedLease, era uint64) (time.Time, string) {
+	wait := max(w.state.Duration, l.settings.Duration) + l.settings.CandidateMargin
 	switch {
+	case w.state.Era != era:
+		return w.unchangedSince.Add(wait), "nobody had held it for " + wait.String() + " since the table returned from an older copy"
 	case w.holderRevision == 0:
 		return w.unchangedSince, "nobody had held it"
 	case w.state.Released:
 		return w.unchangedSince.Add(l.settings.ReacquireDelay), string(w.state.Holder) + " had released it"
 	}
-	wait := max(w.state.Duration, l.settings.Duration) + l.settings.CandidateMargin
 	return w.unchangedSince.Add(wait), string(w.state.Holder) + " had not renewed it for " + wait.String()
 }
 
--- a/models/lease.go
+++ b/models/lease.go
@@ -25,6 +25,7 @@
 	Renewal  uint64 // incremented by each renewal
 	Duration time.Duration
 	Released bool
+	Era      uint64 // of the table, as known to the daemon that wrote the state
 }
 
 // Authority proves that a daemon holds a lease. It carries the fencing number
@@ -36,6 +37,10 @@
 	Fence    uint64
 	Deadline time.Time
 	Guard    Condition
+	// Continues is the fencing number of the authority that this daemon had under
+	// the lease when the table returned from an older copy, if nobody else can
+	// have held the lease since; otherwise zero.
+	Continues uint64
 }
 
 // Valid reports whether the authority has not expired at now. It checks the
