billing: tests of windows after the store returned from an older copy

The platform saw two reports of one window with different counts, and two VMs that used one fencing number. When the store returns from an older copy, the frozen row of a reported window and some of the counts are gone; the next holder, or the same one if the answer to its report was lost, sums what is left and reports it.

The steps of the tasks are kept apart so that a seed can be replayed; a process is paused between its steps only.

--- a/billing/world_test.go
+++ b/billing/world_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,6 +115,7 @@
 	closer  *billing.Closer
 	cancel  context.CancelFunc
 	ctx     context.Context
+	paused  atomic.Bool // its tasks take no steps
 }
 
 // lockedRand is a random source shared by the schedule and the fault callbacks.
@@ -164,27 +166,36 @@
 }
 
 func (c *cluster) start(vm string) *process {
+	return c.startOn(vm, rangeStore{c.store}, func(int) time.Duration { return 0 })
+}
+
+// startOn starts a process on a table; delay returns how long each of its tasks
+// waits before it starts.
+func (c *cluster) startOn(vm string, table billing.Rows, delay func(task int) time.Duration) *process {
 	c.starts++
 	id := models.DaemonID(fmt.Sprintf("%s-%d", vm, c.starts))
 	names := func() []models.LeaseName { return []models.LeaseName{models.LeaseUsage} }
 	logger := zap.NewNop()
 	p := &process{vm: vm}
-	p.leases = control.NewLeases(control.Candidate{Daemon: id, Zone: "z"}, c.store, c.clock, discardTimeline{}, nil, names, control.LeaseSettings{
+	p.leases = control.NewLeases(control.Candidate{Daemon: id, Zone: "z"}, table, c.clock, discardTimeline{}, nil, names, control.LeaseSettings{
 		Duration: lease, HolderMargin: lease / 6, CandidateMargin: lease / 10, RenewInterval: lease / 3, ReadInterval: lease / 3,
 		Timeout: 700 * time.Millisecond, ReacquireDelay: lease,
 	})
-	p.counter = billing.NewCounter(vm, id, c.store, c.clock, logger, settings(c.vmList))
-	p.closer = billing.NewCloser(rangeStore{c.store}, p.leases, c.receiver.callerFor(vm), billing.Clocks{Monotonic: c.clock, Wall: c.clock}, logger, settings(c.vmList))
+	p.counter = billing.NewCounter(vm, id, table, c.clock, logger, settings(c.vmList))
+	p.closer = billing.NewCloser(table, p.leases, c.receiver.callerFor(vm), billing.Clocks{Monotonic: c.clock, Wall: c.clock}, logger, settings(c.vmList))
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	for _, task := range []control.Task{p.leases, p.counter, p.closer} {
-		go p.run(c.clock, task)
+	for i, task := range []control.Task{p.leases, p.counter, p.closer} {
+		go p.run(c.clock, delay(i), task)
 	}
 	return p
 }
 
-func (p *process) run(clock peer.Clock, task control.Task) {
-	for clock.Sleep(p.ctx, step) == nil {
-		task.Step(p.ctx)
+func (p *process) run(clock peer.Clock, delay time.Duration, task control.Task) {
+	for clock.Sleep(p.ctx, delay+step) == nil {
+		delay = 0
+		if !p.paused.Load() {
+			task.Step(p.ctx)
+		}
 	}
 }
 
