billing: a window reported before the store returned older keeps its counts

A window is frozen by a row that is written once; with that row gone, the next holder, or the same one, sums what count rows are left and reports the window again: 'window reported as map[w0:26 w1:24 w2:30] and later as map[w0:7 w1:9 w2:5]'.

The first holder of the lease in an era writes the era's horizon: the last window that may have been reported before. Up to there, a window is reported only with counts that are known: by a daemon whose authority continued (Authority.Continues), which keeps the counts that it found frozen or tried to freeze, and writes their rows again, or from a row that was frozen in this era. A frozen row of an earlier era does not count there: it may be older than the report, or have been written late. What is not known is not guessed: a log line, and quincewinch_entry_windows_unreported_total. Daemons write all counts that they still have again when they find the store in a new era. A holder that tries again to freeze a window does so with the same counts, since its first write may be performed late.

Ruled out: reporting a window only if its frozen row is in the copy (a report may follow a row that a later holder wrote); telling all daemons before each report (one that is cut off does not know, and may be the next holder).

--- a/billing/closer.go
+++ b/billing/closer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,8 +29,13 @@
 	maxDeletes = 90
 )
 
-// errIncomplete means that a VM has not yet written its final counts.
-const errIncomplete = errors.ConstError("final counts of at least one VM are missing")
+const (
+	// errIncomplete means that a VM has not yet written its final counts.
+	errIncomplete = errors.ConstError("final counts of at least one VM are missing")
+	// errUnknown means that the table has lost whether a window was reported, and
+	// with which counts.
+	errUnknown = errors.ConstError("the window may have been reported before the table returned from an older copy")
+)
 
 // Rows is the table that holds the counts.
 type Rows interface {
@@ -49,9 +55,16 @@
 	settings Settings
 
 	// Accessed only by Step.
-	reported      map[int64]bool
-	fence         uint64 // fencing number at the last step
-	lastFailureAt time.Time
+	reported map[int64]bool
+	// decided has the counts of the windows that were frozen when this daemon took
+	// over, and of those that it has tried to freeze since.
+	decided        map[int64]map[models.Workspace]int64
+	horizon        horizon // of the current era
+	unknownThrough int64   // windows up to this one may have been reported unknown to this daemon
+	fence          uint64  // fencing number that the fields above belong to
+	lastFailureAt  time.Time
+
+	unreported atomic.Int64
 }
 
 // Clocks are the clocks that a Closer uses.
@@ -70,9 +83,16 @@
 		logger:   logger,
 		settings: settings,
 		reported: map[int64]bool{},
+		decided:  map[int64]map[models.Workspace]int64{},
 	}
 }
 
+// Unreported returns the number of windows with requests that were not reported,
+// since the table had lost whether they had been.
+func (c *Closer) Unreported() int64 {
+	return c.unreported.Load()
+}
+
 // Step closes and reports the windows that are due, oldest first, if this
 // daemon holds the usage lease.
 func (c *Closer) Step(ctx context.Context) {
@@ -81,15 +101,12 @@
 		return
 	}
 	now := c.clocks.Wall.Now()
-	if authority.Fence != c.fence {
-		// The lease may have had another holder in the meantime, so it is unknown
-		// which windows have been reported.
-		c.fence = authority.Fence
-		clear(c.reported)
-	}
-	closeBefore := now.Add(-time.Duration(closeFraction * float64(c.settings.ReportDeadline)))
+	closeBefore := now.Add(-c.closeDelay())
 	last := windowNumber(closeBefore, c.settings.Window) - 1
 	first := windowNumber(now.Add(-abandonFactor*c.settings.ReportDeadline), c.settings.Window)
+	if authority.Fence != c.fence && (now.Sub(c.lastFailureAt) < retryInterval || !c.takeOver(ctx, authority, first, last, now)) {
+		return
+	}
 	for number := first; number <= last; number++ {
 		if c.reported[number] {
 			continue
@@ -101,8 +118,99 @@
 	for number := range c.reported {
 		if number < first {
 			delete(c.reported, number)
+			delete(c.decided, number)
+		}
+	}
+}
+
+// closeDelay returns how long after its end a window is closed.
+func (c *Closer) closeDelay() time.Duration {
+	return time.Duration(closeFraction * float64(c.settings.ReportDeadline))
+}
+
+// takeOver prepares for a new authority: it finds out which windows from first to
+// last earlier holders have frozen, and up to which one they may have reported
+// windows that the table no longer shows. A daemon that continues as the holder
+// knows that from before.
+func (c *Closer) takeOver(ctx context.Context, authority models.Authority, first, last int64, now time.Time) bool {
+	current, err := c.findHorizon(ctx, authority, now)
+	if err != nil {
+		c.lastFailureAt = now
+		c.logger.Warn("failed to take over billing windows", zap.Uint64("fence", authority.Fence), zap.Error(err))
+		return false
+	}
+	if authority.Continues == 0 || authority.Continues != c.fence {
+		frozen, err := c.frozenWindows(ctx, first, last, current)
+		if err != nil {
+			c.lastFailureAt = now
+			c.logger.Warn("failed to list frozen billing windows", zap.Uint64("fence", authority.Fence), zap.Error(err))
+			return false
+		}
+		c.decided = frozen
+		c.unknownThrough = current.window
+	}
+	clear(c.reported)
+	c.horizon = current
+	c.fence = authority.Fence
+	return true
+}
+
+// findHorizon returns the horizon of the table's era, which the first holder in
+// the era writes. A table that has never returned from an older copy has none.
+func (c *Closer) findHorizon(ctx context.Context, authority models.Authority, now time.Time) (horizon, error) {
+	era := authority.Guard.Revision.Era()
+	if era == 0 {
+		return horizon{window: -1}, nil
+	}
+	key := models.RowKey{Partition: models.PartitionUsage, Name: horizonRow}
+	rows, err := c.rows.Read(ctx, key)
+	if err != nil {
+		return horizon{}, errors.Trace(err)
+	}
+	if len(rows) > 0 {
+		stored, err := decodeHorizon(rows[0].Value)
+		if err != nil || stored.era == era {
+			return stored, err
+		}
+	}
+	// An earlier holder's clock may have been ahead of this one.
+	current := horizon{era: era, window: windowNumber(now.Add(c.closeDelay()), c.settings.Window) - 1}
+	value, err := encodeHorizon(current)
+	if err != nil {
+		return horizon{}, err
+	}
+	_, err = c.rows.Transact(ctx, models.Transaction{
+		Conditions: []models.Condition{authority.Guard},
+		Writes:     []models.Write{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return horizon{}, errors.Trace(err)
+	}
+	c.logger.Info("first holder of the usage lease in an era of the table", zap.Uint64("era", era), zap.Int64("windows-through", current.window))
+	return current, nil
+}
+
+// frozenWindows returns the counts of the frozen windows from first to last.
+func (c *Closer) frozenWindows(ctx context.Context, first, last int64, current horizon) (map[int64]map[models.Workspace]int64, error) {
+	rows, err := c.rows.Range(ctx, models.PartitionUsage, frozenRowName(first), frozenRowName(last+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	frozen := map[int64]map[models.Workspace]int64{}
+	for _, row := range rows {
+		number, ok := parseFrozenRowName(row.Key.Name)
+		if !ok {
+			continue
+		}
+		stored, err := decodeCounts(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		if current.trusts(stored, number) {
+			frozen[number] = stored.requests
 		}
 	}
+	return frozen, nil
 }
 
 // close freezes and reports a window. It returns whether the next window may be
@@ -113,6 +221,12 @@
 		c.lastFailureAt = now
 		return false
 	}
+	if errors.Is(err, errUnknown) {
+		c.reported[number] = true
+		c.unreported.Add(1)
+		c.logger.Warn("billing window not reported", zap.Int64("window", number), zap.Uint64("era", c.horizon.era), zap.Error(err))
+		return true
+	}
 	if err != nil {
 		c.lastFailureAt = now
 		c.logger.Warn("failed to close billing window", zap.Int64("window", number), zap.Error(err))
@@ -133,37 +247,42 @@
 }
 
 // freeze returns the final counts of a window. They are stored in a row that is
-// written once: if it exists already, its counts are returned.
+// written once: if it exists already, its counts are returned. Counts that this
+// daemon has decided on are never replaced by others, since an earlier write or
+// report of them may have been lost from the table.
 func (c *Closer) freeze(ctx context.Context, authority models.Authority, number int64, now time.Time) (map[models.Workspace]int64, error) {
 	key := models.RowKey{Partition: models.PartitionUsage, Name: frozenRowName(number)}
 	frozen, err := c.rows.Read(ctx, key)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	condition := models.Condition{Key: key}
 	if len(frozen) > 0 {
-		sum, err := decodeCounts(frozen[0].Value)
-		return sum.requests, err
+		stored, err := decodeCounts(frozen[0].Value)
+		if err != nil {
+			return nil, err
+		}
+		if c.horizon.trusts(stored, number) {
+			c.decided[number] = stored.requests
+			return stored.requests, nil
+		}
+		condition.Revision = frozen[0].Revision
 	}
 	prefix := countRowPrefix(number)
 	rows, err := c.rows.Range(ctx, models.PartitionUsage, prefix, prefix+"\xff")
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	latest := c.latestCounts(rows, number)
-	forced := now.Sub(windowEnd(number, c.settings.Window)) >= time.Duration(forceFraction*float64(c.settings.ReportDeadline))
-	if !forced && !c.complete(latest) {
-		return nil, errIncomplete
-	}
-	requests := sumCounts(latest)
-	if len(requests) == 0 {
-		return nil, nil
+	requests, err := c.decide(rows, number, now)
+	if err != nil || len(requests) == 0 {
+		return nil, err
 	}
-	value, err := encodeCounts(counts{requests: requests})
+	value, err := encodeCounts(counts{era: c.horizon.era, requests: requests})
 	if err != nil {
 		return nil, err
 	}
 	transaction := models.Transaction{
-		Conditions: []models.Condition{{Key: key}, authority.Guard},
+		Conditions: []models.Condition{condition, authority.Guard},
 		Writes:     []models.Write{{Key: key, Value: value}},
 	}
 	for i, row := range rows {
@@ -177,6 +296,30 @@
 	return requests, nil
 }
 
+// decide returns the counts with which a window is to be frozen: those decided on
+// before, or the sum of the count rows.
+func (c *Closer) decide(rows []models.Row, number int64, now time.Time) (map[models.Workspace]int64, error) {
+	if requests, ok := c.decided[number]; ok {
+		return requests, nil
+	}
+	latest := c.latestCounts(rows, number)
+	requests := sumCounts(latest)
+	if number <= c.unknownThrough {
+		if len(requests) == 0 {
+			return nil, nil
+		}
+		return nil, errUnknown
+	}
+	forced := now.Sub(windowEnd(number, c.settings.Window)) >= time.Duration(forceFraction*float64(c.settings.ReportDeadline))
+	if !forced && !c.complete(latest) {
+		return nil, errIncomplete
+	}
+	if len(requests) > 0 {
+		c.decided[number] = requests
+	}
+	return requests, nil
+}
+
 // latestCounts returns the most recent counts of each daemon process.
 func (c *Closer) latestCounts(rows []models.Row, number int64) map[models.DaemonID]counts {
 	sequences := map[models.DaemonID]uint64{}
--- a/billing/counter.go
+++ b/billing/counter.go
@@ -57,6 +57,7 @@
 	writes      uint64
 	failing     bool // the last write failed
 	lastWriteAt time.Time
+	era         uint64 // of the table at the last write
 }
 
 // windowCounts are the counts of this daemon in one window.
@@ -163,11 +164,12 @@
 		return
 	}
 	key := models.RowKey{Partition: models.PartitionUsage, Name: name}
-	_, err = c.table.Transact(ctx, models.Transaction{Writes: []models.Write{{Key: key, Value: value}}})
+	revision, err := c.table.Transact(ctx, models.Transaction{Writes: []models.Write{{Key: key, Value: value}}})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil {
 		c.failing = false
+		c.observeEra(revision.Era())
 		return
 	}
 	if !c.failing {
@@ -180,6 +182,21 @@
 	}
 }
 
+// observeEra records the era of the table. If the table has returned from an older
+// copy, all counts in memory are written again. The caller holds c.mu.
+func (c *Counter) observeEra(era uint64) {
+	if era == c.era {
+		return
+	}
+	if c.era > 0 {
+		for _, w := range c.windows {
+			w.changed = true
+			w.final = false
+		}
+	}
+	c.era = era
+}
+
 // windowNumber returns the number of the window that contains a time, counted
 // from the Unix epoch.
 func windowNumber(at time.Time, length time.Duration) int64 {
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -68,6 +68,9 @@
 	if settings.Duties.ReportUsage {
 		closer := billing.NewCloser(store, d.duties.leases, calls, billing.Clocks{Monotonic: d.clock, Wall: d.wall}, d.logger, windows)
 		d.system.Spawn(d.duties.counter, dutyInterval)
+		d.gauge("windows_unreported_total", "Billing windows with requests that this daemon did not report, since the store had lost whether they had been.", func() float64 {
+			return float64(closer.Unreported())
+		})
 		d.system.Spawn(closer, dutyInterval)
 	}
 	if settings.Duties.OrderServers {
