membership: daemons register again when the table has lost their registration

Looked for elsewhere: a daemon registers once. If the table returns from a copy that lacks its row, daemons that start later do not learn of it until it calls them, and are not known to it: no load shares, a larger part of the retry budget for each, and billing windows that do not wait for its counts.

A daemon that reads a later era registers anew, and removes no registration by a revision of before.

TestRegistrationLostWithOlderCopy, before: 0 other daemons known after 12 s, want 1.

--- a/membership/members.go
+++ b/membership/members.go
@@ -91,6 +91,9 @@
 		m.logger.Warn("failed to read daemon registrations", zap.Error(err))
 		return
 	}
+	if m.through > 0 && changes.Through.Era() > m.through.Era() {
+		m.forgetRows()
+	}
 	m.through = max(m.through, changes.Through)
 	for _, row := range changes.Rows {
 		m.apply(row, now)
@@ -121,6 +124,18 @@
 	m.logger.Info("daemon registered", zap.String("address", m.self.Address.String()))
 }
 
+// forgetRows discards what was read before the table returned from an older copy.
+// The daemons that were read are still known by their address.
+func (m *Members) forgetRows() {
+	m.registered = false
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, other := range m.others {
+		other.row = 0
+		m.others[id] = other
+	}
+}
+
 // apply applies a registration row that was added, changed or deleted.
 func (m *Members) apply(row models.Row, now time.Time) {
 	id := models.DaemonID(row.Key.Name)
