platform, relay, routing: logs state software versions and resumed streams

The version of a registration is decoded once, into models.Upstream, and logged as version in the lines 'backend server registered', 'request ended' and 'request not answered by a backend server'. Nothing is decided by these fields yet.

--- a/models/upstream.go
+++ b/models/upstream.go
@@ -10,6 +10,7 @@
 type Upstream struct {
 	ID       EngineID
 	Service  ServiceName
+	Version  string // of its software; opaque, compared within a service
 	Address  netip.AddrPort
 	Zone     Zone
 	Slots    int
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -16,6 +16,7 @@
 // Exchange is the state of one request in the filter chain.
 type Exchange struct {
 	ID            models.RequestID
+	Resumes       models.RequestID    // the attempt of the caller under which the stream began; empty: a new one
 	Call          models.UpstreamCall // as received from the caller
 	Key           string              // the caller's API key; Locate clears it
 	Prompt        models.Prompt       // zero if the request is not a generation
@@ -40,6 +41,7 @@
 type Trace struct {
 	Rejections         int // by backend servers that did not run the request
 	Engine             models.EngineID
+	EngineVersion      string          // of the software of Engine
 	Prefiller          models.EngineID // ran the prefill for Engine; empty if Engine did
 	CopiedFrom         models.EngineID // cached parts were copied from there; empty: none were
 	PrefillTokens      int             // prompt tokens to prefill, as predicted
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -172,6 +172,7 @@
 	d.sender.logger.Info("request not answered by a backend server",
 		zap.String("request", string(e.ID)),
 		zap.String("engine", string(target.ID)),
+		zap.String("version", target.Version),
 		zap.String("address", target.Address.String()),
 		zap.String("prefiller", string(e.Trace.Prefiller)),
 		zap.String("result", string(result)),
@@ -222,6 +223,7 @@
 func (d *delivery) tracePlacement(placement Placement) {
 	trace := &d.exchange.Trace
 	trace.Engine = placement.Target().ID
+	trace.EngineVersion = placement.Target().Version
 	trace.Predicted = placement.Predicted()
 	trace.PrefillTokens = placement.PrefillTokens()
 	trace.Prefiller = ""
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -175,6 +175,7 @@
 	f.logger.Info("backend server registered",
 		zap.String("engine", string(upstream.ID)),
 		zap.String("service", string(upstream.Service)),
+		zap.String("version", upstream.Version),
 		zap.String("address", upstream.Address.String()),
 		zap.String("zone", string(upstream.Zone)),
 		zap.String("role", string(upstream.Role)),
