relay: failing test of a stream whose engine is replaced while it runs

An engine may restart under its ID with another software version. If it is registered with that version while a stream of it is relayed, either version may have begun the stream, and the daemon continues it all the same.

--- a/relay/versions_test.go
+++ b/relay/versions_test.go
@@ -135,3 +135,19 @@
 		is.Equal(len(f.versions), 1)
 	})
 }
+
+// Guards against continuing a stream whose engine was restarted with another
+// version while the stream ran, so that either may have begun it.
+func TestStreamOfReplacedEngineIsNotContinued(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFleet("v1", "v1")
+	f.onBreak = func(engine models.EngineID) {
+		restarted := f.snapshot.ByID[engine]
+		restarted.Version = "v2"
+		restarted.Started = system.NewClock().Now()
+		f.register(restarted)
+	}
+	_, err := f.send(t, 1)
+	is.True(err != nil) // ends in an explicit cut
+	is.Equal(len(f.versions), 1)
+}
