--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -30,6 +30,7 @@
 	engine        *emulator.Server
 	plain         *emulator.Server
 	callerAddress string
+	storeAddress  string
 	daemon        *entry.Daemon
 }
 
@@ -56,25 +57,39 @@
 	d.configure(1, "key-1")
 	store := httptest.NewServer(d.store)
 	t.Cleanup(store.Close)
-	settings := fmt.Sprintf(`{"name": "vm-1", "zone": "z", "callers": {"address": %q, "grace": "200ms"},
+	d.storeAddress = store.Listener.Addr().String()
+	d.daemon = d.startDaemon("vm-1", d.callerAddress)
+	return d
+}
+
+// startDaemon starts a daemon and waits until it is ready.
+func (d *deployment) startDaemon(name, callerAddress string) *entry.Daemon {
+	d.t.Helper()
+	t := d.t
+	settings := fmt.Sprintf(`{"name": %q, "zone": "z", "callers": {"address": %q, "grace": "200ms"},
 		"readiness": {"address": %q}, "daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "notice": "1ms"}}`,
-		d.callerAddress, freeAddress(t), freeAddress(t), freeAddress(t), store.Listener.Addr().String())
+		name, callerAddress, freeAddress(t), freeAddress(t), freeAddress(t), d.storeAddress)
 	parsed, err := config.ParseEntry([]byte(settings))
 	d.is.NoErr(err)
-	d.daemon = entry.New(parsed, zap.NewNop(), system.NewClock(), system.NewWallClock(), func() int64 { return 0 })
-	d.is.NoErr(d.daemon.Start())
-	t.Cleanup(func() { d.daemon.Stop(context.Background()) })
-	for !d.daemon.Ready() {
+	daemon := entry.New(parsed, zap.NewNop(), system.NewClock(), system.NewWallClock(), func() int64 { return 0 })
+	d.is.NoErr(daemon.Start())
+	t.Cleanup(func() { daemon.Stop(context.Background()) })
+	for !daemon.Ready() {
 	}
-	return d
+	return daemon
 }
 
 func (d *deployment) register(id, service, stage string, handler http.Handler) {
+	d.registerVersion(id, service, stage, "v1", handler)
+}
+
+// registerVersion starts a backend server of a software version.
+func (d *deployment) registerVersion(id, service, stage, version string, handler http.Handler) *httptest.Server {
 	server := httptest.NewServer(handler)
 	d.t.Cleanup(server.Close)
 	row := map[string]any{
 		"service": service, "address": netip.MustParseAddrPort(server.Listener.Addr().String()).String(),
-		"zone": "z", "slots": 8, "state": "ready",
+		"zone": "z", "slots": 8, "state": "ready", "version": version,
 	}
 	if stage != "" {
 		row["stage"] = stage
@@ -82,6 +97,7 @@
 	raw, err := json.Marshal(row)
 	d.is.NoErr(err)
 	d.store.Put("servers", id, raw)
+	return server
 }
 
 // configure writes a version of the configuration that holds one API key.
@@ -90,10 +106,12 @@
 		"version": version,
 		"routes": []any{
 			map[string]any{"name": "draft", "host": "h.example", "prefix": "/draft/", "kind": "stream", "service": "llm", "attempts": 1, "sticky": true, "timeout_ms": 5000},
+			map[string]any{"name": "chat", "host": "h.example", "prefix": "/chat/", "kind": "stream", "resumable": true, "service": "chat", "attempts": 1, "sticky": true, "timeout_ms": 5000},
 			map[string]any{"name": "reserve", "host": "h.example", "prefix": "/reserve/", "kind": "non_idempotent", "service": "desk", "attempts": 1, "timeout_ms": 5000},
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "kv_capacity": 100000}},
+			map[string]any{"name": "chat", "engine": map[string]any{"slots": 8, "kv_capacity": 100000}},
 			map[string]any{"name": "desk"},
 		},
 		"limits":  map[string]any{"max_body_bytes": 1000},
