relay, balance: a broken stream is continued only at its own version

The choice of the engine that continues a stream did not look at versions.

The exchange now keeps the software that wrote the first event, as registered when the request was sent, and the balancer leaves out all other backend servers: as targets, and also to prefill the prompt or to copy KV cache from. With none left the answer is cut, as it is where a stream cannot be continued. KV cache for a stream that has not begun may still come from any version: all its events are written by one engine, and the platform ties KV cache to the weights, not to the software.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -147,11 +148,11 @@
 		b.retryBudget(e.Service.Name).RecordRequest(now)
 	}
 	b.sumRemoteLoads(now)
-	candidates := b.candidates(snapshot, e.Service.Name, tried, now)
+	candidates := b.candidates(snapshot, e, tried, now)
 	if len(candidates) == 0 {
 		return nil, &models.Refusal{
 			Code:       models.RefusalNoBackend,
-			Message:    "no backend server of the service is left to try",
+			Message:    noBackendMessage(e.Origin),
 			NotRun:     true,
 			RetryAfter: noBackendRetryAfter,
 		}
@@ -162,16 +163,25 @@
 	return b.placeCall(candidates, now), nil
 }
 
+// noBackendMessage is the message of a refusal when no backend server is left
+// for a request, or for a stream with an origin.
+func noBackendMessage(origin *models.Software) string {
+	if origin == nil {
+		return "no backend server of the service is left to try"
+	}
+	return "no backend server of version " + strconv.Quote(origin.Version) + ", which began the stream, is left to try"
+}
+
 // candidates returns the states of the backend servers that may receive a
 // request. Those in backoff are left out unless no other is available. The
 // caller must hold b.mu.
-func (b *Balancer) candidates(snapshot *routing.Snapshot, service models.ServiceName, tried map[models.EngineID]bool, now time.Time) []*serverState {
+func (b *Balancer) candidates(snapshot *routing.Snapshot, e *relay.Exchange, tried map[models.EngineID]bool, now time.Time) []*serverState {
 	if snapshot == nil {
 		return nil
 	}
 	var usable, backedOff []*serverState
-	for _, upstream := range snapshot.ByService[service] {
-		if tried[upstream.ID] {
+	for _, upstream := range snapshot.ByService[e.Service.Name] {
+		if tried[upstream.ID] || !e.MayUse(upstream) {
 			continue
 		}
 		s := b.stateOf(upstream)
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -37,7 +37,7 @@
 	var usable []models.Upstream
 	if snapshot := p.fleet.Snapshot(); snapshot != nil {
 		for _, upstream := range snapshot.ByService[e.Service.Name] {
-			if upstream.Role != models.RolePrefill && !tried[upstream.ID] {
+			if upstream.Role != models.RolePrefill && !tried[upstream.ID] && e.MayUse(upstream) {
 				usable = append(usable, upstream)
 			}
 		}
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -21,12 +21,24 @@
 	Started  time.Time     // start time of this process
 }
 
+// Software returns what the backend server runs.
+func (u Upstream) Software() Software {
+	return Software{Service: u.Service, Version: u.Version}
+}
+
 // SameIncarnation reports whether both describe the same process of the same
 // backend server, without a restart in between.
 func (u Upstream) SameIncarnation(other Upstream) bool {
 	return u.ID == other.ID && u.Address == other.Address && u.Started.Equal(other.Started)
 }
 
+// Software identifies the software of backend servers. Streams that one began
+// can only be continued by backend servers with the same.
+type Software struct {
+	Service ServiceName
+	Version string
+}
+
 // UpstreamCall is a request to be forwarded. Method, target, host, header and
 // body are the caller's, byte for byte.
 type UpstreamCall struct {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -128,6 +128,7 @@
 			if first {
 				placement.ResponseStarted(answer.Load)
 				d.recordUsage()
+				d.recordOrigin(placement)
 				first = false
 			}
 			if !d.headerWritten {
@@ -152,6 +153,14 @@
 	}
 }
 
+// recordOrigin records the software that begins a stream.
+func (d *delivery) recordOrigin(placement Placement) {
+	if d.exchange.Origin == nil {
+		software := placement.Target().Software()
+		d.exchange.Origin = &software
+	}
+}
+
 // writeHeader relays the status and the header of a response. A length below
 // zero is unknown.
 func (d *delivery) writeHeader(answer peer.UpstreamResponse, length int64) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -33,8 +33,16 @@
 	Deadline  time.Time
 
 	// Set by Sender.
-	Sends int // attempts at backend servers so far
-	Trace Trace
+	Origin *models.Software // wrote the first event of the stream; nil: none was relayed yet
+	Sends  int              // attempts at backend servers so far
+	Trace  Trace
+}
+
+// MayUse reports whether a backend server may serve the request. A stream is
+// continued only by the software that began it: what two versions write does not
+// fit together, and backend servers do not check this.
+func (e *Exchange) MayUse(server models.Upstream) bool {
+	return e.Origin == nil || server.Software() == *e.Origin
 }
 
 // Trace collects the fields of a request's log line.
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -36,8 +36,8 @@
 // Placer chooses backend servers. It is safe for concurrent use.
 type Placer interface {
 	// Place chooses a backend server that is not in tried, and reserves capacity
-	// for the request there until the placement ends. Its error is a
-	// *models.Refusal.
+	// for the request there until the placement ends. A stream that has an origin
+	// is placed only where the same software runs. Its error is a *models.Refusal.
 	Place(e *Exchange, tried map[models.EngineID]bool) (Placement, error)
 	// TakeRetry takes one retry from the retry budget of a service. It reports
 	// whether the budget allows the retry.
