entry: the test of a resumed stream waits until the engines are known

Its first request could be refused before the daemon had read the registrations, and the test took the refusal for the stream.

--- a/entry/versions_test.go
+++ b/entry/versions_test.go
@@ -63,9 +63,9 @@
 	second := freeAddress(t)
 	d.startDaemon("vm-2", second)
 	engines := []*chatEngine{d.startChatEngine("i-a", "v1"), d.startChatEngine("i-b", "v2")}
-	body := ""
-	for body == "" {
-		_, body = d.chat(d.callerAddress, "r1", nil)
+	status, body := 0, ""
+	for status != http.StatusOK {
+		status, body = d.chat(d.callerAddress, "r1", nil)
 	}
 	is.Equal(body, "id: 1\ndata: token 1\n\n")
 	first, other := engines[0], engines[1]
@@ -74,7 +74,7 @@
 	}
 	first.crash(d.store)
 	resumes := map[string]string{"Resumes": "r1", "Last-Event-Id": "1"}
-	status, _ := d.chat(second, "r2", resumes)
+	status, _ = d.chat(second, "r2", resumes)
 	is.Equal(status, http.StatusServiceUnavailable) // no engine of its version is left
 	d.startChatEngine("i-c", first.version)
 	for status != http.StatusOK {
