relay, balance: a stream whose engine was replaced is not continued

A backend server may restart under its ID with another software version. A request that was placed before that was seen may run at either version, and so may the part of the stream that a caller has.

While a stream is relayed, the version that its engine is registered with is compared with the one it was chosen by. If they differ, a stream that began there is cut when it breaks, since either version may have begun it, and events of a run that continues a stream are not relayed. A registration with another version is also another incarnation: nothing is sent there under the old one, and its cache counts as empty. An engine that restarts with the same version is not affected.

--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -79,6 +79,9 @@
 // AcceptsWork implements relay.Placement.
 func (p placement) AcceptsWork() bool { return true }
 
+// Software implements relay.Placement.
+func (p placement) Software() (models.Software, bool) { return models.Upstream(p).Software(), true }
+
 // Predicted implements relay.Placement.
 func (p placement) Predicted() time.Duration { return 0 }
 
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -60,6 +60,18 @@
 	return ok && !now.Draining && now.SameIncarnation(p.target.upstream)
 }
 
+// Software implements relay.Placement. An engine that is no longer registered
+// has not been replaced under its ID.
+func (p *placement) Software() (software models.Software, certain bool) {
+	software = p.target.upstream.Software()
+	snapshot := p.balancer.fleet.Snapshot()
+	if snapshot == nil {
+		return software, true
+	}
+	now, ok := snapshot.ByID[p.target.upstream.ID]
+	return software, !ok || now.Software() == software
+}
+
 // Predicted implements relay.Placement.
 func (p *placement) Predicted() time.Duration {
 	return p.predicted
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -29,7 +29,7 @@
 // SameIncarnation reports whether both describe the same process of the same
 // backend server, without a restart in between.
 func (u Upstream) SameIncarnation(other Upstream) bool {
-	return u.ID == other.ID && u.Address == other.Address && u.Started.Equal(other.Started)
+	return u.ID == other.ID && u.Address == other.Address && u.Version == other.Version && u.Started.Equal(other.Started)
 }
 
 // Software identifies the software of backend servers. Streams that one began
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -128,9 +128,11 @@
 			if first {
 				placement.ResponseStarted(answer.Load)
 				d.recordUsage()
-				d.recordOrigin(placement)
 				first = false
 			}
+			if originErr := d.recordOrigin(placement); originErr != nil {
+				return ResultFailed, originErr
+			}
 			if !d.headerWritten {
 				d.writeHeader(answer, -1)
 			}
@@ -139,6 +141,7 @@
 				return ResultCancelled, writeErr
 			}
 		}
+		d.verifyOrigin(placement)
 		switch {
 		case errors.Is(err, io.EOF) && !d.events.partial():
 			if !d.headerWritten {
@@ -153,11 +156,26 @@
 	}
 }
 
-// recordOrigin records the software that begins a stream.
-func (d *delivery) recordOrigin(placement Placement) {
+// recordOrigin records the software that begins a stream. Its error means that
+// events of a run that continues one must not be relayed: the engine may have
+// restarted with another version under the registration by which it was chosen.
+func (d *delivery) recordOrigin(placement Placement) error {
+	software, certain := placement.Software()
 	if d.exchange.Origin == nil {
-		software := placement.Target().Software()
 		d.exchange.Origin = &software
+		d.origin = placement
+	}
+	if certain || d.origin == placement {
+		return nil
+	}
+	return errors.Errorf("the engine is registered with another version than %q, which began the stream", software.Version)
+}
+
+// verifyOrigin checks, while the run that began a stream goes on, that its
+// engine has not been replaced by one of another version.
+func (d *delivery) verifyOrigin(placement Placement) {
+	if _, certain := placement.Software(); d.origin == placement && !certain {
+		d.originUncertain = true
 	}
 }
 
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -163,6 +163,10 @@
 	return !p.placer.usePrefiller || p.target.ID != p.placer.leaving
 }
 
+func (p *fakePlacement) Software() (models.Software, bool) {
+	return p.target.Software(), true
+}
+
 func (p *fakePlacement) Predicted() time.Duration { return 0 }
 func (p *fakePlacement) PrefillTokens() int       { return 0 }
 func (p *fakePlacement) Urgency() int             { return 0 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -59,6 +59,10 @@
 	// AcceptsWork reports whether the target still accepts new requests: it may
 	// have started draining since it was chosen.
 	AcceptsWork() bool
+	// Software is what the target runs. It reports false if the target has been
+	// registered with another version since it was chosen: either may serve the
+	// request.
+	Software() (software models.Software, certain bool)
 	// Predicted is the expected time to the response or its first event.
 	Predicted() time.Duration
 	// PrefillTokens is the expected number of prompt tokens to prefill.
@@ -132,6 +136,8 @@
 	headerWritten         bool            // the status and the header went to the caller
 	billed                bool            // counted by the usage meter
 	events                eventSplitter
+	origin                Placement // of the run that began the stream; nil: none did in this answer
+	originUncertain       bool      // more than one version may have begun the stream
 	// fallback is the error response of a backend server, relayed if no later
 	// attempt succeeds.
 	fallback *bufferedResponse
@@ -385,7 +391,7 @@
 	case ResultRejected, ResultMoved:
 		return d.rejections < maxRejections && d.sender.placer.TakeRetry(e.Service.Name)
 	case ResultFailed:
-		return e.Route.Repeatable && !d.partlyRelayed() && d.executions < e.Route.Attempts && d.sender.placer.TakeRetry(e.Service.Name)
+		return e.Route.Repeatable && !d.partlyRelayed() && !d.originUncertain && d.executions < e.Route.Attempts && d.sender.placer.TakeRetry(e.Service.Name)
 	}
 	return false
 }
--- a/relay/versions_test.go
+++ b/relay/versions_test.go
@@ -35,8 +35,11 @@
 type versionedFleet struct {
 	fakeUpstreams
 	snapshot routing.Snapshot
-	onBreak  func(engine models.EngineID) // called before a run breaks off; may be nil
-	versions []string                     // that wrote events, in order of the runs
+	// onBreak is called before a run breaks off, onContinue when a stream reaches
+	// the engine that continues it; both may be nil.
+	onBreak    func(models.EngineID)
+	onContinue func(models.EngineID)
+	versions   []string // that wrote events, in order of the runs
 }
 
 func newVersionedFleet(versions ...string) *versionedFleet {
@@ -79,6 +82,9 @@
 	if len(f.versions) == 0 {
 		body = io.MultiReader(strings.NewReader(events(first, breaksAfter)), &breakingReader{fleet: f, engine: to.ID})
 	}
+	if len(f.versions) > 0 && f.onContinue != nil {
+		f.onContinue(to.ID)
+	}
 	f.versions = append(f.versions, to.Version)
 	return peer.UpstreamResponse{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
 }
@@ -136,18 +142,31 @@
 	})
 }
 
+// restart registers an engine as restarted with version v2.
+func (f *versionedFleet) restart(engine models.EngineID) {
+	restarted := f.snapshot.ByID[engine]
+	restarted.Version = "v2"
+	restarted.Started = system.NewClock().Now()
+	f.register(restarted)
+}
+
 // Guards against continuing a stream whose engine was restarted with another
 // version while the stream ran, so that either may have begun it.
 func TestStreamOfReplacedEngineIsNotContinued(t *testing.T) {
-	is := is.New(t)
-	f := newVersionedFleet("v1", "v1")
-	f.onBreak = func(engine models.EngineID) {
-		restarted := f.snapshot.ByID[engine]
-		restarted.Version = "v2"
-		restarted.Started = system.NewClock().Now()
-		f.register(restarted)
-	}
-	_, err := f.send(t, 1)
-	is.True(err != nil) // ends in an explicit cut
-	is.Equal(len(f.versions), 1)
+	t.Run("the engine that began it", func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionedFleet("v1", "v1")
+		f.onBreak = f.restart
+		_, err := f.send(t, 1)
+		is.True(err != nil) // ends in an explicit cut
+		is.Equal(len(f.versions), 1)
+	})
+	t.Run("the engine that continues it", func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionedFleet("v1", "v1")
+		f.onContinue = f.restart
+		reply, err := f.send(t, 1)
+		is.True(err != nil) // ends in an explicit cut
+		is.Equal(strings.Count(reply.body.String(), "id:"), breaksAfter)
+	})
 }
