resume, relay, balance: a stream that a caller resumes goes on at its version

The caller names the request under which the stream began, but nothing read that, and no daemon knew where another one's streams had begun.

Each daemon records, when it places a stream that callers may resume, the software of its target under a hash of the request's ID, before the prompt is prefilled and so well before the first event. Each receiver has a position in the log that advances with its receipts, so that a lost share is repeated; a receipt names the receiver's process, and a new process is sent everything. A retry at another version before the first event replaces the record; a stream that either of two versions may have begun is recorded as such.

A resumed stream is placed only at the software that began it, in the service that began it.

In virtual time a record reaches all of 7 daemons within 100 ms, all of 20 within 400 ms and all of 83 within 800 ms. Not taken: rows in the store, whose writes are limited and priced, and holding back the first event until a peer has the record.

--- a/balance/share.go
+++ b/balance/share.go
@@ -10,6 +10,7 @@
 
 	"quincewinch/models"
 	"quincewinch/peer"
+	"quincewinch/resume"
 )
 
 const (
@@ -32,6 +33,8 @@
 	// maxSendFailures is the number of consecutive failed sends after which a
 	// daemon is considered unreachable and its connection is reopened.
 	maxSendFailures = 2
+	// maxSharedOrigins bounds the origins of streams in one load share.
+	maxSharedOrigins = 2000
 	// maxQueuedPrompts bounds each queue of cached prompts that are not shared yet.
 	maxQueuedPrompts = 512
 )
@@ -43,49 +46,72 @@
 
 // ShareClient sends load shares to other daemons.
 type ShareClient interface {
-	Share(ctx context.Context, to netip.AddrPort, share models.LoadShare) error
+	Share(ctx context.Context, to netip.AddrPort, share models.LoadShare) (models.ShareReceipt, error)
 	Drop(address netip.AddrPort)
 }
 
+// OriginLog is the log of the origins of streams that this daemon knows.
+type OriginLog interface {
+	// Head returns the position of the last origin.
+	Head() uint64
+	// Since returns up to limit origins that were learned in a scope after a
+	// position, and the position to continue from.
+	Since(position uint64, scope resume.Scope, limit int) (origins []models.StreamOrigin, next uint64)
+}
+
+// originCursor is how far a daemon has the origins of streams that it is sent.
+type originCursor struct {
+	instance uint64 // of the daemon's process; 0 before its first receipt
+	position uint64
+	// fullThrough is the position up to which the daemon is sent the origins of all
+	// scopes: those before it were sent to an earlier process, or to none.
+	fullThrough uint64
+}
+
 // Sharer sends this daemon's load to the other daemons.
 type Sharer struct {
 	self     models.LoadShare // sender fields of each load share
 	balancer *Balancer
 	members  Members
 	client   ShareClient
+	origins  OriginLog
 	clock    peer.Clock
 	logger   *zap.Logger
 
 	// Used only by Step.
 	sharedAt    time.Time
-	lastPeers   int  // number of daemons that the last load share was sent to
-	sentZoneSum bool // the sum of the zone was sent with the last load share
+	originHead  uint64 // of the origins when the last load share was sent
+	lastPeers   int    // number of daemons that the last load share was sent to
+	sentZoneSum bool   // the sum of the zone was sent with the last load share
 
 	mu       sync.Mutex
 	sequence uint64 // of the last share
 	leads    bool   // zone leader, or all other daemons are direct peers
 	inFlight map[models.DaemonID]bool
 	failures map[models.DaemonID]int
+	cursors  map[models.DaemonID]originCursor
 }
 
 // NewSharer returns a sharer for the load of a balancer. Self identifies the
 // sender.
-func NewSharer(self models.LoadShare, balancer *Balancer, members Members, client ShareClient, clock peer.Clock, logger *zap.Logger) *Sharer {
+func NewSharer(self models.LoadShare, balancer *Balancer, members Members, client ShareClient, origins OriginLog, clock peer.Clock, logger *zap.Logger) *Sharer {
 	return &Sharer{
 		self:     self,
 		balancer: balancer,
 		members:  members,
 		client:   client,
+		origins:  origins,
 		clock:    clock,
 		logger:   logger,
 		sequence: uint64(clock.Now().UnixNano()), // above those of earlier processes
 		inFlight: map[models.DaemonID]bool{},
 		failures: map[models.DaemonID]int{},
+		cursors:  map[models.DaemonID]originCursor{},
 	}
 }
 
 // Step sends a load share if at least minInterval has passed since the last one
-// and the load has changed or maxShareInterval has passed. A zone leader sends
+// and the load has changed, a stream has begun or maxShareInterval has passed. A zone leader sends
 // one even if nothing has changed, and exchanges zone sums at the same time.
 func (s *Sharer) Step(ctx context.Context) {
 	now := s.clock.Now()
@@ -100,10 +126,12 @@
 	s.leads = leads || len(peers) == len(others)
 	s.mu.Unlock()
 	share, changed := s.balancer.NextShare()
-	if !changed && !leads && now.Sub(s.sharedAt) < maxShareInterval {
+	head := s.origins.Head()
+	if !changed && head == s.originHead && !leads && now.Sub(s.sharedAt) < maxShareInterval {
 		return
 	}
 	s.sharedAt = now
+	s.originHead = head
 	s.lastPeers = len(peers)
 	s.sentZoneSum = leads
 	if leads {
@@ -209,7 +237,7 @@
 	sum := s.balancer.NextZoneSum()
 	sum.Sequence = s.nextSequence()
 	sum.Address = s.self.Address
-	s.sendAll(ctx, sum, leaders)
+	s.sendAll(ctx, sum, leaders, resume.ScopeOwn|resume.ScopeZone)
 }
 
 // resetFailures clears the failures of a zone's daemons once all of them are
@@ -237,7 +265,12 @@
 	share.Zone = s.self.Zone
 	share.Address = s.self.Address
 	share.Sequence = s.nextSequence()
-	s.sendAll(ctx, share, to)
+	// The leader of a zone passes on what the other zones know.
+	scope := resume.ScopeOwn
+	if s.LeadsZone() && len(to) < len(s.members.Others()) {
+		scope |= resume.ScopeRemote
+	}
+	s.sendAll(ctx, share, to, scope)
 }
 
 func (s *Sharer) nextSequence() uint64 {
@@ -247,10 +280,10 @@
 	return s.sequence
 }
 
-func (s *Sharer) sendAll(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer) {
+func (s *Sharer) sendAll(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer, scope resume.Scope) {
 	for id, other := range to {
 		if s.beginSend(id) {
-			go s.sendTo(ctx, id, other.Address, share)
+			go s.sendTo(ctx, id, other.Address, share, scope)
 		}
 	}
 }
@@ -267,12 +300,15 @@
 	return true
 }
 
-func (s *Sharer) sendTo(ctx context.Context, id models.DaemonID, address netip.AddrPort, share models.LoadShare) {
-	err := s.client.Share(ctx, address, share)
+func (s *Sharer) sendTo(ctx context.Context, id models.DaemonID, address netip.AddrPort, share models.LoadShare, scope resume.Scope) {
+	var next uint64
+	share.Origins, next = s.nextOrigins(id, scope)
+	receipt, err := s.client.Share(ctx, address, share)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.inFlight, id)
 	if err == nil {
+		s.advanceOrigins(id, receipt.Instance, next)
 		if s.failures[id] >= maxSendFailures {
 			s.logger.Info("daemon reachable again", zap.String("daemon", string(id)))
 		}
@@ -287,3 +323,33 @@
 		s.client.Drop(address)
 	}
 }
+
+// nextOrigins returns the origins that a daemon is to be sent next, and the
+// position that it has reached with them. A daemon that has just started is sent
+// those of all scopes: the daemons that it could have had them from may be gone.
+func (s *Sharer) nextOrigins(id models.DaemonID, scope resume.Scope) (origins []models.StreamOrigin, next uint64) {
+	s.mu.Lock()
+	cursor, ok := s.cursors[id]
+	if !ok {
+		cursor.fullThrough = s.origins.Head()
+		s.cursors[id] = cursor
+	}
+	if s.leads && cursor.position < cursor.fullThrough {
+		scope = resume.ScopeAll
+	}
+	s.mu.Unlock()
+	return s.origins.Since(cursor.position, scope, maxSharedOrigins)
+}
+
+// advanceOrigins records that a daemon has received origins. The caller must hold
+// s.mu.
+func (s *Sharer) advanceOrigins(id models.DaemonID, instance, next uint64) {
+	cursor := s.cursors[id]
+	if cursor.instance != 0 && cursor.instance != instance {
+		s.cursors[id] = originCursor{instance: instance, fullThrough: s.origins.Head()}
+		return
+	}
+	cursor.instance = instance
+	cursor.position = next
+	s.cursors[id] = cursor
+}
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,13 +19,17 @@
 	"quincewinch/peer/system"
 	"quincewinch/policy/retry"
 	"quincewinch/relay"
+	"quincewinch/resume"
 )
 
 // network delivers load shares between the daemons of a test.
 type network struct {
 	t         *testing.T
+	fleet     *fleet
+	stop      map[netip.AddrPort]context.CancelFunc // ends the sharer of a daemon
 	mu        sync.Mutex
 	daemons   map[netip.AddrPort]*balance.Balancer
+	origins   map[netip.AddrPort]*resume.Origins
 	members   map[models.DaemonID]models.Peer
 	down      map[netip.AddrPort]bool
 	messages  map[models.DaemonID]int // sent by each daemon
@@ -32,18 +37,31 @@
 }
 
 // Share implements balance.ShareClient.
-func (n *network) Share(_ context.Context, to netip.AddrPort, share models.LoadShare) error {
+func (n *network) Share(_ context.Context, to netip.AddrPort, share models.LoadShare) (models.ShareReceipt, error) {
 	n.mu.Lock()
 	from := share.Address
 	down := n.down[to] || n.down[from]
 	n.messages[models.DaemonID(from.String())]++
 	target := n.daemons[to]
+	origins := n.origins[to]
 	n.mu.Unlock()
 	if down {
-		return peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
+		return models.ShareReceipt{}, peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
 	}
+	origins.Learn(share.Origins, n.scope(share.Zone, to))
+	share.Origins = nil
 	target.ReceiveShare(share)
-	return nil
+	return models.ShareReceipt{Instance: origins.Instance()}, nil
+}
+
+// scope returns the scope of what a daemon learns from a zone.
+func (n *network) scope(zone models.Zone, at netip.AddrPort) resume.Scope {
+	for _, member := range n.members {
+		if member.Address == at && member.Zone == zone {
+			return resume.ScopeZone
+		}
+	}
+	return resume.ScopeRemote
 }
 
 // Drop implements balance.ShareClient.
@@ -72,41 +90,72 @@
 // newNetwork starts daemons spread over zones, all with the same engines.
 func newNetwork(t *testing.T, daemons, zones int) *network {
 	n := &network{
-		t: t, daemons: map[netip.AddrPort]*balance.Balancer{}, members: map[models.DaemonID]models.Peer{},
-		down: map[netip.AddrPort]bool{}, messages: map[models.DaemonID]int{},
+		t: t, fleet: newFleet(engines(networkEngines, models.RoleDecode)...), daemons: map[netip.AddrPort]*balance.Balancer{},
+		origins: map[netip.AddrPort]*resume.Origins{}, members: map[models.DaemonID]models.Peer{},
+		down: map[netip.AddrPort]bool{}, messages: map[models.DaemonID]int{}, stop: map[netip.AddrPort]context.CancelFunc{},
 	}
-	f := newFleet(engines(networkEngines, models.RoleDecode)...)
-	clock := system.NewClock()
-	type start struct {
-		id     models.DaemonID
-		member models.Peer
-	}
-	var starts []start
 	for i := range daemons {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 1)
-		s := start{models.DaemonID(fmt.Sprintf("vm-%03d", i)), models.Peer{Address: address, Zone: models.Zone(fmt.Sprintf("z%d", i%zones))}}
-		starts = append(starts, s)
-		n.members[s.id] = s.member
+		n.members[daemonID(i)] = models.Peer{Address: address, Zone: models.Zone(fmt.Sprintf("z%d", i%zones))}
 		n.addresses = append(n.addresses, address)
 	}
-	for _, s := range starts {
-		n.daemons[s.member.Address] = balance.New(f, clock, balance.Settings{
-			Zone: s.member.Zone, Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
-		}, 1)
+	for i := range daemons {
+		n.create(i)
 	}
-	for _, s := range starts {
-		b := n.daemons[s.member.Address]
-		self := models.LoadShare{From: s.id, Zone: s.member.Zone, Address: s.member.Address}
-		sharer := balance.NewSharer(self, b, others{n, s.id}, n, clock, zap.NewNop())
-		go func() {
-			for clock.Sleep(t.Context(), 25*time.Millisecond) == nil {
-				sharer.Step(t.Context())
-			}
-		}()
+	for i := range daemons {
+		n.run(i)
 	}
 	return n
 }
 
+func daemonID(i int) models.DaemonID {
+	return models.DaemonID(fmt.Sprintf("vm-%03d", i))
+}
+
+// create creates the state of a daemon, which knows nothing.
+func (n *network) create(i int) {
+	member := n.members[daemonID(i)]
+	clock := system.NewClock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.origins[member.Address] = resume.NewOrigins(clock)
+	n.daemons[member.Address] = balance.New(n.fleet, clock, balance.Settings{
+		Zone: member.Zone, Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
+	}, 1)
+}
+
+// run starts the sharer of a daemon.
+func (n *network) run(i int) {
+	member := n.members[daemonID(i)]
+	clock := system.NewClock()
+	self := models.LoadShare{From: daemonID(i), Zone: member.Zone, Address: member.Address}
+	sharer := balance.NewSharer(self, n.daemons[member.Address], others{n, daemonID(i)}, n, n.origins[member.Address], clock, zap.NewNop())
+	ctx, cancel := context.WithCancel(n.t.Context())
+	n.stop[member.Address] = cancel
+	go func() {
+		for clock.Sleep(ctx, 25*time.Millisecond) == nil {
+			sharer.Step(ctx)
+		}
+	}()
+}
+
+// kill ends a daemon without a message to the others.
+func (n *network) kill(i int) {
+	n.stop[n.addresses[i]]()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[n.addresses[i]] = true
+}
+
+// restart starts a daemon that was killed.
+func (n *network) restart(i int) {
+	n.create(i)
+	n.mu.Lock()
+	delete(n.down, n.addresses[i])
+	n.mu.Unlock()
+	n.run(i)
+}
+
 // daemon returns a daemon by its number.
 func (n *network) daemon(i int) *balance.Balancer {
 	return n.daemons[n.addresses[i]]
@@ -226,7 +275,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 3, 1)
 		self := models.LoadShare{From: "vm-000", Zone: "z0", Address: n.addresses[0]}
-		sharer := balance.NewSharer(self, n.daemon(0), others{n, "vm-000"}, n, system.NewClock(), zap.NewNop())
+		sharer := balance.NewSharer(self, n.daemon(0), others{n, "vm-000"}, n, n.origins[n.addresses[0]], system.NewClock(), zap.NewNop())
 		var steps sync.WaitGroup
 		steps.Go(func() {
 			for range 100 {
@@ -239,3 +288,94 @@
 		steps.Wait()
 	})
 }
+
+// streamOrigin is the origin that a daemon records for a stream of a test.
+var streamOrigin = models.Software{Service: "llm", Version: "v1"}
+
+// begin records at a daemon that the stream of a request begins.
+func (n *network) begin(i int, id models.RequestID, software models.Software, revision int) {
+	n.origins[n.addresses[i]].Record(id, software, revision, system.NewClock().Now().Add(10*time.Second))
+}
+
+// expectOrigin checks that all daemons but some know the origin of a stream.
+func (n *network) expectOrigin(id models.RequestID, software models.Software, except ...int) {
+	n.t.Helper()
+	for i, address := range n.addresses {
+		if got, ok := n.origins[address].Lookup(id); !slices.Contains(except, i) && (!ok || got != software) {
+			n.t.Errorf("daemon %d: origin %v, %t", i, got, ok)
+		}
+	}
+}
+
+// Guards against streams whose origin dies with the daemon that began them.
+func TestOriginsReachAllDaemons(t *testing.T) {
+	for _, size := range []struct {
+		daemons, zones int
+		within         time.Duration
+	}{{7, 4, 100 * time.Millisecond}, {20, 4, 400 * time.Millisecond}, {83, 5, 800 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%d daemons in %d zones", size.daemons, size.zones), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t, size.daemons, size.zones)
+				advance(t, 2*time.Second)
+				last := size.daemons - 1
+				n.begin(last, "r", streamOrigin, 1)
+				advance(t, size.within)
+				n.kill(last)
+				n.expectOrigin("r", streamOrigin, last)
+			})
+		})
+	}
+}
+
+func TestLaterOriginReplacesEarlier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 7, 4)
+		advance(t, 2*time.Second)
+		n.begin(0, "r", streamOrigin, 1)
+		advance(t, time.Second)
+		other := models.Software{Service: "llm", Version: "v2"}
+		n.begin(0, "r", other, 2)
+		advance(t, time.Second)
+		n.expectOrigin("r", other)
+	})
+}
+
+// Guards against a daemon that starts again and knows none of the streams that
+// began before, some of them at daemons that are gone.
+func TestRestartedDaemonLearnsOrigins(t *testing.T) {
+	for _, test := range []struct{ daemons, first, restarted int }{{7, 1, 5}, {20, 5, 9}} {
+		t.Run(fmt.Sprintf("%d daemons", test.daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t, test.daemons, 4)
+				advance(t, 2*time.Second)
+				n.begin(test.first, "r", streamOrigin, 1)
+				advance(t, 2*time.Second)
+				n.kill(test.first)
+				n.kill(test.restarted)
+				advance(t, time.Second)
+				n.restart(test.restarted)
+				advance(t, time.Second)
+				n.expectOrigin("r", streamOrigin, test.first)
+			})
+		})
+	}
+}
+
+// An origin that could not be sent to a daemon is sent when it is reachable
+// again.
+func TestOriginsArriveAfterCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 7, 4)
+		advance(t, 2*time.Second)
+		n.mu.Lock()
+		n.down[n.addresses[3]] = true
+		n.mu.Unlock()
+		n.begin(0, "r", streamOrigin, 1)
+		advance(t, 2*time.Second)
+		n.mu.Lock()
+		delete(n.down, n.addresses[3])
+		n.mu.Unlock()
+		advance(t, time.Second)
+		n.expectOrigin("r", streamOrigin)
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"quincewinch/peer"
 	"quincewinch/platform"
 	"quincewinch/relay"
+	"quincewinch/resume"
 	"quincewinch/routing"
 )
 
@@ -34,7 +35,9 @@
 	registry        *prometheus.Registry
 	system          *control.System
 	configuration   *routing.Configuration
+	versions        *routing.Versions
 	fleet           *routing.Fleet
+	origins         *resume.Origins
 	balancer        *balance.Balancer
 	callerServer    *http.Server
 	callers         net.Listener
@@ -69,7 +72,9 @@
 	wait := settings.Store.MaxWatchWait()
 	d.prepareSharing(store)
 	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.source), d.clock, d.logger, wait)
-	d.fleet = routing.NewFleet(platform.NewRegistrations(d.sharing.source), d.clock, d.logger, wait, settings.Store.RemovalTimeout)
+	d.versions = routing.NewVersions(platform.NewRegistrations(d.sharing.source), d.clock)
+	d.origins = resume.NewOrigins(d.clock)
+	d.fleet = routing.NewFleet(d.versions, d.clock, d.logger, wait, settings.Store.RemovalTimeout)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Zone:    settings.Zone,
 		Retries: retrySettings(settings),
@@ -82,6 +87,7 @@
 		return err
 	}
 	d.system.Spawn(d.balancer, pruneInterval)
+	d.system.Spawn(d.origins, originInterval)
 	d.system.Spawn(d.configuration, followInterval)
 	d.system.Spawn(d.fleet, followInterval)
 	d.logger.Info("daemon started", zap.String("vm", settings.Name), zap.String("zone", string(settings.Zone)))
@@ -97,9 +103,10 @@
 func (d *Daemon) newHandler() relay.Handler {
 	upstreams := platform.NewUpstreams(platform.NewTransport(upstreamTransport))
 	return relay.Chain(
-		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.clock, d.logger),
+		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.clock, d.logger),
 		relay.NewRecorder(d.registry, d.clock, d.logger).Filter(),
 		relay.Locate(d.configuration, d.clock),
+		relay.Resume(d.origins, d.versions),
 	)
 }
 
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -16,6 +16,7 @@
 	"quincewinch/models"
 	peerdaemon "quincewinch/peer/daemon"
 	"quincewinch/platform"
+	"quincewinch/resume"
 	"quincewinch/table"
 )
 
@@ -32,6 +33,9 @@
 	// pruneInterval is the time between two removals of the state kept for
 	// backend servers that no longer exist.
 	pruneInterval = 5 * time.Second
+	// originInterval is the time between two removals of the origins of streams
+	// that callers can no longer resume.
+	originInterval = time.Second
 )
 
 // sharing is the exchange of load and store changes with the other daemons.
@@ -79,7 +83,7 @@
 	s.members = membership.New(self, store, d.clock, d.logger)
 	s.server = peerdaemon.NewEntryServer(shareReceiver{d}, s.reader, insecure.NewCredentials(), &s.traffic)
 	sender := models.LoadShare{From: self.ID, Zone: self.Zone, Address: self.Address}
-	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.clock, d.logger)
+	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.origins, d.clock, d.logger)
 	go func() {
 		if err := s.server.Serve(listener); err != nil {
 			d.logger.Error("gRPC server for other daemons failed", zap.Error(err))
@@ -107,7 +111,7 @@
 
 // ReceiveShare implements peerdaemon.ShareReceiver. A zone sum does not count
 // as a heartbeat, because it does not come from a single daemon.
-func (r shareReceiver) ReceiveShare(share models.LoadShare) {
+func (r shareReceiver) ReceiveShare(share models.LoadShare) models.ShareReceipt {
 	members := r.daemon.sharing.members
 	if !balance.IsZoneSum(share.From) {
 		members.MarkAlive(share.From, share.Zone, share.Address)
@@ -115,5 +119,12 @@
 	if share.Leaving {
 		members.Remove(share.From)
 	}
+	scope := resume.ScopeZone
+	if share.Zone != r.daemon.settings.Load().Zone {
+		scope = resume.ScopeRemote
+	}
+	r.daemon.origins.Learn(share.Origins, scope)
+	share.Origins = nil
 	r.daemon.balancer.ReceiveShare(share)
+	return models.ShareReceipt{Instance: r.daemon.origins.Instance()}
 }
--- a/models/refusal.go
+++ b/models/refusal.go
@@ -16,6 +16,7 @@
 	RefusalUnknownRoute     RefusalCode = "unknown-route"
 	RefusalRateLimit        RefusalCode = "rate-limited"
 	RefusalOverload         RefusalCode = "overloaded"
+	RefusalUnknownStream    RefusalCode = "unknown-stream"
 	RefusalDeadline         RefusalCode = "deadline"
 	RefusalNoBackend        RefusalCode = "no-backend"
 	RefusalDraining         RefusalCode = "draining"
--- a/models/share.go
+++ b/models/share.go
@@ -1,6 +1,9 @@
 package models
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // LoadShare is the load report that daemons send each other: the load that one
 // daemon puts on backend servers, or the sum over the daemons of a zone.
@@ -13,6 +16,27 @@
 	Loads    map[EngineID]ServerLoad
 	Prompts  []CachedPrompt // prefilled since the previous share
 	Relayed  []LoadShare    // sums of other zones that the sender forwards
+	Origins  []StreamOrigin // that the receiver may not know
+}
+
+// StreamOrigin is the software that began the stream of a request.
+type StreamOrigin struct {
+	Stream   StreamID
+	Software Software // zero: more than one may have begun it
+	// Revision counts what was recorded about a stream: a request may be placed
+	// several times before its first event.
+	Revision int
+	TimeLeft time.Duration // in which the caller may resume the stream
+}
+
+// StreamID is the hash of the ID of the request under which a stream began.
+type StreamID uint64
+
+// ShareReceipt is the answer to a load share.
+type ShareReceipt struct {
+	// Instance identifies the process of the receiver: a new one knows nothing of
+	// what the one before it was sent.
+	Instance uint64
 }
 
 // Peer is the address and zone of another daemon.
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -12,21 +13,22 @@
 
 // ShareReceiver processes the load shares of other daemons.
 type ShareReceiver interface {
-	ReceiveShare(share models.LoadShare)
+	ReceiveShare(share models.LoadShare) models.ShareReceipt
 }
 
 // Share sends a load share to another daemon.
-func (c *Client) Share(ctx context.Context, to netip.AddrPort, share models.LoadShare) error {
+func (c *Client) Share(ctx context.Context, to netip.AddrPort, share models.LoadShare) (models.ShareReceipt, error) {
 	connection, err := c.connection(to)
 	if err != nil {
-		return err
+		return models.ShareReceipt{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	if _, err := proto.NewDaemonsClient(connection).Share(ctx, encodeShare(share)); err != nil {
-		return newUnknownFailure(err)
+	received, err := proto.NewDaemonsClient(connection).Share(ctx, encodeShare(share))
+	if err != nil {
+		return models.ShareReceipt{}, newUnknownFailure(err)
 	}
-	return nil
+	return models.ShareReceipt{Instance: received.GetInstance()}, nil
 }
 
 // Share implements proto.DaemonsServer.
@@ -35,10 +37,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.shares != nil {
-		s.shares.ReceiveShare(share)
+	if s.shares == nil {
+		return &proto.ShareReceived{}, nil
 	}
-	return &proto.ShareReceived{}, nil
+	return &proto.ShareReceived{Instance: s.shares.ReceiveShare(share).Instance}, nil
 }
 
 func encodeShare(share models.LoadShare) *proto.LoadShare {
@@ -63,6 +65,7 @@
 		}
 		form.Prompts = append(form.Prompts, prompt)
 	}
+	form.Origins = encodeOrigins(share.Origins)
 	for _, relayed := range share.Relayed {
 		form.Relayed = append(form.Relayed, encodeShare(relayed))
 	}
@@ -95,6 +98,7 @@
 		}
 		share.Prompts = append(share.Prompts, prompt)
 	}
+	share.Origins = decodeOrigins(form.GetOrigins())
 	for _, relayed := range form.GetRelayed() {
 		// Relayed sums are forwarded over one hop only.
 		relayed.Relayed = nil
@@ -106,3 +110,36 @@
 	}
 	return share, nil
 }
+
+// encodeOrigins groups consecutive origins of the same software.
+func encodeOrigins(origins []models.StreamOrigin) []*proto.StreamOrigins {
+	var groups []*proto.StreamOrigins
+	for i, origin := range origins {
+		if i == 0 || origin.Software != origins[i-1].Software {
+			groups = append(groups, &proto.StreamOrigins{Service: string(origin.Software.Service), Version: origin.Software.Version})
+		}
+		group := groups[len(groups)-1]
+		group.Streams = append(group.Streams, &proto.BegunStream{
+			Id:       uint64(origin.Stream),
+			Revision: uint32(origin.Revision),
+			TimeLeft: int64(origin.TimeLeft),
+		})
+	}
+	return groups
+}
+
+func decodeOrigins(groups []*proto.StreamOrigins) []models.StreamOrigin {
+	var origins []models.StreamOrigin
+	for _, group := range groups {
+		software := models.Software{Service: models.ServiceName(group.GetService()), Version: group.GetVersion()}
+		for _, stream := range group.GetStreams() {
+			origins = append(origins, models.StreamOrigin{
+				Stream:   models.StreamID(stream.GetId()),
+				Software: software,
+				Revision: int(stream.GetRevision()),
+				TimeLeft: time.Duration(stream.GetTimeLeft()),
+			})
+		}
+	}
+	return origins
+}
--- a/peer/daemon/share_test.go
+++ b/peer/daemon/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,6 +21,12 @@
 		Leaving:  true,
 		Loads:    map[models.EngineID]models.ServerLoad{"e1": {Running: 3, PrefillTokens: 4000}},
 		Prompts:  []models.CachedPrompt{{Server: "e1", Parts: []models.PromptPart{{ID: "5c", Tokens: 800}, {ID: "91", Tokens: 410}}}},
+		Origins: []models.StreamOrigin{
+			{Stream: 1, Software: models.Software{Service: "s", Version: "v1"}, Revision: 1, TimeLeft: time.Second},
+			{Stream: 2, Software: models.Software{Service: "s", Version: "v2"}, Revision: 3, TimeLeft: 2 * time.Second},
+			{Stream: 3, Software: models.Software{Service: "s", Version: "v2"}, Revision: 1, TimeLeft: time.Second},
+			{Stream: 4, Revision: 2, TimeLeft: time.Second},
+		},
 		Relayed: []models.LoadShare{{
 			From: "zone/b", Zone: "b", Address: netip.MustParseAddrPort("10.0.0.2:7780"), Sequence: 9,
 			Loads: map[models.EngineID]models.ServerLoad{"e2": {Running: 1}},
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -174,11 +174,22 @@
 // verifyOrigin checks, while the run that began a stream goes on, that its
 // engine has not been replaced by one of another version.
 func (d *delivery) verifyOrigin(placement Placement) {
-	if _, certain := placement.Software(); d.origin == placement && !certain {
+	if _, certain := placement.Software(); d.origin == placement && !certain && !d.originUncertain {
 		d.originUncertain = true
+		d.shareOrigin(models.Software{})
 	}
 }
 
+// shareOrigin records the software that begins the stream of a request that the
+// caller may resume, also for the other daemons.
+func (d *delivery) shareOrigin(software models.Software) {
+	if !d.exchange.Route.Resumable {
+		return
+	}
+	d.originRevision++
+	d.sender.origins.Record(d.exchange.ID, software, d.originRevision, originExpiry(d.exchange))
+}
+
 // writeHeader relays the status and the header of a response. A length below
 // zero is unknown.
 func (d *delivery) writeHeader(answer peer.UpstreamResponse, length int64) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -32,10 +32,13 @@
 	Rank      int // priority, 0 is the most urgent
 	Deadline  time.Time
 
+	// Set by Resume, or by Sender with the first event: the software that began the
+	// stream.
+	Origin *models.Software
+
 	// Set by Sender.
-	Origin *models.Software // wrote the first event of the stream; nil: none was relayed yet
-	Sends  int              // attempts at backend servers so far
-	Trace  Trace
+	Sends int // attempts at backend servers so far
+	Trace Trace
 }
 
 // MayUse reports whether a backend server may serve the request. A stream is
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -206,6 +206,20 @@
 
 func (m *fakeMeter) Count(models.Workspace) { m.counted++ }
 
+// fakeOrigins records the latest origin of each stream.
+type fakeOrigins map[models.RequestID]models.StreamOrigin
+
+// Record implements relay.Origins.
+func (o fakeOrigins) Record(id models.RequestID, software models.Software, revision int, expires time.Time) {
+	o[id] = models.StreamOrigin{Software: software, Revision: revision, TimeLeft: expires.Sub(system.NewClock().Now())}
+}
+
+// Lookup implements relay.Origins.
+func (o fakeOrigins) Lookup(id models.RequestID) (models.Software, bool) {
+	origin, ok := o[id]
+	return origin.Software, ok && origin.Software != models.Software{}
+}
+
 // fixture is a request to backend servers that follow a script.
 type fixture struct {
 	t         *testing.T
@@ -214,12 +228,13 @@
 	placer    fakePlacer
 	reply     recordingReply
 	meter     fakeMeter
+	origins   fakeOrigins
 	exchange  relay.Exchange
 }
 
 func newFixture(t *testing.T, route models.PathRoute, script ...scriptedAnswer) *fixture {
 	t.Helper()
-	f := &fixture{t: t, is: is.New(t), upstreams: fakeUpstreams{script: script}, placer: fakePlacer{retryBudget: 10}}
+	f := &fixture{t: t, is: is.New(t), upstreams: fakeUpstreams{script: script}, placer: fakePlacer{retryBudget: 10}, origins: fakeOrigins{}}
 	f.exchange = relay.Exchange{
 		ID:        "r",
 		Call:      models.UpstreamCall{ID: "r", Method: http.MethodPost, Target: "/p/x", Header: http.Header{}},
@@ -233,7 +248,7 @@
 
 func (f *fixture) handle(ctx context.Context) error {
 	f.t.Helper()
-	sender := relay.NewSender(&f.upstreams, &f.placer, &f.meter, system.NewClock(), zap.NewNop())
+	sender := relay.NewSender(&f.upstreams, &f.placer, &f.meter, f.origins, system.NewClock(), zap.NewNop())
 	return sender.Handle(ctx, &f.exchange)
 }
 
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -104,13 +104,14 @@
 	upstreams peer.Upstreams
 	placer    Placer
 	meter     UsageMeter
+	origins   Origins
 	clock     peer.Clock
 	logger    *zap.Logger
 }
 
 // NewSender returns a sender that sends requests where placer places them.
-func NewSender(upstreams peer.Upstreams, placer Placer, meter UsageMeter, clock peer.Clock, logger *zap.Logger) *Sender {
-	return &Sender{upstreams: upstreams, placer: placer, meter: meter, clock: clock, logger: logger}
+func NewSender(upstreams peer.Upstreams, placer Placer, meter UsageMeter, origins Origins, clock peer.Clock, logger *zap.Logger) *Sender {
+	return &Sender{upstreams: upstreams, placer: placer, meter: meter, origins: origins, clock: clock, logger: logger}
 }
 
 // Handle implements Handler.
@@ -138,6 +139,7 @@
 	events                eventSplitter
 	origin                Placement // of the run that began the stream; nil: none did in this answer
 	originUncertain       bool      // more than one version may have begun the stream
+	originRevision        int       // of the origin that was recorded last
 	// fallback is the error response of a backend server, relayed if no later
 	// attempt succeeds.
 	fallback *bufferedResponse
@@ -195,6 +197,10 @@
 // attempt sends the request to one backend server and relays its response.
 func (d *delivery) attempt(ctx context.Context, placement Placement) (Result, error) {
 	d.tracePlacement(placement)
+	if !d.headerWritten {
+		// Other daemons learn of it before the caller can resume the stream.
+		d.shareOrigin(placement.Target().Software())
+	}
 	target := placement.Target()
 	call := d.exchange.Call
 	call.Urgency = placement.Urgency()
--- a/relay/trace_test.go
+++ b/relay/trace_test.go
@@ -35,7 +35,7 @@
 	f := newFixture(t, test.route, test.script...)
 	f.exchange.Received = clock.Now()
 	f.exchange.Deadline = clock.Now().Add(time.Second)
-	sender := relay.NewSender(&f.upstreams, &f.placer, &f.meter, clock, logger)
+	sender := relay.NewSender(&f.upstreams, &f.placer, &f.meter, f.origins, clock, logger)
 	recorder := relay.NewRecorder(prometheus.NewRegistry(), clock, logger)
 	is.New(t).True(relay.Chain(sender, recorder.Filter()).Handle(t.Context(), &f.exchange) != nil)
 	var found []string
--- a/relay/versions_test.go
+++ b/relay/versions_test.go
@@ -35,6 +35,7 @@
 type versionedFleet struct {
 	fakeUpstreams
 	snapshot routing.Snapshot
+	origins  fakeOrigins
 	// onBreak is called before a run breaks off, onContinue when a stream reaches
 	// the engine that continues it; both may be nil.
 	onBreak    func(models.EngineID)
@@ -43,7 +44,7 @@
 }
 
 func newVersionedFleet(versions ...string) *versionedFleet {
-	f := &versionedFleet{snapshot: routing.Snapshot{
+	f := &versionedFleet{origins: fakeOrigins{}, snapshot: routing.Snapshot{
 		ByID:      map[models.EngineID]models.Upstream{},
 		ByService: map[models.ServiceName][]models.Upstream{},
 	}}
@@ -116,7 +117,7 @@
 		Deadline: clock.Now().Add(time.Minute),
 		Reply:    reply,
 	}
-	return reply, relay.NewSender(f, balancer, &fakeMeter{}, clock, zap.NewNop()).Handle(t.Context(), e)
+	return reply, relay.NewSender(f, balancer, &fakeMeter{}, f.origins, clock, zap.NewNop()).Handle(t.Context(), e)
 }
 
 // Guards against an answer with events of two software versions.
