relay, resume, routing: resumed streams that are not named go on while one version serves

Callers of deployments without several versions resume a stream without naming the request under which it began.

The record of such a stream is one of those that the daemons exchange, which reach a new process too; only which one is not known. So it is certain if all of them for the service, and all backend servers registered now or in the last minute, are of one version, however long this daemon has followed. A stream that is named but not known lacks its record, and still needs the whole minute.

The cases in TestResume fail without the change.

--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -220,6 +220,17 @@
 	return origin.Software, ok && origin.Software != models.Software{}
 }
 
+// Versions implements relay.Origins.
+func (o fakeOrigins) Versions(service models.ServiceName) []string {
+	var versions []string
+	for _, origin := range o {
+		if origin.Software.Service == service {
+			versions = append(versions, origin.Software.Version)
+		}
+	}
+	return versions
+}
+
 // fixture is a request to backend servers that follow a script.
 type fixture struct {
 	t         *testing.T
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"quincewinch/models"
@@ -32,27 +33,30 @@
 	// Lookup returns the software that began the stream of a request. It reports
 	// false if that is not known.
 	Lookup(id models.RequestID) (models.Software, bool)
+	// Versions returns the versions that began streams of a service which callers
+	// may still resume.
+	Versions(service models.ServiceName) []string
 }
 
 // VersionHistory knows which software versions were registered.
 type VersionHistory interface {
-	// Only returns the version of all backend servers that a service has had for a
-	// period. It reports false if there were several, or if the registrations were
-	// not followed all the time.
-	Only(service models.ServiceName, period time.Duration) (string, bool)
+	// Seen returns the versions of the backend servers that a service has had for a
+	// period. It reports whether they are all: whether the registrations were
+	// followed all the time.
+	Seen(service models.ServiceName, period time.Duration) (versions []string, complete bool)
 }
 
 // Resume determines the origin of a stream that a caller resumes, and with it the
 // service. A request whose origin is not certain is refused as not run: the
 // caller may find a daemon that knows it, and a stream that goes on at another
 // version is worse than one that ends.
-func Resume(origins Origins, versions VersionHistory) Filter {
+func Resume(origins Origins, history VersionHistory) Filter {
 	return func(next Handler) Handler {
 		return HandlerFunc(func(ctx context.Context, e *Exchange) error {
 			if !e.Route.Stream || e.Call.ResumeAfter == "" && e.Resumes == "" {
 				return next.Handle(ctx, e)
 			}
-			software, ok := findOrigin(e, origins, versions)
+			software, ok := findOrigin(e, origins, history)
 			if !ok {
 				return &models.Refusal{
 					Code:       models.RefusalUnknownStream,
@@ -78,16 +82,25 @@
 
 // findOrigin returns the software that began the stream that a request resumes.
 // If the stream is not known, it is certain only while the route has one service,
-// all of one version.
-func findOrigin(e *Exchange, origins Origins, versions VersionHistory) (models.Software, bool) {
+// all of one version. The record of a stream that the caller does not name is one
+// of those that are known; that of one which it names and which is not known may
+// have been of any version.
+func findOrigin(e *Exchange, origins Origins, history VersionHistory) (models.Software, bool) {
 	if software, ok := origins.Lookup(e.Resumes); ok {
 		return software, true
 	}
-	if len(e.Route.Targets) != 1 {
+	service := e.Service.Name
+	seen, complete := history.Seen(service, MaxStreamAge)
+	if len(e.Route.Targets) != 1 || e.Resumes != "" && !complete {
 		return models.Software{}, false
 	}
-	version, ok := versions.Only(e.Service.Name, MaxStreamAge)
-	return models.Software{Service: e.Service.Name, Version: version}, ok
+	versions := append(seen, origins.Versions(service)...)
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if len(versions) != 1 {
+		return models.Software{}, false
+	}
+	return models.Software{Service: service, Version: versions[0]}, true
 }
 
 func leadsTo(route models.PathRoute, service models.ServiceName) bool {
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -12,13 +12,15 @@
 	"quincewinch/relay"
 )
 
-// onlyVersion implements relay.VersionHistory: the version of all services;
-// empty if there were several.
-type onlyVersion string
+// fakeHistory implements relay.VersionHistory.
+type fakeHistory struct {
+	versions []string // of all services
+	complete bool
+}
 
-// Only implements relay.VersionHistory.
-func (v onlyVersion) Only(models.ServiceName, time.Duration) (string, bool) {
-	return string(v), v != ""
+// Seen implements relay.VersionHistory.
+func (h fakeHistory) Seen(models.ServiceName, time.Duration) (versions []string, complete bool) {
+	return h.versions, h.complete
 }
 
 func TestResume(t *testing.T) {
@@ -26,31 +28,40 @@
 	oneService := models.PathRoute{Stream: true, Resumable: true, Targets: []models.WeightedService{{Service: "s", Weight: 1}}}
 	twoServices := models.PathRoute{Stream: true, Resumable: true, Targets: []models.WeightedService{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}}
 	otherService := models.PathRoute{Stream: true, Resumable: true, Targets: []models.WeightedService{{Service: "t", Weight: 1}}}
+	oneVersion, twoVersions := fakeHistory{[]string{"v1"}, true}, fakeHistory{[]string{"v1", "v2"}, true}
+	otherVersion, justStarted := fakeHistory{[]string{"v2"}, true}, fakeHistory{[]string{"v1"}, false}
+	none := fakeOrigins{}
+	known := fakeOrigins{"known": {Software: v1}, "uncertain": {}}
 	tests := []struct {
 		name        string
 		route       models.PathRoute
 		resumes     models.RequestID
 		resumeAfter string
-		only        onlyVersion
+		origins     fakeOrigins
+		history     fakeHistory
 		origin      *models.Software   // nil if any software may serve it
 		code        models.RefusalCode // empty if it is passed on
 	}{
-		{"new stream", oneService, "", "", "", nil, ""},
-		{"known stream", oneService, "known", "1", "", &v1, ""},
-		{"known stream of one of two services", twoServices, "known", "1", "", &v1, ""},
-		{"known stream of a service that the route left", otherService, "known", "1", "", nil, models.RefusalNoBackend},
-		{"known stream while another version is the only one", oneService, "known", "1", "v2", &v1, ""},
-		{"unknown stream while there are several versions", oneService, "unknown", "1", "", nil, models.RefusalUnknownStream},
-		{"unknown stream while there is one version", oneService, "unknown", "1", "v1", &v1, ""},
-		{"unknown stream of one of two services", twoServices, "unknown", "1", "v1", nil, models.RefusalUnknownStream},
-		{"stream that either version may have begun", oneService, "uncertain", "1", "", nil, models.RefusalUnknownStream},
-		{"only the last event is stated", oneService, "", "1", "", nil, models.RefusalUnknownStream},
-		{"no stream", models.PathRoute{Targets: oneService.Targets}, "known", "1", "", nil, ""},
+		{"new stream", oneService, "", "", known, twoVersions, nil, ""},
+		{"known stream", oneService, "known", "1", known, twoVersions, &v1, ""},
+		{"known stream of one of two services", twoServices, "known", "1", known, twoVersions, &v1, ""},
+		{"known stream of a service that the route left", otherService, "known", "1", known, twoVersions, nil, models.RefusalNoBackend},
+		{"known stream while another version is the only one", oneService, "known", "1", known, otherVersion, &v1, ""},
+		{"unknown stream while there are several versions", oneService, "unknown", "1", known, twoVersions, nil, models.RefusalUnknownStream},
+		{"unknown stream while there is one version", oneService, "unknown", "1", none, oneVersion, &v1, ""},
+		{"unknown stream while others are known of another version", oneService, "unknown", "1", known, otherVersion, nil, models.RefusalUnknownStream},
+		{"unknown stream at a daemon that has just started", oneService, "unknown", "1", none, justStarted, nil, models.RefusalUnknownStream},
+		{"unknown stream of one of two services", twoServices, "unknown", "1", none, oneVersion, nil, models.RefusalUnknownStream},
+		{"stream that either version may have begun", oneService, "uncertain", "1", known, twoVersions, nil, models.RefusalUnknownStream},
+		{"stream that is not named", oneService, "", "1", known, oneVersion, &v1, ""},
+		{"stream that is not named, at a daemon that has just started", oneService, "", "1", none, justStarted, &v1, ""},
+		{"stream that is not named, of one of two versions", oneService, "", "1", known, twoVersions, nil, models.RefusalUnknownStream},
+		{"stream that is not named, after its version has left", oneService, "", "1", known, otherVersion, nil, models.RefusalUnknownStream},
+		{"no stream", models.PathRoute{Targets: oneService.Targets}, "known", "1", known, twoVersions, nil, ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			origins := fakeOrigins{"known": {Software: v1}, "uncertain": {}}
 			e := &relay.Exchange{
 				Resumes: test.resumes, Route: test.route, Call: models.UpstreamCall{ResumeAfter: test.resumeAfter},
 				Routing: &models.Routing{Services: map[models.ServiceName]models.RoutedService{"s": {Name: "s"}, "t": {Name: "t"}}},
@@ -61,7 +72,7 @@
 				passed = true
 				return nil
 			})
-			err := relay.Chain(last, relay.Resume(origins, test.only)).Handle(t.Context(), e)
+			err := relay.Chain(last, relay.Resume(test.origins, test.history)).Handle(t.Context(), e)
 			is.Equal(passed, test.code == "")
 			is.Equal(e.Origin, test.origin)
 			if test.code != "" {
--- a/resume/origins.go
+++ b/resume/origins.go
@@ -40,8 +40,9 @@
 
 	mu      sync.Mutex
 	entries map[models.StreamID]entry
-	log     []logged // in order of position
-	head    uint64   // position of the last entry
+	log     []logged                // in order of position
+	head    uint64                  // position of the last entry
+	begun   map[models.Software]int // number of entries
 }
 
 // entry is the latest origin of a stream.
@@ -65,6 +66,7 @@
 		clock:    clock,
 		instance: uint64(clock.Now().UnixNano()),
 		entries:  map[models.StreamID]entry{},
+		begun:    map[models.Software]int{},
 	}
 }
 
@@ -97,6 +99,19 @@
 	return e.software, true
 }
 
+// Versions implements relay.Origins.
+func (o *Origins) Versions(service models.ServiceName) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var versions []string
+	for software := range o.begun {
+		if software.Service == service {
+			versions = append(versions, software.Version)
+		}
+	}
+	return versions
+}
+
 // Learn adds origins that another daemon sent.
 func (o *Origins) Learn(origins []models.StreamOrigin, from Scope) {
 	now := o.clock.Now()
@@ -116,7 +131,9 @@
 	for len(o.entries) >= maxOrigins {
 		o.dropOldest()
 	}
+	o.forget(origin.Stream)
 	o.head++
+	o.begun[origin.Software]++
 	o.entries[origin.Stream] = entry{
 		software: origin.Software,
 		revision: origin.Revision,
@@ -132,7 +149,21 @@
 	oldest := o.log[0]
 	o.log = o.log[1:]
 	if o.entries[oldest.stream].position == oldest.position {
-		delete(o.entries, oldest.stream)
+		o.forget(oldest.stream)
+	}
+}
+
+// forget removes the origin of a stream, if it is known. The caller must hold
+// o.mu.
+func (o *Origins) forget(stream models.StreamID) {
+	e, ok := o.entries[stream]
+	if !ok {
+		return
+	}
+	delete(o.entries, stream)
+	o.begun[e.software]--
+	if o.begun[e.software] == 0 {
+		delete(o.begun, e.software)
 	}
 }
 
@@ -172,7 +203,7 @@
 	defer o.mu.Unlock()
 	for stream, e := range o.entries {
 		if !now.Before(e.expires) {
-			delete(o.entries, stream)
+			o.forget(stream)
 		}
 	}
 	o.log = slices.DeleteFunc(o.log, func(l logged) bool {
--- a/resume/origins_test.go
+++ b/resume/origins_test.go
@@ -1,6 +1,7 @@
 package resume_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -143,6 +144,24 @@
 	})
 }
 
+func TestVersions(t *testing.T) {
+	run(t, func(f *fixture) {
+		versions := func() []string {
+			versions := f.origins.Versions("llm")
+			slices.Sort(versions)
+			return versions
+		}
+		f.begin("r", v1, 1, time.Second)
+		f.begin("s", v1, 1, time.Second)
+		f.begin("s", v2, 2, 2*time.Second)
+		f.is.Equal(versions(), []string{"v1", "v2"})
+		f.advance(time.Second)
+		f.origins.Step(f.t.Context())
+		f.is.Equal(versions(), []string{"v2"})
+		f.is.Equal(len(f.origins.Versions("other")), 0)
+	})
+}
+
 // The memory that origins take is bounded whatever callers send.
 func TestOriginsAreBounded(t *testing.T) {
 	run(t, func(f *fixture) {
--- a/routing/versions.go
+++ b/routing/versions.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,30 +90,23 @@
 	}
 }
 
-// Only implements relay.VersionHistory. A period above versionRetention is not
+// Seen implements relay.VersionHistory. A period above versionRetention is not
 // covered.
-func (v *Versions) Only(service models.ServiceName, period time.Duration) (string, bool) {
+func (v *Versions) Seen(service models.ServiceName, period time.Duration) (versions []string, complete bool) {
 	now := v.clock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if period > versionRetention || now.Sub(v.followedAt) > maxFollowGap || now.Sub(v.followedSince) < period {
-		return "", false
-	}
 	found := map[string]bool{}
-	version := ""
-	add := func(software models.Software) {
+	for _, software := range v.registered {
 		if software.Service == service {
-			version = software.Version
-			found[version] = true
+			found[software.Version] = true
 		}
 	}
-	for _, software := range v.registered {
-		add(software)
-	}
 	for software, seen := range v.lastSeen {
-		if now.Sub(seen) <= period {
-			add(software)
+		if software.Service == service && now.Sub(seen) <= period {
+			found[software.Version] = true
 		}
 	}
-	return version, len(found) == 1
+	complete = period <= versionRetention && now.Sub(v.followedAt) <= maxFollowGap && now.Sub(v.followedSince) >= period
+	return slices.Collect(maps.Keys(found)), complete
 }
--- a/routing/versions_test.go
+++ b/routing/versions_test.go
@@ -58,15 +58,15 @@
 
 func (f *versionFixture) expectOnly(version string) {
 	f.t.Helper()
-	got, ok := f.versions.Only("llm", period)
-	f.is.True(ok)
-	f.is.Equal(got, version)
+	versions, complete := f.versions.Seen("llm", period)
+	f.is.True(complete)
+	f.is.Equal(versions, []string{version})
 }
 
 func (f *versionFixture) expectUncertain() {
 	f.t.Helper()
-	_, ok := f.versions.Only("llm", period)
-	f.is.True(!ok)
+	versions, complete := f.versions.Seen("llm", period)
+	f.is.True(!complete || len(versions) != 1)
 }
 
 func registered(versions ...string) models.UpstreamChanges {
@@ -77,7 +77,7 @@
 	return changes
 }
 
-func TestOnlyVersion(t *testing.T) {
+func TestVersionsSeen(t *testing.T) {
 	t.Run("one version for the whole period", func(t *testing.T) {
 		runVersions(t, func(f *versionFixture) {
 			f.expectUncertain()
