balance: a stream that has begun is not refused by admission

A stream that its caller resumes can only use the engines of its version. While those were busier than the rest it was refused as overloaded, like a new request, though no other engine could take it; and its wait counted as one of the service, so that new requests were refused as well.

Streams with an origin are always admitted, and their wait is not observed. The engines still turn them away when they are full. TestResumedStreamIsNotRefusedUnderOverload failed with a refusal at a predicted wait of 6.3 s, and fails if only the wait is observed.

--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -363,6 +363,37 @@
 	})
 }
 
+// Guards against streams that end because the few engines of their version are
+// busier than the rest.
+func TestResumedStreamIsNotRefusedUnderOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		upstreams := engines(4, models.RoleDecode)
+		upstreams[0].Version = "v1"
+		b := newBalancer(newFleet(upstreams...))
+		exchange := func(id string) *relay.Exchange {
+			e := promptExchange(id, 100)
+			e.Route = models.PathRoute{LatencyTarget: 300 * time.Millisecond, Timeout: 5 * time.Second}
+			e.Deadline = system.NewClock().Now().Add(5 * time.Second)
+			return e
+		}
+		place(t, b, exchange("new-0")).End(relay.ResultCancelled) // no queue stands
+		loads := map[models.EngineID]models.ServerLoad{
+			"decode0": {PrefillTokens: 100000}, "decode1": {PrefillTokens: 5000}, "decode2": {PrefillTokens: 5000}, "decode3": {PrefillTokens: 5000},
+		}
+		b.ReceiveShare(models.LoadShare{From: "d2", Sequence: 1, Loads: loads})
+		for i := range 20 {
+			e := exchange(fmt.Sprintf("resumed-%d", i))
+			e.Origin = &models.Software{Service: "llm", Version: "v1"}
+			is.Equal(place(t, b, e).Target().ID, models.EngineID("decode0"))
+			advance(t, time.Millisecond)
+		}
+		// Their wait does not count as one of the service, whose engines have a short
+		// queue.
+		place(t, b, exchange("new-1"))
+	})
+}
+
 // Of two prompts of one rank, the engine is to run the short one first.
 func TestShortPromptIsMoreUrgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -77,20 +77,34 @@
 		}
 	}
 	request := admissionRequest(e, choice, now)
-	standing := b.queue(e.Service.Name).Observe(request, now)
-	if ok, retryAfter := admission.Admit(request, standing, b.random.Float64()); !ok && !retried {
-		return nil, &models.Refusal{
-			Code:       models.RefusalOverload,
-			Message:    "the engines' queues are too long: first event in " + choice.Predicted.String(),
-			NotRun:     true,
-			RetryAfter: retryAfter,
-		}
+	if err := b.admit(e, request, retried, now); err != nil {
+		return nil, err
 	}
 	p := b.reservePrompt(e, candidates, choice, now)
 	p.urgency = min(admission.Urgency(request), maxUrgency)
 	return p, nil
 }
 
+// admit returns a refusal if a request would wait too long for an engine. A
+// stream that has begun is always admitted: it has fewer engines to wait for, and
+// its wait says nothing about the service. The caller must hold b.mu.
+func (b *Balancer) admit(e *relay.Exchange, request admission.Request, retried bool, now time.Time) error {
+	if e.Origin != nil {
+		return nil
+	}
+	standing := b.queue(e.Service.Name).Observe(request, now)
+	ok, retryAfter := admission.Admit(request, standing, b.random.Float64())
+	if ok || retried {
+		return nil
+	}
+	return &models.Refusal{
+		Code:       models.RefusalOverload,
+		Message:    "the engines' queues are too long: first event in " + request.Predicted.String(),
+		NotRun:     true,
+		RetryAfter: retryAfter,
+	}
+}
+
 // admissionRequest describes a request and its placement to package admission.
 func admissionRequest(e *relay.Exchange, choice serving.Choice, now time.Time) admission.Request {
 	return admission.Request{
