balance: a zone learns of the others again after its leader was unreachable

With more than twelve other daemons the zone leaders exchange the sums of their zones. After a leader had been unreachable, the leaders of the other zones kept sending to the next daemon of its zone, since only a send to a daemon shows that it is reachable again; the daemons of that zone, which do send to it, took the returned one for their leader. So the sums, and now the origins of streams, reached one daemon of the zone that did not pass them on, until it failed too.

A daemon counts as unreachable for 2 s after its last failed send and is then tried again. TestZoneLeaderFailback failed: four of the five daemons of the zone learned nothing any more.

--- a/balance/share.go
+++ b/balance/share.go
@@ -33,6 +33,10 @@
 	// maxSendFailures is the number of consecutive failed sends after which a
 	// daemon is considered unreachable and its connection is reopened.
 	maxSendFailures = 2
+	// unreachableRetry is how long a daemon then counts as unreachable. Other zones
+	// send nothing to a daemon while another one leads its zone, and so would not
+	// learn that it is back.
+	unreachableRetry = 2 * time.Second
 	// maxSharedOrigins bounds the origins of streams in one load share.
 	maxSharedOrigins = 2000
 	// maxQueuedPrompts bounds each queue of cached prompts that are not shared yet.
@@ -68,6 +72,17 @@
 	fullThrough uint64
 }
 
+// sendFailures are the consecutive failed sends to a daemon.
+type sendFailures struct {
+	count int
+	last  time.Time
+}
+
+// unreachable reports whether the daemon counts as unreachable.
+func (f sendFailures) unreachable(now time.Time) bool {
+	return f.count >= maxSendFailures && now.Sub(f.last) < unreachableRetry
+}
+
 // Sharer sends this daemon's load to the other daemons.
 type Sharer struct {
 	self     models.LoadShare // sender fields of each load share
@@ -88,7 +103,7 @@
 	sequence uint64 // of the last share
 	leads    bool   // zone leader, or all other daemons are direct peers
 	inFlight map[models.DaemonID]bool
-	failures map[models.DaemonID]int
+	failures map[models.DaemonID]sendFailures
 	cursors  map[models.DaemonID]originCursor
 }
 
@@ -105,7 +120,7 @@
 		logger:   logger,
 		sequence: uint64(clock.Now().UnixNano()), // above those of earlier processes
 		inFlight: map[models.DaemonID]bool{},
-		failures: map[models.DaemonID]int{},
+		failures: map[models.DaemonID]sendFailures{},
 		cursors:  map[models.DaemonID]originCursor{},
 	}
 }
@@ -202,6 +217,7 @@
 // with the lowest ID. If two daemons consider themselves the leader this is
 // harmless, since each sum of a zone replaces the previous one.
 func (s *Sharer) zoneLeader(zone models.Zone, others map[models.DaemonID]models.Peer) models.DaemonID {
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var first models.DaemonID
@@ -209,7 +225,7 @@
 		first = s.self.From
 	}
 	for id, other := range others {
-		if other.Zone == zone && s.failures[id] < maxSendFailures && (first == "" || id < first) {
+		if other.Zone == zone && !s.failures[id].unreachable(now) && (first == "" || id < first) {
 			first = id
 		}
 	}
@@ -304,22 +320,24 @@
 	var next uint64
 	share.Origins, next = s.nextOrigins(id, scope)
 	receipt, err := s.client.Share(ctx, address, share)
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.inFlight, id)
 	if err == nil {
 		s.advanceOrigins(id, receipt.Instance, next)
-		if s.failures[id] >= maxSendFailures {
+		if s.failures[id].count >= maxSendFailures {
 			s.logger.Info("daemon reachable again", zap.String("daemon", string(id)))
 		}
 		delete(s.failures, id)
 		return
 	}
-	s.failures[id]++
-	if s.failures[id] == maxSendFailures {
+	failed := sendFailures{count: s.failures[id].count + 1, last: now}
+	s.failures[id] = failed
+	if failed.count == maxSendFailures {
 		s.logger.Warn("daemon unreachable", zap.String("daemon", string(id)), zap.Error(err))
 	}
-	if s.failures[id]%maxSendFailures == 0 {
+	if failed.count%maxSendFailures == 0 {
 		s.client.Drop(address)
 	}
 }
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -379,3 +379,22 @@
 		n.expectOrigin("r", streamOrigin)
 	})
 }
+
+// Guards against a zone that no longer learns of the others once its leader has
+// been unreachable and is back.
+func TestZoneLeaderFailback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 20, 4)
+		advance(t, 2*time.Second)
+		n.kill(1) // the leader of zone z1
+		advance(t, 5*time.Second)
+		n.restart(1)
+		advance(t, 5*time.Second)
+		place(t, n.daemon(0), promptExchange("catalogue", 100)).ResponseStarted(nil)
+		n.begin(0, "r", streamOrigin, 1)
+		advance(t, time.Second)
+		is.True(n.knowsSharedPart(9, "catalogue", 200)) // of zone z1
+		n.expectOrigin("r", streamOrigin)
+	})
+}
