control: a reclaimed lease continues only if nobody has held it since

Found in review. A holder from before the store returned older, whose writes do not arrive, kept its claim after another daemon had taken the lease in the new era and been killed, and then counted as continuing: 'Continues is after another daemon held the lease, want 0'. It also went on stepping like a holder.

The claim ends when the row names another holder that wrote it in the current era. TestContinuesAfterAnotherHolder failed before.

--- a/control/lease_watch.go
+++ b/control/lease_watch.go
@@ -129,6 +129,9 @@
 		w.state = state
 		w.holderRevision = row.Revision
 		w.unchangedSince = now
+		if state.Era == row.Revision.Era() && state.Holder != l.self.Daemon {
+			delete(l.reclaims, name)
+		}
 	case !isHolder && row.Revision > w.renewalRevision:
 		w.renewalRevision = row.Revision
 		w.unchangedSince = now
--- /dev/null
+++ b/control/reclaim_test.go
@@ -0,0 +1,38 @@
+package control_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"quincewinch/models"
+	"quincewinch/platform/emulator"
+)
+
+// TestContinuesAfterAnotherHolder guards against a holder that counts its
+// authority from before a restore as continued although another daemon held the
+// lease in between.
+func TestContinuesAfterAnotherHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLeaseWorld(t)
+		a := w.start("a")
+		w.awaitHolder()
+		w.start("b")
+		w.run(leaseDuration)
+		w.store.Restore(w.version())
+		a.connection.Set(emulator.FaultLate, 10*leaseDuration) // reads succeed, writes do not
+		w.run(2 * leaseDuration)
+		b := w.awaitHolder()
+		if b == a {
+			t.Fatal("a has the lease, want b")
+		}
+		a.connection.Set(emulator.FaultNone, 0)
+		if a.leases.Holds() {
+			t.Error("a may take the lease back after b has held it")
+		}
+		w.kill(b)
+		w.run(2 * leaseDuration)
+		if got := a.leases.Authority(models.LeaseUsage); got.Fence == 0 || got.Continues != 0 {
+			t.Errorf("a has fencing number %d and continues %d, want no continuation", got.Fence, got.Continues)
+		}
+	})
+}
