billing: counters write their counts again in each new era

Found in review. Counters noticed that the store had returned older only by a write of their own, and only from an era above zero: the counts of a VM without further requests, or of a store whose eras begin at 0, were missing from the report. '5 counted requests of window missing from its report', '... not reported'.

A counter asks its table for the latest era that any call has seen, at each step.

--- a/billing/counter.go
+++ b/billing/counter.go
@@ -42,12 +42,19 @@
 	VMs            func() []string // VMs that may have counts
 }
 
+// CountTable is the table that a Counter writes to.
+type CountTable interface {
+	peer.Table
+	// Era returns the latest era of the table that is known here, 0 if none is.
+	Era() uint64
+}
+
 // Counter counts requests per window and workspace. It implements
 // relay.UsageMeter.
 type Counter struct {
 	vm       string
 	daemon   models.DaemonID
-	table    peer.Table
+	table    CountTable
 	clock    peer.Clock // wall clock
 	logger   *zap.Logger
 	settings Settings
@@ -57,7 +64,8 @@
 	writes      uint64
 	failing     bool // the last write failed
 	lastWriteAt time.Time
-	era         uint64 // of the table at the last write
+	written     bool   // counts have been written
+	era         uint64 // of the table, as last known
 }
 
 // windowCounts are the counts of this daemon in one window.
@@ -70,7 +78,7 @@
 
 // NewCounter returns a Counter. The daemon ID must be unique to this process,
 // so that no two processes write the same row. The clock is the wall clock.
-func NewCounter(vm string, daemon models.DaemonID, table peer.Table, clock peer.Clock, logger *zap.Logger, settings Settings) *Counter {
+func NewCounter(vm string, daemon models.DaemonID, table CountTable, clock peer.Clock, logger *zap.Logger, settings Settings) *Counter {
 	return &Counter{
 		vm:       vm,
 		daemon:   daemon,
@@ -103,6 +111,7 @@
 	if c.inBackoff(now) {
 		return
 	}
+	c.observeEra(c.table.Era())
 	for number, requests := range c.takeDue(now, false) {
 		c.write(ctx, number, requests)
 	}
@@ -169,7 +178,10 @@
 	defer c.mu.Unlock()
 	if err == nil {
 		c.failing = false
-		c.observeEra(revision.Era())
+		if !c.written {
+			c.written = true
+			c.era = revision.Era()
+		}
 		return
 	}
 	if !c.failing {
@@ -183,18 +195,21 @@
 }
 
 // observeEra records the era of the table. If the table has returned from an older
-// copy, all counts in memory are written again. The caller holds c.mu.
+// copy, all counts in memory are written again.
 func (c *Counter) observeEra(era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if era == c.era {
 		return
 	}
-	if c.era > 0 {
-		for _, w := range c.windows {
-			w.changed = true
-			w.final = false
-		}
-	}
 	c.era = era
+	if !c.written {
+		return
+	}
+	for _, w := range c.windows {
+		w.changed = true
+		w.final = false
+	}
 }
 
 // windowNumber returns the number of the window that contains a time, counted
--- a/billing/world_test.go
+++ b/billing/world_test.go
@@ -169,9 +169,15 @@
 	return c.startOn(vm, rangeStore{c.store}, func(int) time.Duration { return 0 })
 }
 
+// processTable is a table that all tasks of a process can use.
+type processTable interface {
+	billing.Rows
+	billing.CountTable
+}
+
 // startOn starts a process on a table; delay returns how long each of its tasks
 // waits before it starts.
-func (c *cluster) startOn(vm string, table billing.Rows, delay func(task int) time.Duration) *process {
+func (c *cluster) startOn(vm string, table processTable, delay func(task int) time.Duration) *process {
 	c.starts++
 	id := models.DaemonID(fmt.Sprintf("%s-%d", vm, c.starts))
 	names := func() []models.LeaseName { return []models.LeaseName{models.LeaseUsage} }
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -124,6 +124,13 @@
 	return append([]models.ServerOrder(nil), s.orders...)
 }
 
+// Era returns the era of the table.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision.Era()
+}
+
 // Read implements peer.Table.
 func (s *Store) Read(ctx context.Context, keys ...models.RowKey) ([]models.Row, error) {
 	if err := s.beginCall(ctx, false); err != nil {
