--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"quincewinch/models"
-	"quincewinch/platform"
 	"quincewinch/platform/emulator"
 )
 
@@ -60,10 +59,6 @@
 	}
 }
 
-func (f restoreFixture) remove(id models.EngineID) {
-	f.store.Remove(string(platform.PartitionUpstreams), string(id))
-}
-
 func (f restoreFixture) advance(d time.Duration) {
 	f.t.Helper()
 	if err := f.clock.Sleep(f.t.Context(), d); err != nil {
--- a/feed/schedule_test.go
+++ b/feed/schedule_test.go
@@ -41,6 +41,9 @@
 	scheduleDuration = 20 * time.Second
 	checkInterval    = 100 * time.Millisecond
 	zoneSize         = 4 // daemons of the zone
+	// followerSpacing separates the calls of all followers, so that no two act at
+	// once and a seed can be replayed.
+	followerSpacing = 20 * time.Microsecond
 )
 
 // scheduleDaemon is a daemon of a schedule.
@@ -70,12 +73,14 @@
 	writtenAt time.Time
 	goneAt    map[models.EngineID]time.Time // when a registration was removed or began to drain
 	startedAt map[models.EngineID]time.Time // start of the registered incarnation
+	states    map[models.EngineID]string    // of the registered engines
 }
 
 func newSchedule(t *testing.T, seed uint64) *schedule {
 	s := &schedule{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), clock: system.NewClock(), store: emulator.NewStore(),
 		silent: map[netip.AddrPort]bool{}, goneAt: map[models.EngineID]time.Time{}, startedAt: map[models.EngineID]time.Time{},
+		states: map[models.EngineID]string{},
 	}
 	s.configure()
 	for i := range 6 {
@@ -114,10 +119,14 @@
 func (s *schedule) start() (stop func()) {
 	ctx, cancel := context.WithCancel(s.t.Context())
 	var running sync.WaitGroup
+	var spacing time.Duration
 	follow := func(step func(context.Context)) {
+		spacing += followerSpacing
+		pause := spacing
 		running.Go(func() {
-			for s.clock.Sleep(ctx, time.Millisecond) == nil {
+			for s.clock.Sleep(ctx, pause) == nil {
 				step(ctx)
+				pause = time.Millisecond
 			}
 		})
 	}
@@ -143,8 +152,7 @@
 	case 3:
 		s.register(id, "draining")
 	case 4:
-		s.store.Remove(string(platform.PartitionUpstreams), string(id))
-		s.goneAt[id] = s.clock.Now()
+		s.remove(id)
 	case 5:
 		s.store.Compact()
 	case 6:
@@ -165,6 +173,10 @@
 func (s *schedule) configure() {
 	s.version += 1 + s.random.Uint64N(3)
 	s.writtenAt = s.clock.Now()
+	s.writeConfiguration()
+}
+
+func (s *schedule) writeConfiguration() {
 	s.put(string(platform.PartitionOperators), "config", map[string]any{"version": s.version})
 }
 
@@ -176,6 +188,23 @@
 	} else {
 		s.goneAt[id] = now
 	}
+	s.states[id] = state
+	s.writeRegistration(id)
+}
+
+func (s *schedule) remove(id models.EngineID) {
+	s.goneAt[id] = s.clock.Now()
+	delete(s.states, id)
+	s.writeRegistration(id)
+}
+
+// writeRegistration writes the registration of an engine as it should be.
+func (s *schedule) writeRegistration(id models.EngineID) {
+	state, ok := s.states[id]
+	if !ok {
+		s.store.Remove(string(platform.PartitionUpstreams), string(id))
+		return
+	}
 	s.put(string(platform.PartitionUpstreams), string(id), map[string]any{
 		"service": "s", "address": "10.1.0.1:80", "zone": "z", "slots": 8, "state": state, "born": s.startedAt[id].UnixMilli(),
 	})
