feed: test of a follower that is cut off during a restore

A daemon that reaches neither the store nor the zone's reader while the store returns from an older copy finds, when it is back, a store that has passed the version that it read last. On unchanged logic all four cases fail, as the other 36 of TestChangesAfterStoreRestore do:

a_follower_is_cut_off_from_the_store_and_the_reader_meanwhile/configuration daemon 3 has version 1 in force, want 4

With a Restore that loses nothing, all 40 pass.

--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -86,6 +86,13 @@
 	f.readerIndex = index
 }
 
+// setSilent sets whether a daemon answers the others.
+func (f restoreFixture) setSilent(d *scheduleDaemon, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[d.address] = silent
+}
+
 // expectVersion checks the configuration in force at all daemons.
 func (f restoreFixture) expectVersion(version uint64) {
 	f.t.Helper()
@@ -165,6 +172,16 @@
 			f.fill(lostWrites)
 			f.reconnect()
 		}},
+		{"a follower is cut off from the store and the reader meanwhile", func(f restoreFixture, change func()) {
+			f.setSilent(f.daemons[0], true)
+			f.cutOff(f.daemons[3])
+			f.advance(2 * followWait)
+			f.restore(lostWrites)
+			change()
+			f.fill(lostWrites)
+			f.setSilent(f.daemons[0], false)
+			f.reconnect()
+		}},
 		{"the reader is replaced meanwhile", func(f restoreFixture, change func()) {
 			f.restore(lostWrites)
 			f.setReader(2)
