routing: what an older copy shows of backend servers that left

- A list in the same era, after the history was dropped, ended the delay of a backend server that only the copy shows.
- A copy from before its last start replaced a registration, and was believed once the later one was gone.
- One that is missing from the next copy got the grace time of one in use.
- One that registered anew still counted as having left at the next return.
- One that is only missing from a copy has left only if it is still missing when live ones have registered again.

--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -25,6 +25,10 @@
 	// it registers anew. By then, registrations that should not be there are
 	// removed again.
 	reappearanceDelay = 5 * time.Second
+	// departureProof is how long after an outage or a return of the store a missing
+	// registration proves that its backend server has left. It allows for a store
+	// that went away again meanwhile, and for a zone's reader that has not noticed.
+	departureProof = 2 * reregistrationGrace
 	// departureRetention is how long a backend server that left is remembered:
 	// longer than a copy of the store may be old.
 	departureRetention = time.Minute
@@ -45,7 +49,9 @@
 	known       map[models.EngineID]registration
 	departed    map[models.EngineID]departure
 	failing     bool      // the last call to the store failed
-	recoveredAt time.Time // when the store last recovered or returned from an older copy; zero if it never did
+	answeredAt  time.Time // of the last call before this one that did not
+	recoveredAt time.Time // since when the store may have recovered or returned from an older copy; zero if it never did
+	foundAt     time.Time // when that was found
 }
 
 // registration is a known backend server. One whose registration is missing is
@@ -53,13 +59,16 @@
 type registration struct {
 	upstream models.Upstream
 	dropAt   time.Time // zero if it is registered
+	removed  bool      // it was removed, rather than missing from an older copy
 	usableAt time.Time // zero if it is usable
 }
 
-// departure is a backend server that was dropped.
+// departure is a backend server that was dropped. One that was missing from an
+// older copy has left only if it had not registered again by provenAt.
 type departure struct {
 	upstream models.Upstream
 	at       time.Time
+	provenAt time.Time // zero if it was removed
 }
 
 // Snapshot is a read-only snapshot of the fleet.
@@ -114,8 +123,12 @@
 	case restored, f.failing:
 		f.recoveredAt = now
 	}
+	if restored || f.failing {
+		f.foundAt = now
+	}
 	f.failing = false
 	f.apply(changes, restored, now)
+	f.answeredAt = now
 	f.through = max(f.through, changes.Through)
 	f.forgetDepartures(now)
 	changed := f.dropExpired(now)
@@ -145,30 +158,50 @@
 func (f *Fleet) apply(changes models.UpstreamChanges, restored bool, now time.Time) {
 	present := map[models.EngineID]bool{}
 	for _, upstream := range changes.Present {
+		if changes.All && f.known[upstream.ID].upstream.Started.After(upstream.Started) {
+			continue // of before its last start: the registration since is missing
+		}
 		present[upstream.ID] = true
 		var usableAt time.Time
-		if left, ok := f.departed[upstream.ID]; ok && restored && left.upstream.SameIncarnation(upstream) {
-			usableAt = now.Add(reappearanceDelay)
+		if changes.All {
+			usableAt = f.usableAt(upstream, restored, now)
 		}
 		f.register(upstream, usableAt)
 	}
 	for _, id := range changes.Removed {
-		f.markMissing(id, now)
+		f.markMissing(id, true, now)
 	}
 	if !changes.All {
 		return
 	}
 	for id := range f.known {
 		if !present[id] {
-			f.markMissing(id, now)
+			f.markMissing(id, !restored, now)
 		}
 	}
 }
 
+// usableAt returns from when a backend server that is in a list of all
+// registrations may be used, zero if at once.
+func (f *Fleet) usableAt(upstream models.Upstream, restored bool, now time.Time) time.Time {
+	left := f.departed[upstream.ID]
+	proven := restored && left.upstream.SameIncarnation(upstream) && !f.answeredAt.Before(left.provenAt)
+	if proven || left.upstream.Started.After(upstream.Started) {
+		return now.Add(reappearanceDelay)
+	}
+	if known, ok := f.known[upstream.ID]; ok && known.upstream.SameIncarnation(upstream) {
+		return known.usableAt
+	}
+	return time.Time{}
+}
+
 func (f *Fleet) register(upstream models.Upstream, usableAt time.Time) {
 	upstream.Draining = upstream.Draining || f.hasDrained(upstream)
 	before, ok := f.known[upstream.ID]
 	f.known[upstream.ID] = registration{upstream: upstream, usableAt: usableAt}
+	if usableAt.IsZero() && !upstream.Draining {
+		delete(f.departed, upstream.ID)
+	}
 	if ok && before.upstream == upstream && before.dropAt.IsZero() {
 		return
 	}
@@ -193,14 +226,19 @@
 
 // markMissing marks a backend server whose registration is missing to be
 // dropped. After an outage of the store it gets time to register again, but no
-// longer than leaveTimeout less leaveMargin, and none if it was draining.
-func (f *Fleet) markMissing(id models.EngineID, now time.Time) {
+// longer than leaveTimeout less leaveMargin, and none if it was not in use.
+func (f *Fleet) markMissing(id models.EngineID, removed bool, now time.Time) {
 	r, ok := f.known[id]
-	if !ok || !r.dropAt.IsZero() {
+	if !ok {
+		return
+	}
+	r.removed = r.removed || removed
+	if !r.dropAt.IsZero() {
+		f.known[id] = r
 		return
 	}
 	r.dropAt = now
-	if !f.recoveredAt.IsZero() && !r.upstream.Draining {
+	if !f.recoveredAt.IsZero() && !r.upstream.Draining && r.usableAt.IsZero() {
 		grace := f.recoveredAt.Add(reregistrationGrace).Sub(now)
 		r.dropAt = now.Add(max(min(grace, f.leaveTimeout-leaveMargin), 0))
 	}
@@ -216,13 +254,32 @@
 			continue
 		}
 		delete(f.known, id)
-		f.departed[id] = departure{upstream: r.upstream, at: now}
+		f.departed[id] = f.departureOf(r, now)
 		dropped = true
 		f.logger.Info("backend server removed", zap.String("engine", string(id)), zap.String("why", "its registration is missing"))
 	}
 	return dropped
 }
 
+// departureOf returns the departure of a backend server that is dropped now. What
+// was known before of the same or a later incarnation still holds.
+func (f *Fleet) departureOf(r registration, now time.Time) departure {
+	before, ok := f.departed[r.upstream.ID]
+	if ok && before.upstream.Started.After(r.upstream.Started) {
+		before.at = now
+		return before
+	}
+	left := departure{upstream: r.upstream, at: now}
+	if r.removed || r.upstream.Draining {
+		return left
+	}
+	left.provenAt = f.foundAt.Add(departureProof)
+	if ok && before.upstream.SameIncarnation(r.upstream) && before.provenAt.Before(left.provenAt) {
+		left.provenAt = before.provenAt
+	}
+	return left
+}
+
 // endDelays makes the backend servers usable whose delay is over, and reports
 // whether there were any.
 func (f *Fleet) endDelays(now time.Time) bool {
