entry, daemon: the header of an answer is cut off at 64 KB

The users report servers in trouble whose bytes come without end, also in a head, until the caller closes. net/http reads 10 MB of a header before it gives up, and header lines take up to ten times their size in memory, so that a few such answers end a VM of 184 MB.

The test first, on the unchanged code, for each client of a daemon on the users' platform (backend servers, store, duties) and for the daemon's own:

--- FAIL: TestHeaderWithoutEndIsCutOff (17.38s) transport_test.go:46: bytes read transport_test.go:47: not true: read.Load() <= 128<<10 // bytes .../no_status .../one_line .../lines .../answers_in_advance

All transports now have the bound that requests of callers have by default, 64 KB; it counts the 1xx answers before the answer too. Afterwards 65,536 bytes read, and the server sees its connection closed.

Ruled out: a time limit for the header (ResponseHeaderTimeout). Honest answers may take as long as the request's deadline, which ends a slow header as before.

--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -18,6 +18,8 @@
 	idleConnectionTimeout = 90 * time.Second
 	// dialTimeout bounds the establishment of a connection.
 	dialTimeout = time.Second
+	// maxAnswerHeaderBytes bounds the header of an answer.
+	maxAnswerHeaderBytes = 64 << 10
 )
 
 // platformClient returns the HTTP client for calls to the platform.
@@ -37,11 +39,12 @@
 func (d *Daemon) transport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleConnectionTimeout,
-		ForceAttemptHTTP2:   true,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		IdleConnTimeout:        idleConnectionTimeout,
+		ForceAttemptHTTP2:      true,
 	}
 	if d.source != nil {
 		transport.TLSClientConfig = certificates.Client(d.source)
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -32,6 +32,9 @@
 	// storeIdleTimeout is how long an idle connection to the store or the
 	// platform is kept.
 	storeIdleTimeout = 5 * time.Second
+	// maxAnswerHeaderBytes bounds the header of an answer, together with the
+	// answers in advance (status 1xx) before it.
+	maxAnswerHeaderBytes = 64 << 10
 )
 
 // dialer returns a dialer whose connections fail soon after the peer stops
@@ -62,21 +65,23 @@
 // connections after they have been idle for the given time.
 func upstreamTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:           dialer(upstreamDialTimeout).DialContext,
-		DisableCompression:    true,
-		MaxIdleConnsPerHost:   maxIdleConnections,
-		IdleConnTimeout:       idle,
-		ExpectContinueTimeout: time.Second,
+		DialContext:            dialer(upstreamDialTimeout).DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		IdleConnTimeout:        idle,
+		ExpectContinueTimeout:  time.Second,
 	}
 }
 
 // storeClient returns the client for calls to the store.
 func storeClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer(storeDialTimeout).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     storeIdleTimeout,
+		DialContext:            dialer(storeDialTimeout).DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		IdleConnTimeout:        storeIdleTimeout,
 	}}
 }
 
@@ -96,7 +101,8 @@
 			}
 			return connection, err
 		},
-		DisableCompression: true,
-		IdleConnTimeout:    storeIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		IdleConnTimeout:        storeIdleTimeout,
 	}}
 }
