relay: an event of a stream without an end is cut off at 64 KB

A stream is relayed by complete events, and an incomplete one was held without a bound until the request's deadline: all that a server in trouble sends without an event boundary, from each of the streams in flight. Each read searched all of it for a boundary again, so that the time grew with the square of its size.

The test first, on the unchanged code, with 0.5 to 0.6 MB instead of an endless body:

sender_test.go:167: not true: f.upstreams.read <= 256<<10 // bytes --- FAIL: TestEventWithoutEndIsCutOff/a_resumable_stream_goes_on_elsewhere --- FAIL: TestEventWithoutEndIsCutOff/another_stream_ends_with_an_error --- FAIL: TestEventWithoutEndIsCutOff/nothing_of_a_stream_without_a_first_event_is_relayed --- PASS: TestEventWithoutEndIsCutOff/a_long_stream_of_events_is_relayed

Past 64 KB the attempt fails and its connection is closed: a resumable stream goes on elsewhere after the last complete event, another is aborted, one that has sent no event is retried or answered 502. The search begins where the new bytes can end an event. Held per stream: 64 KB and one read of 8 KB, in a buffer of up to a quarter more; 30 MB for the 308 streams in flight of the design size.

Ruled out: passing on what arrives without a boundary. A stream could then not be resumed, and bytes that are no answer would reach the caller.

An honest event of more than 64 KB now fails; no deployment is known to send one. TestEventSplitterSplitEnd is new: no test noticed a search that begins a byte too late. A stream of a million-byte size with proper events passes, as before.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -143,6 +143,8 @@
 		}
 		d.verifyOrigin(placement)
 		switch {
+		case d.events.tooLarge():
+			return ResultFailed, errors.Errorf("an event of the stream has no end within %d bytes", maxEventBytes)
 		case errors.Is(err, io.EOF) && !d.events.partial():
 			if !d.headerWritten {
 				d.writeHeader(answer, -1)
--- a/relay/events.go
+++ b/relay/events.go
@@ -4,6 +4,9 @@
 	"bytes"
 )
 
+// maxEventBytes bounds one event, which is held until it is complete.
+const maxEventBytes = 64 << 10
+
 // eventSplitter splits a stream of server-sent events (text/event-stream) at
 // event boundaries.
 type eventSplitter struct {
@@ -21,11 +24,14 @@
 // add appends bytes and returns the events that are complete with them. The
 // slice is valid until the next call.
 func (s *eventSplitter) add(chunk []byte) []byte {
+	// An event that ends in the chunk may have begun to end just before it.
+	from := max(0, len(s.pending)-len(eventEndCRLF)+1)
 	s.pending = append(s.pending, chunk...)
-	end := lastEventEnd(s.pending)
+	end := lastEventEnd(s.pending[from:])
 	if end == 0 {
 		return nil
 	}
+	end += from
 	complete := append([]byte(nil), s.pending[:end]...)
 	s.pending = append(s.pending[:0], s.pending[end:]...)
 	s.scan(complete)
@@ -56,6 +62,11 @@
 	return len(bytes.TrimSpace(s.pending)) > 0
 }
 
+// tooLarge reports whether the pending event is larger than any answer's.
+func (s *eventSplitter) tooLarge() bool {
+	return len(s.pending) > maxEventBytes
+}
+
 // lastEventEnd returns the offset of the end of the last complete event, or 0
 // if there is none.
 func lastEventEnd(data []byte) int {
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -22,6 +22,17 @@
 	}
 }
 
+func TestEventSplitterSplitEnd(t *testing.T) {
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		is := is.New(t)
+		var s eventSplitter
+		for i := range end[:len(end)-1] {
+			is.Equal(len(s.add([]byte(end[i:i+1]))), 0)
+		}
+		is.Equal(string(s.add([]byte("\n"))), end) // whole with its last byte
+	}
+}
+
 func FuzzEventSplitter(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2", 3)
 	f.Add("\n\n\r\n\r\n", 1)
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -23,7 +23,8 @@
 type scriptedAnswer struct {
 	status      int
 	body        string
-	breaksAfter int // connection is reset after this many bytes of the body; 0: never
+	breaksAfter int  // connection is reset after this many bytes of the body; 0: never
+	noLength    bool // the answer states no length
 	notRun      bool
 	moved       bool
 	err         error
@@ -42,6 +43,8 @@
 	unreachablePrefillers int
 	prefillCalls          int
 	heldCaches            int // prefilled KV caches that have not been released
+	read                  int // bytes read from bodies
+	closed                int // bodies that have been closed
 }
 
 func (u *fakeUpstreams) next(to models.Upstream, call models.UpstreamCall) scriptedAnswer {
@@ -71,11 +74,15 @@
 	if a.breaksAfter > 0 {
 		body = io.MultiReader(strings.NewReader(a.body[:a.breaksAfter]), resetReader{})
 	}
+	length := int64(len(a.body))
+	if a.noLength {
+		length = -1
+	}
 	return peer.UpstreamResponse{
 		Status:        a.status,
 		Header:        http.Header{"From": {string(to.ID)}},
-		Body:          io.NopCloser(body),
-		Length:        int64(len(a.body)),
+		Body:          &countedBody{Reader: body, upstreams: u},
+		Length:        length,
 		NotRun:        a.notRun || a.moved,
 		WrongInstance: a.moved,
 	}, nil
@@ -104,6 +111,25 @@
 	return nil
 }
 
+// countedBody is the body of an answer.
+type countedBody struct {
+	io.Reader
+	upstreams *fakeUpstreams
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.upstreams.read += n
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	b.upstreams.closed++
+	return nil
+}
+
 // resetReader is the body of a connection that was reset.
 type resetReader struct{}
 
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -159,6 +159,42 @@
 	})
 }
 
+func TestEventWithoutEndIsCutOff(t *testing.T) {
+	const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
+	endless := scriptedAnswer{status: http.StatusOK, body: first + strings.Repeat("data: x\n", 64<<10), noLength: true}
+	expectCutOff := func(f *fixture) {
+		t.Helper()
+		f.is.True(f.upstreams.read <= 256<<10) // bytes
+		f.is.Equal(f.upstreams.closed, len(f.upstreams.calls))
+		f.is.Equal(f.placer.results[0], relay.ResultFailed)
+	}
+	t.Run("a resumable stream goes on elsewhere", func(t *testing.T) {
+		f := newFixture(t, resumable, endless, scriptedAnswer{status: http.StatusOK, body: second})
+		f.expectServed(http.StatusOK, first+second)
+		f.is.Equal(f.upstreams.calls[1].ResumeAfter, "1")
+		expectCutOff(f)
+	})
+	t.Run("another stream ends with an error", func(t *testing.T) {
+		f := newFixture(t, nonRepeatableStream, endless, success)
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.expectSends(1)
+		f.is.Equal(f.reply.body.String(), first)
+		expectCutOff(f)
+	})
+	t.Run("nothing of a stream without a first event is relayed", func(t *testing.T) {
+		garbage := scriptedAnswer{status: http.StatusOK, body: strings.Repeat("\x00garbage", 64<<10), noLength: true}
+		f := newFixture(t, nonRepeatableStream, garbage)
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.is.Equal(f.reply.begun, 0)
+		expectCutOff(f)
+	})
+	t.Run("a long stream of events is relayed", func(t *testing.T) {
+		long := strings.Repeat(first, 64<<10)
+		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: long, noLength: true})
+		f.expectServed(http.StatusOK, long)
+	})
+}
+
 func TestPrefill(t *testing.T) {
 	t.Run("target gets the KV source", func(t *testing.T) {
 		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: "data: x\n\n"})
