relay: an answer without a length is cut off at 1 MB

An answer of more than 1 MB was passed on as it arrived, also without a stated length. One without end went to the caller, as a success, until the deadline; a repeatable request was not sent elsewhere, and an honest server did not get it.

The test first, on the unchanged code, with a body of 4 MB instead of an endless one:

fakes_test.go:280: not true: err != nil // refused --- FAIL: TestAnswerWithoutEndIsCutOff/a_repeatable_request_is_sent_elsewhere --- FAIL: TestAnswerWithoutEndIsCutOff/another_request_gets_an_error,_not_one_that_means_not_run --- PASS: TestAnswerWithoutEndIsCutOff/a_large_answer_that_states_its_length_is_relayed --- PASS: TestAnswerWithoutEndIsCutOff/an_answer_without_a_length_is_relayed_up_to_1_MB

Past 1 MB without a stated length the attempt now fails before anything of it is relayed: the connection is closed, a repeatable request is sent elsewhere, another gets 502. It is not billed, like an answer that breaks off.

Ruled out: a higher bound for what is passed on as it arrives. The answer has begun by then, so that it can only be aborted, not retried.

What honest servers lose: an answer of more than 1 MB in chunks, or up to the end of the connection, is a failure now. It must state its length.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -39,7 +39,8 @@
 }
 
 // relayBuffered reads a response to its end and relays it. One above
-// maxBufferedBytes is left to relayLarge.
+// maxBufferedBytes is left to relayLarge if it states its length; another may
+// have no end.
 func (d *delivery) relayBuffered(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
@@ -48,6 +49,9 @@
 		}
 		return ResultFailed, errors.Annotate(err, "the answer broke off")
 	}
+	if len(body) > maxBufferedBytes && answer.Length < 0 {
+		return ResultFailed, errors.Errorf("the answer states no length and has no end within %d bytes", maxBufferedBytes)
+	}
 	placement.ResponseStarted(answer.Load)
 	d.recordUsage()
 	if len(body) > maxBufferedBytes {
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -159,6 +159,38 @@
 	})
 }
 
+func TestAnswerWithoutEndIsCutOff(t *testing.T) {
+	large := strings.Repeat("x", 4<<20)
+	endless := scriptedAnswer{status: http.StatusOK, body: large, noLength: true}
+	expectCutOff := func(f *fixture) {
+		t.Helper()
+		f.is.True(f.upstreams.read <= 3<<19) // bytes
+		f.is.Equal(f.upstreams.closed, len(f.upstreams.calls))
+		f.is.Equal(f.placer.results[0], relay.ResultFailed)
+	}
+	t.Run("a repeatable request is sent elsewhere", func(t *testing.T) {
+		f := newFixture(t, repeatable, endless, success)
+		f.expectServed(http.StatusOK, "good")
+		expectCutOff(f)
+	})
+	t.Run("another request gets an error, not one that means not run", func(t *testing.T) {
+		f := newFixture(t, nonRepeatable, endless, success)
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.expectSends(1)
+		f.is.Equal(f.reply.begun, 0) // nothing of it was relayed
+		f.is.Equal(f.meter.counted, 0)
+		expectCutOff(f)
+	})
+	t.Run("a large answer that states its length is relayed", func(t *testing.T) {
+		f := newFixture(t, nonRepeatable, scriptedAnswer{status: http.StatusOK, body: large})
+		f.expectServed(http.StatusOK, large)
+	})
+	t.Run("an answer without a length is relayed up to 1 MB", func(t *testing.T) {
+		f := newFixture(t, nonRepeatable, scriptedAnswer{status: http.StatusOK, body: large[:1<<20], noLength: true})
+		f.expectServed(http.StatusOK, large[:1<<20])
+	})
+}
+
 func TestEventWithoutEndIsCutOff(t *testing.T) {
 	const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
 	endless := scriptedAnswer{status: http.StatusOK, body: first + strings.Repeat("data: x\n", 64<<10), noLength: true}
