relay: a large 503 of a backend server is no promise either

A request that must not be repeated and may have run is never answered 408, 421, 429 or 503: such a status of a backend server becomes 502. Not so for an answer of more than 1 MB, which was passed on with its status. Found while looking at what large answers without end become.

The test first, on the unchanged code:

fakes_test.go:280: not true: err != nil // refused fakes_test.go:280: not true: err != nil // refused fakes_test.go:266: 500 != 200 --- FAIL: TestLargeErrorIsNoPromise/a_status_that_means_not_run_is_not_relayed --- FAIL: TestLargeErrorIsNoPromise/the_status_429_is_not_relayed_either --- FAIL: TestLargeErrorIsNoPromise/a_repeatable_request_is_sent_elsewhere

Such an answer is now a failed attempt, and so is a large error of a repeatable request, which is sent elsewhere like one with a small error. Other large errors are relayed as before.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -54,6 +54,9 @@
 	}
 	placement.ResponseStarted(answer.Load)
 	d.recordUsage()
+	if len(body) > maxBufferedBytes && !d.mayRelayLarge(answer.Status) {
+		return ResultFailed, errors.Errorf("the backend server answered %d with more than %d bytes", answer.Status, maxBufferedBytes)
+	}
 	if len(body) > maxBufferedBytes {
 		return d.relayLarge(ctx, answer, body)
 	}
@@ -64,6 +67,16 @@
 	return ResultServed, d.writeBuffered(ctx, response)
 }
 
+// mayRelayLarge reports whether a response with a status may be relayed before it
+// has ended: not an error that another attempt may avoid, and not one that would
+// be taken to mean that the request has not run.
+func (d *delivery) mayRelayLarge(status int) bool {
+	if d.exchange.Route.Repeatable {
+		return status < minServerErrorStatus
+	}
+	return !impliesNotRun(status)
+}
+
 // serverError keeps an error response of a backend server as the fallback. The
 // server may have run the request, so for a non-repeatable route a status that
 // implies otherwise is not relayed.
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -191,6 +191,28 @@
 	})
 }
 
+func TestLargeErrorIsNoPromise(t *testing.T) {
+	large := strings.Repeat("x", 2<<20)
+	t.Run("a status that means not run is not relayed", func(t *testing.T) {
+		f := newFixture(t, nonRepeatable, scriptedAnswer{status: http.StatusServiceUnavailable, body: large})
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.is.Equal(f.reply.begun, 0)
+	})
+	t.Run("the status 429 is not relayed either", func(t *testing.T) {
+		f := newFixture(t, nonRepeatable, scriptedAnswer{status: http.StatusTooManyRequests, body: large})
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.is.Equal(f.reply.begun, 0)
+	})
+	t.Run("another error of a request that is not repeatable is relayed", func(t *testing.T) {
+		f := newFixture(t, nonRepeatable, scriptedAnswer{status: http.StatusInternalServerError, body: large})
+		f.expectServed(http.StatusInternalServerError, large)
+	})
+	t.Run("a repeatable request is sent elsewhere", func(t *testing.T) {
+		f := newFixture(t, repeatable, scriptedAnswer{status: http.StatusInternalServerError, body: large}, success)
+		f.expectServed(http.StatusOK, "good")
+	})
+}
+
 func TestEventWithoutEndIsCutOff(t *testing.T) {
 	const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
 	endless := scriptedAnswer{status: http.StatusOK, body: first + strings.Repeat("data: x\n", 64<<10), noLength: true}
