peer: a failure repeats at most 512 bytes of its cause

net/http quotes in full the status or header line that it cannot parse. A head of garbage from a server in trouble went whole, and escaped to up to four times its size, into two log lines and into the text of the caller's 502.

peer.Failure now cuts the text of its cause, for every client of a peer. The error itself is kept, so that code that decides by it sees no change.

--- a/peer/failure.go
+++ b/peer/failure.go
@@ -2,8 +2,13 @@
 
 import (
 	stderrors "errors"
+	"strings"
 )
 
+// maxCauseBytes bounds how much of a cause's text a failure repeats: net/http
+// quotes in full what it cannot parse.
+const maxCauseBytes = 512
+
 // Outcome is what is known about the effect of a failed call.
 type Outcome string
 
@@ -30,12 +35,16 @@
 	return &Failure{Outcome: outcome, Message: message, Cause: cause}
 }
 
-// Error returns the message and its cause.
+// Error returns the message and the beginning of its cause.
 func (f *Failure) Error() string {
 	if f.Cause == nil {
 		return f.Message
 	}
-	return f.Message + ": " + f.Cause.Error()
+	cause := f.Cause.Error()
+	if len(cause) > maxCauseBytes {
+		cause = strings.ToValidUTF8(cause[:maxCauseBytes], "") + "..."
+	}
+	return f.Message + ": " + cause
 }
 
 // Unwrap returns the cause.
