relay: at most 32 answers above 64 KB are held at a time

An answer of up to 1 MB is held until it is whole, so that another server can be asked if it breaks off. Servers that send almost all of it and stall, or that send without end, filled 1 MB and more for each request in flight until its deadline, with no bound for the VM.

The test first, on the unchanged code, 300 requests in flight, each answered with all but one byte of 512 KB:

sender_test.go:221: not true: f.upstreams.read <= 48<<20 // bytes --- FAIL: TestStalledAnswersDoNotFillMemory

The first 64 KB of an answer are read at once; what is beyond waits until fewer than 32 requests hold more, while the backend server waits too. A place is given back when the request ends or its answer is passed on as it arrives. The deadline ends the wait. The buffer takes its size once instead of growing by copies.

Ruled out: failing the answers beyond. The request may have run and may not be repeatable; an honest answer is there a moment later.

Cost: while 32 servers stall in large answers, other large answers wait for them. Not bounded by it: bodies of requests, which have their own limit.

The fakes of the tests may now be used by several requests at a time.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -22,6 +23,11 @@
 	// before any of it is relayed, so that a truncated one can be retried
 	// elsewhere.
 	maxBufferedBytes = 1 << 20
+	// smallBytes is the size up to which a response is buffered at once.
+	smallBytes = 64 << 10
+	// maxLargeBuffers is the number of responses above smallBytes that are
+	// buffered at the same time; others wait with their backend server.
+	maxLargeBuffers = 32
 	// readBufferBytes is the size of the read buffer for streams and for bodies
 	// above maxBufferedBytes.
 	readBufferBytes = 8 << 10
@@ -42,7 +48,7 @@
 // maxBufferedBytes is left to relayLarge if it states its length; another may
 // have no end.
 func (d *delivery) relayBuffered(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	body, err := d.readBuffered(ctx, answer)
 	if err != nil {
 		if ctx.Err() != nil {
 			return ResultCancelled, errors.Annotate(err, "the answer was not whole in time")
@@ -67,6 +73,51 @@
 	return ResultServed, d.writeBuffered(ctx, response)
 }
 
+// readBuffered reads a response, and one above maxBufferedBytes to one byte more.
+func (d *delivery) readBuffered(ctx context.Context, answer peer.UpstreamResponse) ([]byte, error) {
+	var buffer bytes.Buffer
+	if _, err := buffer.ReadFrom(io.LimitReader(answer.Body, smallBytes)); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if buffer.Len() < smallBytes {
+		return buffer.Bytes(), nil
+	}
+	if err := d.takeLargeBuffer(ctx); err != nil {
+		return nil, err
+	}
+	size := int64(maxBufferedBytes + 1)
+	if answer.Length >= 0 {
+		size = min(answer.Length, size)
+	}
+	buffer.Grow(int(max(size-smallBytes, 0)) + bytes.MinRead)
+	if _, err := buffer.ReadFrom(io.LimitReader(answer.Body, maxBufferedBytes+1-smallBytes)); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// takeLargeBuffer waits until the request may buffer a large response. It may
+// then until it ends, or until releaseLargeBuffer.
+func (d *delivery) takeLargeBuffer(ctx context.Context) error {
+	if d.largeBuffer {
+		return nil
+	}
+	select {
+	case d.sender.largeBuffers <- struct{}{}:
+		d.largeBuffer = true
+		return nil
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "too many large answers at the same time")
+	}
+}
+
+func (d *delivery) releaseLargeBuffer() {
+	if d.largeBuffer {
+		d.largeBuffer = false
+		<-d.sender.largeBuffers
+	}
+}
+
 // mayRelayLarge reports whether a response with a status may be relayed before it
 // has ended: not an error that another attempt may avoid, and not one that would
 // be taken to mean that the request has not run.
@@ -117,6 +168,7 @@
 	if err := d.writeBody(ctx, prefix, false); err != nil {
 		return ResultCancelled, err
 	}
+	d.releaseLargeBuffer()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -25,6 +25,7 @@
 	body        string
 	breaksAfter int  // connection is reset after this many bytes of the body; 0: never
 	noLength    bool // the answer states no length
+	stallsAfter int  // nothing more is sent after this many bytes of the body; 0: never
 	notRun      bool
 	moved       bool
 	err         error
@@ -74,6 +75,9 @@
 	if a.breaksAfter > 0 {
 		body = io.MultiReader(strings.NewReader(a.body[:a.breaksAfter]), resetReader{})
 	}
+	if a.stallsAfter > 0 {
+		body = io.MultiReader(strings.NewReader(a.body[:a.stallsAfter]), stalledReader{ctx})
+	}
 	length := int64(len(a.body))
 	if a.noLength {
 		length = -1
@@ -120,12 +124,16 @@
 // Read implements io.Reader.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	b.upstreams.mu.Lock()
+	defer b.upstreams.mu.Unlock()
 	b.upstreams.read += n
 	return n, err
 }
 
 // Close implements io.Closer.
 func (b *countedBody) Close() error {
+	b.upstreams.mu.Lock()
+	defer b.upstreams.mu.Unlock()
 	b.upstreams.closed++
 	return nil
 }
@@ -137,8 +145,20 @@
 	return 0, io.ErrUnexpectedEOF
 }
 
+// stalledReader is the body of a server that sends nothing more.
+type stalledReader struct {
+	ctx context.Context
+}
+
+// Read implements io.Reader.
+func (r stalledReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, r.ctx.Err()
+}
+
 // fakePlacer places requests at engines a, b and c in order.
 type fakePlacer struct {
+	mu             sync.Mutex
 	usePrefiller   bool // placements have a prefiller
 	prefillResults []relay.Result
 	placed         int
@@ -154,10 +174,13 @@
 	if p.refusal != nil {
 		return nil, p.refusal
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.placed++
 	for _, id := range []models.EngineID{"a", "b", "c"} {
 		if !tried[id] {
-			return &fakePlacement{placer: p, target: models.Upstream{ID: id}}, nil
+			prefiller := models.EngineID("prefiller-" + strconv.Itoa(p.placed))
+			return &fakePlacement{placer: p, target: models.Upstream{ID: id}, prefiller: models.Upstream{ID: prefiller}}, nil
 		}
 	}
 	return nil, &models.Refusal{Code: models.RefusalNoBackend, Message: "none is left", NotRun: true, RetryAfter: time.Second}
@@ -173,8 +196,9 @@
 func (p *fakePlacer) ChargeRetry(models.ServiceName) { p.chargedRetries++ }
 
 type fakePlacement struct {
-	placer *fakePlacer
-	target models.Upstream
+	placer    *fakePlacer
+	target    models.Upstream
+	prefiller models.Upstream
 }
 
 func (p *fakePlacement) Target() models.Upstream { return p.target }
@@ -182,7 +206,7 @@
 func (p *fakePlacement) CopyFrom() (models.Upstream, bool) { return models.Upstream{}, false }
 
 func (p *fakePlacement) Prefiller() (models.Upstream, bool) {
-	return models.Upstream{ID: models.EngineID("prefiller-" + strconv.Itoa(p.placer.placed))}, p.placer.usePrefiller
+	return p.prefiller, p.placer.usePrefiller
 }
 
 func (p *fakePlacement) AcceptsWork() bool {
@@ -200,7 +224,11 @@
 	p.placer.prefillResults = append(p.placer.prefillResults, result)
 }
 func (p *fakePlacement) ResponseStarted(*models.UpstreamLoad) {}
-func (p *fakePlacement) End(result relay.Result)              { p.placer.results = append(p.placer.results, result) }
+func (p *fakePlacement) End(result relay.Result) {
+	p.placer.mu.Lock()
+	defer p.placer.mu.Unlock()
+	p.placer.results = append(p.placer.results, result)
+}
 
 // recordingReply records the response to the caller.
 type recordingReply struct {
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -107,11 +107,21 @@
 	origins   Origins
 	clock     peer.Clock
 	logger    *zap.Logger
+	// largeBuffers holds a value for each request that buffers a large response.
+	largeBuffers chan struct{}
 }
 
 // NewSender returns a sender that sends requests where placer places them.
 func NewSender(upstreams peer.Upstreams, placer Placer, meter UsageMeter, origins Origins, clock peer.Clock, logger *zap.Logger) *Sender {
-	return &Sender{upstreams: upstreams, placer: placer, meter: meter, origins: origins, clock: clock, logger: logger}
+	return &Sender{
+		upstreams:    upstreams,
+		placer:       placer,
+		meter:        meter,
+		origins:      origins,
+		clock:        clock,
+		logger:       logger,
+		largeBuffers: make(chan struct{}, maxLargeBuffers),
+	}
 }
 
 // Handle implements Handler.
@@ -120,6 +130,7 @@
 	d.events.lastID = e.Call.ResumeAfter
 	ctx, cancel := context.WithTimeout(ctx, e.Deadline.Sub(s.clock.Now()))
 	defer cancel()
+	defer d.releaseLargeBuffer()
 	return d.run(ctx)
 }
 
@@ -136,6 +147,7 @@
 	prefilled             *prefilledCache // KV cache not yet taken over by a target
 	headerWritten         bool            // the status and the header went to the caller
 	billed                bool            // counted by the usage meter
+	largeBuffer           bool            // holds one of the sender's largeBuffers
 	events                eventSplitter
 	origin                Placement // of the run that began the stream; nil: none did in this answer
 	originUncertain       bool      // more than one version may have begun the stream
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"quincewinch/models"
 	"quincewinch/peer"
@@ -191,6 +192,72 @@
 	})
 }
 
+func TestStalledAnswersDoNotFillMemory(t *testing.T) {
+	const inFlight = 300
+	half := strings.Repeat("x", 512<<10)
+	stalled := scriptedAnswer{status: http.StatusOK, body: half, stallsAfter: len(half) - 1}
+	t.Run("large answers wait, small ones do not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, nonRepeatable)
+			sender := relay.NewSender(&f.upstreams, &f.placer, &f.meter, system.NewClock(), zap.NewNop())
+			send := func(timeLeft time.Duration) (*recordingReply, <-chan error) {
+				reply := &recordingReply{}
+				e := f.exchange
+				e.Reply = reply
+				e.Workspace = ""
+				e.Deadline = system.NewClock().Now().Add(timeLeft)
+				ended := make(chan error, 1)
+				go func() { ended <- sender.Handle(t.Context(), &e) }()
+				return reply, ended
+			}
+			for range inFlight {
+				f.upstreams.script = append(f.upstreams.script, stalled)
+			}
+			var ended []<-chan error
+			for range inFlight {
+				_, done := send(time.Minute)
+				ended = append(ended, done)
+			}
+			synctest.Wait()
+			f.is.True(f.upstreams.read <= 48<<20) // bytes
+
+			f.upstreams.script = []scriptedAnswer{{status: http.StatusOK, body: "good"}}
+			reply, done := send(time.Minute)
+			f.is.NoErr(<-done) // a small answer does not wait
+			f.is.Equal(reply.body.String(), "good")
+
+			f.upstreams.script = []scriptedAnswer{{status: http.StatusOK, body: half}}
+			reply, done = send(2 * time.Minute)
+			for _, other := range ended {
+				f.is.Equal(relay.RefusalOf(<-other).Code, models.RefusalDeadline)
+			}
+			f.is.NoErr(<-done) // a large one is served after the others
+			f.is.Equal(reply.body.String(), half)
+		})
+	})
+	t.Run("a large answer that is already passed on holds no buffer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, nonRepeatable)
+			sender := relay.NewSender(&f.upstreams, &f.placer, &f.meter, system.NewClock(), zap.NewNop())
+			large := strings.Repeat("x", 2<<20)
+			for range 40 {
+				f.upstreams.script = append(f.upstreams.script, scriptedAnswer{status: http.StatusOK, body: large, stallsAfter: len(large) - 1})
+			}
+			for range 40 {
+				e := f.exchange
+				e.Reply, e.Workspace = &recordingReply{}, ""
+				go func() { _ = sender.Handle(t.Context(), &e) }()
+			}
+			synctest.Wait()
+			f.upstreams.script = []scriptedAnswer{{status: http.StatusOK, body: half}}
+			f.exchange.Workspace = ""
+			f.exchange.Deadline = system.NewClock().Now().Add(time.Second)
+			f.is.NoErr(sender.Handle(t.Context(), &f.exchange))
+			f.is.Equal(f.reply.body.String(), half)
+		})
+	})
+}
+
 func TestLargeErrorIsNoPromise(t *testing.T) {
 	large := strings.Repeat("x", 2<<20)
 	t.Run("a status that means not run is not relayed", func(t *testing.T) {
