--- a/peer/engine/client_test.go
+++ b/peer/engine/client_test.go
@@ -14,6 +14,7 @@
 	"quincewinch/peer"
 	"quincewinch/peer/engine"
 	"quincewinch/peer/system"
+	"quincewinch/standin/endless"
 	standin "quincewinch/standin/engine"
 )
 
@@ -50,3 +51,37 @@
 	_, err := engine.NewClient(server.URL, &http.Client{}).Generate(t.Context(), models.Generation{ID: "r"})
 	is.Equal(peer.OutcomeOf(err), peer.OutcomeNotDone)
 }
+
+func TestPieceWithoutEndIsCutOff(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\n\r\n"
+	tests := []struct {
+		name, first, repeated string
+		pieces                int // complete ones
+	}{
+		{"text", header + `{"request": "r", "index": 0, "text": "`, "x", 0},
+		{"blanks", header, " ", 0},
+		{"blanks after the last piece", header + `{"request": "r", "index": 0, "finish": {"reason": "stop"}}`, " ", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			handler := endless.NewHandler(test.first, test.repeated)
+			server := httptest.NewServer(handler)
+			t.Cleanup(server.Close)
+			transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext}
+			read := endless.Count(transport)
+			stream, err := engine.NewClient(server.URL, &http.Client{Transport: transport}).Generate(t.Context(), models.Generation{ID: "r"})
+			is.NoErr(err)
+			for range test.pieces {
+				_, err := stream.Next(t.Context())
+				is.NoErr(err)
+			}
+			_, err = stream.Next(t.Context())
+			is.True(err != nil)
+			is.Equal(peer.OutcomeOf(err), peer.OutcomeUnknown)
+			is.NoErr(stream.Close())
+			<-handler.Closed()
+			is.True(read.Load() <= 512<<10) // bytes
+		})
+	}
+}
--- a/peer/engine/stream_test.go
+++ b/peer/engine/stream_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"quincewinch/peer"
 )
 
@@ -29,3 +31,14 @@
 		t.Error("stream still returns pieces after as many reads as it has bytes")
 	})
 }
+
+func TestLongStreamIsRead(t *testing.T) {
+	is := is.New(t)
+	const pieces = 10_000
+	body := strings.Repeat("{\"request\": \"r\", \"text\": \" oak\"}\n", pieces)
+	s := newStream(io.NopCloser(strings.NewReader(body)), func() {})
+	for range pieces {
+		_, err := s.Next(t.Context())
+		is.NoErr(err)
+	}
+}
