peer/platform: an object without an end is not taken for whole

Answers of the platform were read up to 64 MB and taken for complete; an object that goes on was returned cut off.

The test first, on the unchanged code:

client_test.go:22: != 0 --- FAIL: TestObjectWithoutEndIsNotTakenForWhole

An answer of more than 64 MB is now a failure of unknown outcome, as in the client of the users' store.

--- a/peer/platform/client.go
+++ b/peer/platform/client.go
@@ -127,10 +127,13 @@
 		return nil, peer.NewFailure(peer.OutcomeUnknown, "the platform did not answer", err)
 	}
 	defer response.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, peer.NewFailure(peer.OutcomeUnknown, "the platform's answer broke off", err)
 	}
+	if len(raw) > maxResponseBytes {
+		return nil, peer.NewFailure(peer.OutcomeUnknown, "the platform's answer is too large", nil)
+	}
 	if response.StatusCode/100 != 2 {
 		return nil, responseFailure(raw, response.Status)
 	}
