relay: bytes that are no event are not relayed

A stream was split at empty lines, whatever stood between them. Garbage without end holds an empty line sooner or later, and then went to the caller as an event: after the start of one that the server had broken off, or as the first, with status 200.

The test first, on the unchanged code:

fakes_test.go:308: not true: err != nil // refused --- FAIL: TestBytesThatAreNoEventAreNotRelayed/a_resumable_stream_goes_on_elsewhere --- FAIL: TestBytesThatAreNoEventAreNotRelayed/another_stream_ends_with_an_error --- FAIL: TestBytesThatAreNoEventAreNotRelayed/nothing_of_a_stream_without_a_first_event_is_relayed --- PASS: TestBytesThatAreNoEventAreNotRelayed/all_forms_of_fields_are_relayed

Every line of an event must now be a field or a comment: a name of letters, digits, - and _, a colon, any value. What came before is relayed, the attempt fails, and the stream goes on elsewhere, is aborted, or is answered 502.

FuzzEventSplitter required that what passes and what is pending add up to the stream. That holds for streams without a malformed event, as before; for others it now requires that the same events pass whatever the chunks are. 59,968 executions in 15 s found nothing. The ID of an event counts once the event is complete.

Not covered: empty lines or comments without end. They are allowed in a stream, take no memory, and end with the deadline.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -187,7 +187,7 @@
 // relayStream relays events as they arrive, and only complete ones, so that an
 // interrupted stream can be resumed at another engine.
 func (d *delivery) relayStream(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
-	d.events.pending = d.events.pending[:0]
+	d.events.reset()
 	buffer := make([]byte, readBufferBytes)
 	first := true
 	for {
@@ -212,6 +212,8 @@
 		}
 		d.verifyOrigin(placement)
 		switch {
+		case d.events.malformed:
+			return ResultFailed, errors.New("the stream has bytes that are no event")
 		case d.events.tooLarge():
 			return ResultFailed, errors.Errorf("an event of the stream has no end within %d bytes", maxEventBytes)
 		case errors.Is(err, io.EOF) && !d.events.partial():
--- a/relay/events.go
+++ b/relay/events.go
@@ -10,9 +10,10 @@
 // eventSplitter splits a stream of server-sent events (text/event-stream) at
 // event boundaries.
 type eventSplitter struct {
-	pending []byte // the start of an incomplete event
-	lastID  string // of the last complete event that has one
-	count   int    // complete events
+	pending   []byte // the start of an incomplete event
+	lastID    string // of the last complete event that has one
+	count     int    // complete events
+	malformed bool   // something was added that is no event
 }
 
 var (
@@ -21,8 +22,15 @@
 	idField      = []byte("id:")
 )
 
-// add appends bytes and returns the events that are complete with them. The
-// slice is valid until the next call.
+// reset forgets what does not belong to a complete event, at the start of another
+// answer.
+func (s *eventSplitter) reset() {
+	s.pending = s.pending[:0]
+	s.malformed = false
+}
+
+// add appends bytes and returns the events that are complete with them, up to
+// the first that is malformed.
 func (s *eventSplitter) add(chunk []byte) []byte {
 	// An event that ends in the chunk may have begun to end just before it.
 	from := max(0, len(s.pending)-len(eventEndCRLF)+1)
@@ -34,27 +42,49 @@
 	end += from
 	complete := append([]byte(nil), s.pending[:end]...)
 	s.pending = append(s.pending[:0], s.pending[end:]...)
-	s.scan(complete)
-	return complete
+	return s.scan(complete)
 }
 
-// scan counts complete events and keeps the last event ID.
-func (s *eventSplitter) scan(events []byte) {
+// scan counts complete events and keeps the last event ID. It returns the events
+// before the first that is malformed.
+func (s *eventSplitter) scan(events []byte) []byte {
 	fields := false
+	id := s.lastID
+	read, scanned := 0, 0
 	for line := range bytes.Lines(events) {
+		read += len(line)
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if fields {
 				s.count++
 			}
 			fields = false
+			s.lastID = id
+			scanned = read
 			continue
 		}
+		if !isField(line) {
+			s.malformed = true
+			return events[:scanned]
+		}
 		fields = true
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			s.lastID = string(bytes.TrimSpace(id))
+		if text, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(text))
+		}
+	}
+	return events
+}
+
+// isField reports whether a line of an event is a field or a comment: a name,
+// which a comment lacks, and a colon before the value if there is one.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
 		}
 	}
+	return true
 }
 
 // partial reports whether an incomplete event is pending.
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -36,15 +36,23 @@
 func FuzzEventSplitter(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2", 3)
 	f.Add("\n\n\r\n\r\n", 1)
+	f.Add("id: 1\n\nno event\n\nid: 2\n\n", 4)
 	f.Fuzz(func(t *testing.T, stream string, size int) {
 		if size <= 0 {
 			return
 		}
 		var s eventSplitter
 		var passed strings.Builder
-		for at := 0; at < len(stream); at += size {
+		for at := 0; at < len(stream) && !s.malformed; at += size {
 			passed.Write(s.add([]byte(stream[at:min(at+size, len(stream))])))
 		}
+		if s.malformed {
+			var whole eventSplitter
+			if events := string(whole.add([]byte(stream))); !whole.malformed || events != passed.String() {
+				t.Errorf("malformed in chunks of %d after %q, at once after %q", size, passed.String(), events)
+			}
+			return
+		}
 		if passed.String()+string(s.pending) != stream {
 			t.Errorf("events and remainder do not add up to the stream %q: got %q and %q", stream, passed.String(), s.pending)
 		}
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -316,6 +316,34 @@
 	})
 }
 
+func TestBytesThatAreNoEventAreNotRelayed(t *testing.T) {
+	const first, second = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
+	garbage := strings.Repeat("\x00garbage\n\n", 100)
+	t.Run("a resumable stream goes on elsewhere", func(t *testing.T) {
+		f := newFixture(t, resumable,
+			scriptedAnswer{status: http.StatusOK, body: first + "id: 2\nda" + garbage, noLength: true},
+			scriptedAnswer{status: http.StatusOK, body: second})
+		f.expectServed(http.StatusOK, first+second)
+		f.is.Equal(f.upstreams.calls[1].ResumeAfter, "1")
+	})
+	t.Run("another stream ends with an error", func(t *testing.T) {
+		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: first + garbage, noLength: true})
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.is.Equal(f.reply.body.String(), first)
+	})
+	t.Run("nothing of a stream without a first event is relayed", func(t *testing.T) {
+		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: garbage, noLength: true})
+		f.expectRefused(models.RefusalBackendFailed, false)
+		f.is.Equal(f.reply.begun, 0)
+		f.is.Equal(f.meter.counted, 0)
+	})
+	t.Run("all forms of fields are relayed", func(t *testing.T) {
+		const forms = ": comment\n\nweights-versions: 3\r\nid:4\r\ndata\r\nevent: \x00\xff any\r\n\r\n"
+		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: forms, noLength: true})
+		f.expectServed(http.StatusOK, forms)
+	})
+}
+
 func TestPrefill(t *testing.T) {
 	t.Run("target gets the KV source", func(t *testing.T) {
 		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: "data: x\n\n"})
