relay, balance: the origin of a stream is recorded with its first event

Records were made when a request was placed, to be known early. The request had first been placed at v1, whose engine crashed before an event; the retry went to v2, and the record that replaced the first one was lost with its daemon.

A record is now made with the first event and before the caller gets it, so that one that is known is right whatever is lost. Until it has reached another daemon, within 100 ms of 7, a resumed stream of a daemon that is gone is refused there; the next load share goes out after 20 ms instead of 50 to shorten that. Kept to the version of the first placement instead, retries of a bad release would all fail at it.

The schedule plays rolling releases with engines and daemons that crash, cuts between daemons, lost load shares and lost receipts.

--- a/balance/share.go
+++ b/balance/share.go
@@ -26,7 +26,7 @@
 	fullMeshLimit = 12
 	// minShareInterval is the shortest time between two load shares to fewer
 	// than peersPerInterval daemons, urgentShareInterval the same after a long
-	// prompt was sent. Each further peersPerInterval daemons add as much again.
+	// prompt was sent or a stream has begun that callers may resume. Each further peersPerInterval daemons add as much again.
 	minShareInterval    = 50 * time.Millisecond
 	urgentShareInterval = 20 * time.Millisecond
 	peersPerInterval    = 6
@@ -95,7 +95,7 @@
 
 	// Used only by Step.
 	sharedAt    time.Time
-	originHead  uint64 // of the origins when the last load share was sent
+	originHead  uint64 // position of the last origin when the last load share was sent
 	lastPeers   int    // number of daemons that the last load share was sent to
 	sentZoneSum bool   // the sum of the zone was sent with the last load share
 
@@ -160,7 +160,7 @@
 // one.
 func (s *Sharer) minInterval() time.Duration {
 	interval := minShareInterval
-	if own, zone := s.balancer.Urgent(); own || zone && s.sentZoneSum {
+	if own, zone := s.balancer.Urgent(); own || zone && s.sentZoneSum || s.origins.Head() != s.originHead {
 		interval = urgentShareInterval
 	}
 	return interval * time.Duration(1+s.lastPeers/peersPerInterval)
--- a/models/share.go
+++ b/models/share.go
@@ -23,8 +23,8 @@
 type StreamOrigin struct {
 	Stream   StreamID
 	Software Software // zero: more than one may have begun it
-	// Revision counts what was recorded about a stream: a request may be placed
-	// several times before its first event.
+	// Revision counts what was recorded about a stream: it may turn out later that
+	// the engine was replaced.
 	Revision int
 	TimeLeft time.Duration // in which the caller may resume the stream
 }
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -203,6 +203,7 @@
 				return ResultFailed, originErr
 			}
 			if !d.headerWritten {
+				d.shareOrigin(*d.exchange.Origin)
 				d.writeHeader(answer, -1)
 			}
 			d.exchange.Trace.Events = d.events.count
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -209,10 +209,6 @@
 // attempt sends the request to one backend server and relays its response.
 func (d *delivery) attempt(ctx context.Context, placement Placement) (Result, error) {
 	d.tracePlacement(placement)
-	if !d.headerWritten {
-		// Other daemons learn of it before the caller can resume the stream.
-		d.shareOrigin(placement.Target().Software())
-	}
 	target := placement.Target()
 	call := d.exchange.Call
 	call.Urgency = placement.Urgency()
--- /dev/null
+++ b/resume/schedule_test.go
@@ -0,0 +1,540 @@
+package resume_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"quincewinch/balance"
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+	"quincewinch/policy/retry"
+	"quincewinch/relay"
+	"quincewinch/resume"
+	"quincewinch/routing"
+)
+
+var (
+	schedules = flag.Int("schedules", 30, "number of seeded schedules to run")
+	firstSeed = flag.Uint64("seed", 1, "seed of the first schedule")
+)
+
+const (
+	scheduleEngines  = 8
+	scheduleDaemons  = 7
+	scheduleZones    = 3
+	scheduleDuration = 12 * time.Second
+	scheduleTick     = 25 * time.Millisecond
+	streamEvents     = 12
+	eventGap         = 30 * time.Millisecond
+	callerTimeout    = 4 * time.Second
+	maxTries         = 4
+)
+
+// newService is the service of all engines of a schedule.
+var newService = models.RoutedService{Name: "llm", Engine: &models.EngineLimits{Slots: 64, Capacity: 500000}}
+
+// schedule is a run of daemons, engines and callers during a rolling release, with
+// engines and daemons that crash, cuts between daemons and lost load shares. Its
+// parts other than callers and streams run in turn, under mu.
+type schedule struct {
+	t      *testing.T
+	is     *is.I
+	seed   uint64
+	random *rand.Rand
+	clock  peer.Clock
+
+	mu      sync.Mutex
+	engines map[models.EngineID]*scheduleEngine
+	daemons []*scheduleDaemon
+	cut     map[[2]int]bool // pairs of daemons that do not reach each other
+	lost    float64         // share of the load shares that are lost
+	started int             // engines
+	begun   int             // streams that got an event
+	asked   int             // streams that asked for one
+	resumed int             // streams that broke off and were resumed while two engines of their version served
+	goneOn  int             // of these, streams that went on, at whichever try
+}
+
+// scheduleEngine is an engine of a schedule.
+type scheduleEngine struct {
+	upstream models.Upstream
+	alive    bool
+}
+
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	s := &schedule{
+		t: t, is: is.New(t), seed: seed, random: rand.New(rand.NewPCG(seed, 0)), clock: system.NewClock(),
+		engines: map[models.EngineID]*scheduleEngine{}, cut: map[[2]int]bool{},
+	}
+	for range scheduleEngines {
+		s.startEngine("v1")
+	}
+	for i := range scheduleDaemons {
+		s.daemons = append(s.daemons, &scheduleDaemon{schedule: s, index: i})
+	}
+	for _, d := range s.daemons {
+		d.start()
+	}
+	return s
+}
+
+// startEngine starts an engine of a version. The caller must hold s.mu or be the
+// only user.
+func (s *schedule) startEngine(version string) {
+	s.started++
+	id := models.EngineID(fmt.Sprintf("e%03d", s.started))
+	s.engines[id] = &scheduleEngine{alive: true, upstream: models.Upstream{
+		ID: id, Service: newService.Name, Version: version, Zone: "z0", Slots: 64, Role: models.RoleDecode, Started: s.clock.Now(),
+	}}
+}
+
+// registered returns the registrations. The caller must hold s.mu.
+func (s *schedule) registered() []models.Upstream {
+	var list []models.Upstream
+	for _, e := range s.engines {
+		list = append(list, e.upstream)
+	}
+	slices.SortFunc(list, func(a, b models.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+// serving returns how many engines of a version serve. The caller must hold s.mu.
+func (s *schedule) serving(version string) int {
+	count := 0
+	for _, e := range s.engines {
+		if e.alive && e.upstream.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// run plays the schedule and checks it.
+func (s *schedule) run() {
+	var callers sync.WaitGroup
+	s.sleep(time.Second)
+	for range scheduleDuration / scheduleTick {
+		s.mu.Lock()
+		s.disturb()
+		begins := s.random.Float64() < 0.5
+		s.mu.Unlock()
+		if begins {
+			callers.Go(func() { (&scheduleCaller{schedule: s}).run() })
+		}
+		s.sleep(scheduleTick)
+	}
+	callers.Wait()
+	for _, d := range s.daemons {
+		d.kill()
+	}
+	if s.resumed >= 12 && float64(s.goneOn)/float64(s.resumed) < 0.5*float64(s.begun)/float64(s.asked) {
+		s.t.Errorf("seed %d: %d of %d resumed streams went on, %d of %d new ones began", s.seed, s.goneOn, s.resumed, s.begun, s.asked)
+	}
+}
+
+func (s *schedule) sleep(d time.Duration) {
+	s.is.NoErr(s.clock.Sleep(s.t.Context(), d))
+}
+
+// disturb takes a random step of the release or injects a fault. The caller must
+// hold s.mu.
+func (s *schedule) disturb() {
+	chance := func(perSecond float64) bool { return s.random.Float64() < perSecond*scheduleTick.Seconds() }
+	list := s.registered()
+	engine := s.engines[list[s.random.IntN(len(list))].ID]
+	if chance(0.8) && s.started < 2*scheduleEngines {
+		s.startEngine("v2")
+		if engine.upstream.Version == "v1" {
+			delete(s.engines, engine.upstream.ID) // it goes on with what it runs
+		}
+	}
+	if chance(1.5) && engine.alive {
+		engine.alive = false
+		s.after(300*time.Millisecond, func() {
+			delete(s.engines, engine.upstream.ID)
+			s.startEngine(engine.upstream.Version)
+		})
+	}
+	d := s.daemons[s.random.IntN(len(s.daemons))]
+	if chance(0.7) && d.alive {
+		d.killLocked()
+		s.after(500*time.Millisecond, d.startLocked)
+	}
+	if chance(0.5) {
+		pair := [2]int{d.index, s.random.IntN(len(s.daemons))}
+		s.cut[pair] = true
+		s.after(time.Second, func() { delete(s.cut, pair) })
+	}
+	if chance(0.3) {
+		s.lost = 0.3
+		s.after(time.Second, func() { s.lost = 0 })
+	}
+}
+
+// after calls a function later, under s.mu.
+func (s *schedule) after(d time.Duration, call func()) {
+	go func() {
+		if s.clock.Sleep(s.t.Context(), d) != nil {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		call()
+	}()
+}
+
+// Share implements balance.ShareClient.
+func (s *schedule) Share(_ context.Context, to netip.AddrPort, share models.LoadShare) (models.ShareReceipt, error) {
+	unanswered := peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
+	s.mu.Lock()
+	from, target := s.at(share.Address), s.at(to)
+	reaches := from.alive && target.alive && !s.cut[[2]int{from.index, target.index}] && !s.cut[[2]int{target.index, from.index}]
+	lost, receiptLost := s.random.Float64() < s.lost, s.random.Float64() < s.lost
+	origins, balancer := target.origins, target.balancer
+	s.mu.Unlock()
+	if !reaches || lost {
+		return models.ShareReceipt{}, unanswered
+	}
+	origins.Learn(share.Origins, resume.ScopeRemote)
+	share.Origins = nil
+	balancer.ReceiveShare(share)
+	if receiptLost {
+		return models.ShareReceipt{}, unanswered
+	}
+	return models.ShareReceipt{Instance: origins.Instance()}, nil
+}
+
+// Drop implements balance.ShareClient.
+func (s *schedule) Drop(netip.AddrPort) {}
+
+// at returns the daemon of an address.
+func (s *schedule) at(address netip.AddrPort) *scheduleDaemon {
+	return s.daemons[int(address.Port())-1]
+}
+
+// Send implements peer.Upstreams.
+func (s *schedule) Send(ctx context.Context, to models.Upstream, call models.UpstreamCall) (peer.UpstreamResponse, error) {
+	s.mu.Lock()
+	engine, ok := s.engines[to.ID]
+	alive := ok && engine.alive
+	firstAfter := time.Duration(20+s.random.IntN(150)) * time.Millisecond
+	s.mu.Unlock()
+	if !alive {
+		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeNotDone, "no connection", nil)
+	}
+	next := 1
+	if call.ResumeAfter != "" {
+		last, err := strconv.Atoi(call.ResumeAfter)
+		s.is.NoErr(err)
+		next = last + 1
+	}
+	body := &scheduleStream{ctx: ctx, schedule: s, engine: engine, next: next, wait: firstAfter}
+	return peer.UpstreamResponse{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
+}
+
+// Prefill implements peer.Upstreams.
+func (s *schedule) Prefill(context.Context, models.Upstream, models.UpstreamCall) (models.KVSource, peer.UpstreamResponse, error) {
+	return models.KVSource{}, peer.UpstreamResponse{}, errors.NotImplementedf("prefill")
+}
+
+// Free implements peer.Upstreams.
+func (s *schedule) Free(context.Context, models.Upstream, models.KVSource) error {
+	return errors.NotImplementedf("KV cache")
+}
+
+// Count implements relay.UsageMeter.
+func (s *schedule) Count(models.Workspace) {}
+
+// scheduleStream is the answer of an engine. Each event states the version that
+// wrote it.
+type scheduleStream struct {
+	ctx      context.Context
+	schedule *schedule
+	engine   *scheduleEngine
+	next     int
+	wait     time.Duration
+}
+
+func (r *scheduleStream) Read(p []byte) (int, error) {
+	if r.next > streamEvents {
+		return 0, io.EOF
+	}
+	if err := r.schedule.clock.Sleep(r.ctx, r.wait); err != nil {
+		return 0, err
+	}
+	r.schedule.mu.Lock()
+	defer r.schedule.mu.Unlock()
+	if !r.engine.alive {
+		return 0, io.ErrUnexpectedEOF
+	}
+	r.wait = eventGap
+	r.next++
+	return copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", r.next-1, r.engine.upstream.Version)), nil
+}
+
+// scheduleDaemon is a daemon of a schedule.
+type scheduleDaemon struct {
+	schedule *schedule
+	index    int
+	alive    bool
+
+	// Of its latest process.
+	ctx      context.Context
+	cancel   context.CancelFunc
+	balancer *balance.Balancer
+	origins  *resume.Origins
+	versions *routing.Versions
+	snapshot *routing.Snapshot
+	handler  relay.Handler
+}
+
+func (d *scheduleDaemon) start() {
+	d.schedule.mu.Lock()
+	defer d.schedule.mu.Unlock()
+	d.startLocked()
+}
+
+// startLocked starts a process, which knows nothing. The caller must hold
+// schedule.mu.
+func (d *scheduleDaemon) startLocked() {
+	s := d.schedule
+	d.alive = true
+	d.ctx, d.cancel = context.WithCancel(s.t.Context())
+	d.origins = resume.NewOrigins(s.clock)
+	d.versions = routing.NewVersions(d, s.clock)
+	d.balancer = balance.New(d, s.clock, balance.Settings{Zone: d.zone(), Retries: retry.Settings{Ratio: 1, Reserve: 1000, Window: time.Second}}, s.seed)
+	d.snapshot = nil
+	sender := relay.NewSender(s, d.balancer, s, d.origins, s.clock, zap.NewNop())
+	d.handler = relay.Chain(sender, relay.Resume(d.origins, d.versions))
+	self := models.LoadShare{From: models.DaemonID(strconv.Itoa(d.index)), Zone: d.zone(), Address: d.address()}
+	sharer := balance.NewSharer(self, d.balancer, d, s, d.origins, s.clock, zap.NewNop())
+	ctx, versions := d.ctx, d.versions
+	go func() {
+		for {
+			changes, err := versions.Follow(ctx, 0, 0)
+			s.is.NoErr(err)
+			d.apply(ctx, changes)
+			sharer.Step(ctx)
+			if s.clock.Sleep(ctx, scheduleTick) != nil {
+				return
+			}
+		}
+	}()
+}
+
+func (d *scheduleDaemon) kill() {
+	d.schedule.mu.Lock()
+	defer d.schedule.mu.Unlock()
+	d.killLocked()
+}
+
+// killLocked ends the process with its requests. The caller must hold schedule.mu.
+func (d *scheduleDaemon) killLocked() {
+	d.alive = false
+	d.cancel()
+}
+
+func (d *scheduleDaemon) zone() models.Zone {
+	return models.Zone(fmt.Sprintf("z%d", d.index%scheduleZones))
+}
+
+func (d *scheduleDaemon) address() netip.AddrPort {
+	return netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(d.index+1))
+}
+
+// Follow implements peer.UpstreamSource.
+func (d *scheduleDaemon) Follow(context.Context, models.Revision, time.Duration) (models.UpstreamChanges, error) {
+	d.schedule.mu.Lock()
+	defer d.schedule.mu.Unlock()
+	return models.UpstreamChanges{All: true, Present: d.schedule.registered()}, nil
+}
+
+// apply replaces the snapshot unless the process has ended.
+func (d *scheduleDaemon) apply(ctx context.Context, changes models.UpstreamChanges) {
+	snapshot := &routing.Snapshot{
+		ByID:      map[models.EngineID]models.Upstream{},
+		ByService: map[models.ServiceName][]models.Upstream{newService.Name: changes.Present},
+	}
+	for _, upstream := range changes.Present {
+		snapshot.ByID[upstream.ID] = upstream
+	}
+	d.schedule.mu.Lock()
+	defer d.schedule.mu.Unlock()
+	if ctx.Err() == nil {
+		d.snapshot = snapshot
+	}
+}
+
+// Snapshot implements balance.FleetView.
+func (d *scheduleDaemon) Snapshot() *routing.Snapshot {
+	d.schedule.mu.Lock()
+	defer d.schedule.mu.Unlock()
+	return d.snapshot
+}
+
+// Others implements balance.Members.
+func (d *scheduleDaemon) Others() map[models.DaemonID]models.Peer {
+	others := map[models.DaemonID]models.Peer{}
+	for _, other := range d.schedule.daemons {
+		if other != d {
+			others[models.DaemonID(strconv.Itoa(other.index))] = models.Peer{Address: other.address(), Zone: other.zone()}
+		}
+	}
+	return others
+}
+
+// scheduleCaller is a caller that resumes its stream where it breaks off. It
+// implements relay.Reply.
+type scheduleCaller struct {
+	schedule *schedule
+	daemon   context.Context // of the process that answers
+	body     strings.Builder
+	first    models.RequestID // the attempt that brought the first event
+}
+
+// Begin implements relay.Reply.
+func (c *scheduleCaller) Begin(int, http.Header, int64) {}
+
+// Write implements relay.Reply.
+func (c *scheduleCaller) Write(_ context.Context, chunk []byte, _ bool) error {
+	if err := c.daemon.Err(); err != nil {
+		return err
+	}
+	c.body.Write(chunk)
+	return nil
+}
+
+// run requests one stream and checks what arrives.
+func (c *scheduleCaller) run() {
+	s := c.schedule
+	s.mu.Lock()
+	s.asked++
+	name := strconv.Itoa(s.asked)
+	s.mu.Unlock()
+	deadline := s.clock.Now().Add(callerTimeout)
+	broken := false // a resumed stream that has not gone on yet
+	for try := range maxTries {
+		id := models.RequestID(fmt.Sprintf("%s-%d", name, try))
+		before := c.body.Len()
+		if before > 0 && !broken && s.expectResume(c.version()) {
+			broken = true
+			s.count(&s.resumed)
+		}
+		err := c.try(id, deadline)
+		if before == 0 && c.body.Len() > 0 {
+			c.first = id
+			s.count(&s.begun)
+		}
+		if broken && c.body.Len() > before {
+			broken = false
+			s.count(&s.goneOn)
+		}
+		if err == nil || s.clock.Now().After(deadline) {
+			break
+		}
+		refusal := relay.RefusalOf(err)
+		s.sleep(min(refusal.RetryAfter, deadline.Sub(s.clock.Now())/3) + time.Millisecond)
+	}
+	c.check()
+}
+
+// try sends one attempt to a daemon.
+func (c *scheduleCaller) try(id models.RequestID, deadline time.Time) error {
+	s := c.schedule
+	now := s.clock.Now()
+	s.mu.Lock()
+	var alive []*scheduleDaemon
+	for _, d := range s.daemons {
+		if d.alive && d.snapshot != nil {
+			alive = append(alive, d)
+		}
+	}
+	if len(alive) == 0 {
+		s.mu.Unlock()
+		return errors.New("no daemon answers")
+	}
+	d := alive[s.random.IntN(len(alive))]
+	handler, ctx := d.handler, d.ctx
+	s.mu.Unlock()
+	c.daemon = ctx
+	e := &relay.Exchange{
+		ID: id, Received: now, CallerTimeout: deadline.Sub(now), Deadline: deadline, Reply: c,
+		Call:    models.UpstreamCall{ID: id, ResumeAfter: c.lastEvent(), Header: http.Header{}},
+		Resumes: c.first,
+		Routing: &models.Routing{Services: map[models.ServiceName]models.RoutedService{newService.Name: newService}},
+		Route: models.PathRoute{
+			Attempts: 2, Repeatable: true, Stream: true, Resumable: true, Timeout: callerTimeout,
+			Targets: []models.WeightedService{{Service: newService.Name, Weight: 1}},
+		},
+		Service: newService,
+		Prompt:  models.Prompt{Tokens: 100, Parts: []models.PromptPart{{ID: string(id), Tokens: 100}}},
+	}
+	return handler.Handle(ctx, e)
+}
+
+// lastEvent returns the ID of the last event that has arrived.
+func (c *scheduleCaller) lastEvent() string {
+	if count := strings.Count(c.body.String(), "id:"); count > 0 {
+		return strconv.Itoa(count)
+	}
+	return ""
+}
+
+// version returns the version that wrote the first event.
+func (c *scheduleCaller) version() string {
+	_, rest, _ := strings.Cut(c.body.String(), "data: ")
+	version, _, _ := strings.Cut(rest, "\n")
+	return version
+}
+
+// check checks that the events are in order and all of one version.
+func (c *scheduleCaller) check() {
+	expected := ""
+	for i := range strings.Count(c.body.String(), "id:") {
+		expected += fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, c.version())
+	}
+	if c.body.String() != expected {
+		c.schedule.t.Errorf("seed %d: the stream of request %s holds events of two versions:\n%s", c.schedule.seed, c.first, c.body.String())
+	}
+}
+
+// expectResume reports whether two engines of a version serve.
+func (s *schedule) expectResume(version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving(version) >= 2
+}
+
+func (s *schedule) count(counter *int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*counter++
+}
+
+// Guards against streams with events of two versions, whatever fails during a
+// rolling release, and against streams that end although their version serves.
+func TestStreamsKeepTheirVersionInRandomSchedules(t *testing.T) {
+	for i := range uint64(*schedules) {
+		if t.Failed() {
+			return
+		}
+		synctest.Test(t, func(t *testing.T) { newSchedule(t, *firstSeed+i).run() })
+	}
+}
