balance: placements read registrations without a data race

A placement read its engine's registration, for the address to send to or to see whether it had begun to leave, while another request or a load share replaced it under the balancer's lock.

The placement keeps the registration by which the target was chosen, which also is the one whose version counts, and takes the lock for the others. The test passes under -race, as do balance, relay and entry.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -258,7 +258,7 @@
 func (b *Balancer) reserve(s *serverState, now time.Time) *placement {
 	s.running++
 	b.changed = true
-	return &placement{balancer: b, target: s, placedAt: now}
+	return &placement{balancer: b, target: s, chosen: s.upstream, placedAt: now}
 }
 
 // callCost returns the placement cost of a plain service's backend server, in
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -11,6 +11,7 @@
 type placement struct {
 	balancer          *Balancer
 	target            *serverState
+	chosen            models.Upstream     // registration of the target when it was chosen
 	prefiller         *serverState        // nil if the target prefills the prompt itself
 	source            *serverState        // its cached parts of the prompt are copied; nil if none
 	prefillServer     *serverState        // prefiller or else target; nil for a plain service
@@ -31,7 +32,7 @@
 
 // Target implements relay.Placement.
 func (p *placement) Target() models.Upstream {
-	return p.target.upstream
+	return p.chosen
 }
 
 // Prefiller implements relay.Placement.
@@ -39,6 +40,8 @@
 	if p.prefiller == nil {
 		return models.Upstream{}, false
 	}
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
 	return p.prefiller.upstream, true
 }
 
@@ -47,6 +50,8 @@
 	if p.source == nil {
 		return models.Upstream{}, false
 	}
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
 	return p.source.upstream, true
 }
 
@@ -56,19 +61,19 @@
 	if snapshot == nil {
 		return false
 	}
-	now, ok := snapshot.ByID[p.target.upstream.ID]
-	return ok && !now.Draining && now.SameIncarnation(p.target.upstream)
+	now, ok := snapshot.ByID[p.chosen.ID]
+	return ok && !now.Draining && now.SameIncarnation(p.chosen)
 }
 
 // Software implements relay.Placement. An engine that is no longer registered
 // has not been replaced under its ID.
 func (p *placement) Software() (software models.Software, certain bool) {
-	software = p.target.upstream.Software()
+	software = p.chosen.Software()
 	snapshot := p.balancer.fleet.Snapshot()
 	if snapshot == nil {
 		return software, true
 	}
-	now, ok := snapshot.ByID[p.target.upstream.ID]
+	now, ok := snapshot.ByID[p.chosen.ID]
 	return software, !ok || now.Software() == software
 }
 
