membership: a silent daemon without a registration is forgotten

Found in review. A daemon that ended for good, and whose registration was lost as the table returned older, stayed known: billing windows waited for its counts until they were forced to close, and the retry budget was divided by one too many. '1 other daemon known 5 min after it ended, want 0'.

It is forgotten after the time after which a registration would be removed.

--- a/membership/members.go
+++ b/membership/members.go
@@ -163,10 +163,15 @@
 }
 
 // removeSilent deletes the registrations of daemons that have sent nothing, and
-// whose registrations have not changed, for removalTimeout.
+// whose registrations have not changed, for removalTimeout. Those without a
+// registration are forgotten.
 func (m *Members) removeSilent(ctx context.Context, now time.Time) {
 	for id, other := range m.snapshot() {
-		if other.row == 0 || now.Sub(other.lastHeardAt) < removalTimeout || now.Sub(other.lastListedAt) < removalTimeout {
+		if now.Sub(other.lastHeardAt) < removalTimeout || now.Sub(other.lastListedAt) < removalTimeout {
+			continue
+		}
+		if other.row == 0 {
+			m.Remove(id)
 			continue
 		}
 		key := table.MemberKey(id)
