--- a/control/reclaim_test.go
+++ b/control/reclaim_test.go
@@ -36,3 +36,24 @@
 		}
 	})
 }
+
+// TestLateReclaimLeavesLeaseToNextHolder guards against a daemon that takes the
+// lease back from the next holder, since it could not do so in time.
+func TestLateReclaimLeavesLeaseToNextHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLeaseWorld(t)
+		a := w.start("a")
+		w.awaitHolder()
+		w.start("b")
+		w.run(leaseDuration)
+		w.store.Restore(w.version())
+		a.connection.Set(emulator.FaultLate, 10*leaseDuration)
+		w.run(2 * leaseDuration)
+		b := w.awaitHolder()
+		a.connection.Set(emulator.FaultNone, 0)
+		w.run(3 * leaseDuration)
+		if got := w.holder(); got == nil || got != b || b == a {
+			t.Errorf("%v holds the lease, want b", got)
+		}
+	})
+}
