--- a/control/reclaim_test.go
+++ b/control/reclaim_test.go
@@ -57,3 +57,23 @@
 		}
 	})
 }
+
+// TestHolderKeepsLeaseAcrossRestore guards against a gap without a holder although
+// the holder reaches the store all the while.
+func TestHolderKeepsLeaseAcrossRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLeaseWorld(t)
+		before := w.version()
+		a := w.start("a")
+		w.awaitHolder()
+		w.start("b")
+		w.run(leaseDuration)
+		w.store.Restore(before)
+		for range 2 * leaseDuration / observeEvery {
+			w.run(observeEvery)
+			if got := w.holder(); got != a {
+				t.Fatalf("%v holds the lease, want a", got)
+			}
+		}
+	})
+}
