--- a/control/reclaim_test.go
+++ b/control/reclaim_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"quincewinch/models"
 	"quincewinch/platform/emulator"
@@ -77,3 +78,20 @@
 		}
 	})
 }
+
+// TestTakeoverOfLeaseThatCopyLacks guards against a takeover that was read before
+// the restore, and succeeds since the copy has no row of the lease either.
+func TestTakeoverOfLeaseThatCopyLacks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLeaseWorld(t)
+		before := w.version()
+		w.start("a")
+		w.start("b")
+		for w.holder() == nil {
+			w.sleep(time.Millisecond / 4)
+		}
+		w.store.Restore(before)
+		w.run(reacquireTime)
+		w.awaitHolder()
+	})
+}
