billing: counts decided on are not replaced by a row that differs

A holder read a frozen row in the older copy before it knew of the restore, and took it for one of its own era: 'window reported as map[w0:26 w1:24 w2:30] and later as map[w0:1]'.

While a daemon holds the lease, a row that differs from the counts that it has tried to freeze cannot be of this era. It is overwritten once the daemon holds the lease in the later one.

--- a/billing/closer.go
+++ b/billing/closer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -262,12 +263,13 @@
 		return nil, errors.Trace(err)
 	}
 	condition := models.Condition{Key: key}
+	requests, decided := c.decided[number]
 	if len(frozen) > 0 {
 		stored, err := decodeCounts(frozen[0].Value)
 		if err != nil {
 			return nil, err
 		}
-		if c.horizon.trusts(stored, number) {
+		if c.horizon.trusts(stored, number) && (!decided || maps.Equal(stored.requests, requests)) {
 			c.decided[number] = stored.requests
 			return stored.requests, nil
 		}
@@ -278,10 +280,10 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	_, decided := c.decided[number]
-	requests, err := c.decide(rows, number, now)
-	if err != nil || len(requests) == 0 {
-		return nil, err
+	if !decided {
+		if requests, err = c.decide(rows, number, now); err != nil || len(requests) == 0 {
+			return nil, err
+		}
 	}
 	value, err := encodeCounts(counts{era: c.horizon.era, requests: requests})
 	if err != nil {
@@ -305,12 +307,9 @@
 	return requests, nil
 }
 
-// decide returns the counts with which a window is to be frozen: those decided on
-// before, or the sum of the count rows.
+// decide returns the counts with which a window is to be frozen, the sum of the
+// count rows.
 func (c *Closer) decide(rows []models.Row, number int64, now time.Time) (map[models.Workspace]int64, error) {
-	if requests, ok := c.decided[number]; ok {
-		return requests, nil
-	}
 	latest := c.latestCounts(rows, number)
 	requests := sumCounts(latest)
 	if number <= c.unknownThrough {
