standin/platform: the table returns from an older copy

Store.Restore returns the table to its rows as of an earlier version and starts the next era: all revisions, those of the rows and the counter, are in the new era with their old versions, and later versions are given out again. To that end the store keeps the rows replaced in the last minute. A transaction whose conditions are of an earlier era is rejected with peer.OutcomeRestored, as by the client of the users' store; before, it would have been a conflict. The object store, the orders of backend servers and the accepted reports stay: only the table is restored.

--- a/peer/daemon/codec_test.go
+++ b/peer/daemon/codec_test.go
@@ -49,6 +49,24 @@
 	is.Equal(DecodeGossip(EncodeGossip(models.Gossip{})), models.Gossip{})
 }
 
+// TestGossipRevisions checks that revisions of late eras are not truncated.
+func TestGossipRevisions(t *testing.T) {
+	is := is.New(t)
+	last := models.NewRevision(1<<models.EraBits-1, 7)
+	message := models.Gossip{
+		Reports: []models.DaemonReport{{Config: last}},
+		Rows:    []models.Row{{Revision: last}},
+		Through: last,
+		Known:   last,
+		Editing: models.Editing{Member: last},
+	}
+	decoded := DecodeGossip(EncodeGossip(message))
+	is.Equal(decoded.Rows[0].Revision, last)
+	is.Equal(decoded.Reports[0].Config, last)
+	is.Equal(decoded.Editing.Member, last)
+	is.Equal([]models.Revision{decoded.Through, decoded.Known}, []models.Revision{last, last})
+}
+
 // echoReceiver returns gossip unchanged, and one event that matches the filter.
 type echoReceiver struct{}
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -22,6 +22,7 @@
 	mu       sync.Mutex
 	revision models.Revision
 	rows     map[models.RowKey]models.Row
+	replaced []replacedRow // oldest first
 	objects  map[string][]byte
 	vms      []models.VM
 	servers  map[models.EngineID]models.BackendServer
@@ -33,6 +34,17 @@
 	launcher Launcher
 }
 
+// replacedRow is a row as it was before a write, kept to restore older copies. A
+// row that had never been written has revision 0.
+type replacedRow struct {
+	row     models.Row
+	version uint64 // of the write
+	at      time.Time
+}
+
+// replacedRetention is how old a copy that Restore returns to may be.
+const replacedRetention = time.Minute
+
 // Faults are the faults injected into the platform. The zero value has none.
 type Faults struct {
 	Down  bool          // every call fails before it takes effect
@@ -214,12 +226,16 @@
 		return 0, false, peer.NewFailure(peer.OutcomeRestored, "the table has returned from an older copy", nil)
 	}
 	for _, condition := range transaction.Conditions {
+		if condition.Revision > 0 && condition.Revision.Era() != s.revision.Era() {
+			return 0, false, peer.NewFailure(peer.OutcomeRestored, "the table has returned from an older copy", nil)
+		}
 		if s.rows[condition.Key].Revision != condition.Revision {
 			return 0, false, peer.NewFailure(peer.OutcomeConflict, "row "+condition.Key.Name+" has changed", nil)
 		}
 	}
 	s.revision++
 	for _, write := range transaction.Writes {
+		s.keepReplaced(write.Key)
 		s.rows[write.Key] = models.Row{
 			Key:      write.Key,
 			Revision: s.revision,
@@ -231,6 +247,48 @@
 	return s.revision, lose, nil
 }
 
+// keepReplaced keeps a row that is about to be written. The caller holds s.mu.
+func (s *Store) keepReplaced(key models.RowKey) {
+	row := s.rows[key]
+	row.Key = key
+	now := s.clock.Now()
+	s.replaced = append(s.replaced, replacedRow{row: row, version: s.revision.Version(), at: now})
+	old := 0
+	for now.Sub(s.replaced[old].at) > replacedRetention {
+		old++
+	}
+	s.replaced = s.replaced[old:]
+}
+
+// Restore returns the table to a copy as of a version of at most
+// replacedRetention ago, and starts the next era. Later versions are given out
+// again. The platform's other services keep their state.
+func (s *Store) Restore(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := len(s.replaced); n > 0 && s.replaced[n-1].version > version; n-- {
+		row := s.replaced[n-1].row
+		s.replaced = s.replaced[:n-1]
+		s.rows[row.Key] = row
+		if row.Revision == 0 {
+			delete(s.rows, row.Key)
+		}
+	}
+	era := s.revision.Era() + 1
+	s.revision = models.NewRevision(era, min(s.revision.Version(), version))
+	for key, row := range s.rows {
+		row.Revision = models.NewRevision(era, row.Revision.Version())
+		s.rows[key] = row
+	}
+}
+
+// Revision returns the revision of the latest transaction.
+func (s *Store) Revision() models.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Get implements peer.Objects.
 func (s *Store) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := s.beginCall(ctx, false); err != nil {
