control: edits stay in force when the table returns from an older copy

Seen (TestRestoredConfiguration): half a second after the table returned from a copy without the latest edits, d1 admitted a withdrawn key; edited, new and deleted rows went back, and a lost registration was not made again. Cause: a row of the copy has a later era, so it replaced the version that it is older than; rows that the copy lacks were missed by nobody.

A replica now compares versions of different eras by their version number: the copy cannot have a higher one for an older row. The row that the table lost stays in force under its earlier revision, is sent along with every delta, and the editor writes it again on the condition of what the table has instead. Rows edited since may have lower versions than lost ones, so each edit stores the horizon of its era with the row of the latest edit: above it a row was edited since, and wins. A key that was withdrawn stays so in any case. Registrations and the row of the latest edit are not written again by others: each daemon reads the whole list once in an era and drops what it lacks, and a daemon that is missing registers.

An edit of unknown outcome whose conditions are of an earlier era can no longer take effect; it is settled as after a conflict.

Evidence: all 9 subtests pass (8 failed), and TestSchedules with 10,000 schedules, the outage and the editing tests.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -25,7 +25,8 @@
 )
 
 // Configuration holds the configuration in force. It never goes back: of two
-// versions of a row, the one with the higher revision wins.
+// versions of a row, the one with the higher revision wins, and one that the
+// table lost when it returned from an older copy stays in force.
 type Configuration struct {
 	table    peer.Table
 	clock    peer.Clock
@@ -37,6 +38,7 @@
 	config       *models.Config
 	roster       Roster
 	evidence     models.Evidence
+	readEra      uint64    // latest era in which all rows were read here
 	lastReadAt   time.Time // start of the latest read
 	failingSince time.Time // start of the first failed read since the last success; zero: none
 	changed      chan struct{}
@@ -128,7 +130,8 @@
 }
 
 // readDue reports whether to read the table now. Table readers read at each
-// step, other daemons when their evidence gets old or the last read failed.
+// step, other daemons when their evidence gets old, the last read failed, or the
+// table has returned from an older copy.
 func (c *Configuration) readDue() bool {
 	if c.isReader() {
 		return true
@@ -139,7 +142,7 @@
 	if now.Sub(c.lastReadAt) < fallbackInterval {
 		return false
 	}
-	return !c.failingSince.IsZero() || now.Sub(c.evidence.At) > evidenceRefreshAge
+	return !c.failingSince.IsZero() || now.Sub(c.evidence.At) > evidenceRefreshAge || c.readEra < c.replica.Through().Era()
 }
 
 // Read reads the table's changes, then checks with a transaction whether any
@@ -151,6 +154,9 @@
 	started := c.clock.Now()
 	c.lastReadAt = started
 	after := c.replica.Through()
+	if c.readEra < after.Era() {
+		after = 0 // registrations that the table has lost show only in a list of all rows
+	}
 	c.mu.Unlock()
 	changes, err := c.readChanges(ctx, after)
 	if err != nil {
@@ -173,6 +179,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.apply(changes.Rows, after, changes.Through)
+	if era := changes.Through.Era(); era > c.readEra && era == c.replica.Through().Era() {
+		c.readEra = era
+		c.roster = c.roster.with(c.replica.DropRegistrations())
+	}
 	latestEdit = c.replica.rows[table.LatestEditKey].Revision
 	return latestEdit, latestEdit <= c.replica.Through()
 }
@@ -235,6 +245,22 @@
 	return rows, through, c.evidence
 }
 
+// Lost returns the rows in force that the table may lack, since it returned from
+// an older copy.
+func (c *Configuration) Lost() []models.Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica.Lost()
+}
+
+// Horizon returns the horizon to be stored with an edit, see
+// table.EncodeLatestEdit.
+func (c *Configuration) Horizon() models.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica.Horizon()
+}
+
 // AddEvidence records evidence for rows that have already been applied.
 func (c *Configuration) AddEvidence(evidence models.Evidence) {
 	c.mu.Lock()
--- a/control/editor.go
+++ b/control/editor.go
@@ -178,7 +178,7 @@
 }
 
 // Step retries the edits whose outcome is unknown. Their conditions ensure that
-// each takes effect at most once.
+// each takes effect at most once. It then writes again what the table has lost.
 func (e *Editor) Step(ctx context.Context) {
 	e.mu.Lock()
 	pending := e.unsettled
@@ -187,11 +187,54 @@
 	for _, transaction := range pending {
 		e.retry(ctx, transaction)
 	}
+	if e.editing.Open() && e.allSettled() {
+		e.rewriteLost(ctx)
+	}
 }
 
-// write commits one row if it still has the given version and this daemon's
-// registration is unchanged.
+// allSettled reports whether no edit is waiting to be retried.
+func (e *Editor) allSettled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.unsettled) == 0
+}
+
+// rewriteLost writes the rows again that the table has lost. Every daemon that
+// knows them tries; their conditions let one succeed.
+func (e *Editor) rewriteLost(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	for _, row := range e.configuration.Lost() {
+		stored, err := e.table.Read(ctx, row.Key)
+		if err != nil {
+			return
+		}
+		e.configuration.ApplyCommitted(stored)
+		if e.configuration.Row(row.Key).Revision != row.Revision {
+			continue // the table has it, or a later edit of it
+		}
+		var version models.Revision
+		if len(stored) > 0 {
+			version = stored[0].Revision
+		}
+		write := models.Write{Key: row.Key, Value: row.Value, Delete: row.Deleted}
+		_, _ = e.commit(ctx, write, version, "it was lost when the table returned from an older copy")
+	}
+}
+
+// write commits an operator's edit of one row if the row still has the given
+// version.
 func (e *Editor) write(ctx context.Context, write models.Write, version models.Revision) (peer.TableRow, error) {
+	return e.commit(ctx, write, version, "an operator's edit was accepted")
+}
+
+// commit commits one row if it still has the given version and this daemon's
+// registration is unchanged.
+func (e *Editor) commit(ctx context.Context, write models.Write, version models.Revision, why string) (peer.TableRow, error) {
+	latestEdit, err := table.EncodeLatestEdit(e.configuration.Horizon())
+	if err != nil {
+		return peer.TableRow{}, err
+	}
 	if err := e.editing.Begin(); err != nil {
 		return peer.TableRow{}, err
 	}
@@ -202,7 +245,7 @@
 			{Key: write.Key, Revision: version},
 			{Key: registration, Revision: e.configuration.Roster().Registration(e.self)},
 		},
-		Writes: []models.Write{write, {Key: table.LatestEditKey}},
+		Writes: []models.Write{write, {Key: table.LatestEditKey, Value: latestEdit}},
 	}
 	row, err := e.transact(ctx, transaction)
 	if err != nil {
@@ -210,7 +253,7 @@
 		return e.withCurrentRow(ctx, write.Key, err)
 	}
 	e.editing.Settle()
-	e.timeline.Record(models.Event{Kind: models.EventConfig, What: "row " + write.Key.Name + " written", Why: "an operator's edit was accepted"})
+	e.timeline.Record(models.Event{Kind: models.EventConfig, What: "row " + write.Key.Name + " written", Why: why})
 	return toTableRow(row), nil
 }
 
@@ -238,7 +281,7 @@
 	transaction.ID = randomHex(transactionIDBytes)
 	_, err := e.transact(ctx, transaction)
 	settled := err == nil || peer.OutcomeOf(err) == peer.OutcomeRefused
-	if err != nil && peer.OutcomeOf(err) == peer.OutcomeConflict {
+	if outcome := peer.OutcomeOf(err); err != nil && (outcome == peer.OutcomeConflict || outcome == peer.OutcomeRestored) {
 		settled = e.outcomeKnown(ctx, transaction)
 	}
 	e.settleOrRequeue(transaction, settled)
--- a/control/replica.go
+++ b/control/replica.go
@@ -11,10 +11,15 @@
 // Replica is this daemon's copy of the rows that all daemons replicate. Of two
 // versions of a row, the one with the higher revision wins, in whatever order
 // they arrive.
+//
+// If the table returns from an older copy, edits may be lost from it. A row that
+// operators edit stays as it was edited until the table has it again; its revision
+// is then of an earlier era than Through.
 type Replica struct {
 	rows    map[models.RowKey]models.Row
 	log     []logEntry // in order of revision; superseded entries stay until compaction
 	through models.Revision
+	horizon models.Revision // see table.EncodeLatestEdit
 }
 
 // logEntry records that a row was written at a revision.
@@ -39,10 +44,15 @@
 
 // Apply applies committed rows and returns the changes they made.
 func (r *Replica) Apply(rows []models.Row) []table.Change {
+	for _, row := range rows {
+		if row.Key == table.LatestEditKey {
+			r.horizon = max(r.horizon, table.ParseLatestEdit(row))
+		}
+	}
 	var changes []table.Change
 	for _, row := range rows {
 		old := r.rows[row.Key]
-		if row.Revision <= old.Revision {
+		if !r.supersedes(row, old) {
 			continue
 		}
 		r.rows[row.Key] = row
@@ -53,6 +63,70 @@
 	return changes
 }
 
+// supersedes reports whether a row replaces the version known here.
+func (r *Replica) supersedes(row, old models.Row) bool {
+	sameEra := row.Revision.Era() == old.Revision.Era()
+	switch {
+	case old.Revision == 0 || sameEra || row.Key.Partition != models.PartitionConfig:
+		return row.Revision > old.Revision
+	case row.Revision > old.Revision:
+		return !r.lost(old, row)
+	}
+	return r.lost(row, old)
+}
+
+// lost reports whether a version of a row was lost when the table returned from
+// an older copy, so that what the table had of the row in a later era is older.
+func (r *Replica) lost(row, later models.Row) bool {
+	if table.KeyEnded(row) != table.KeyEnded(later) {
+		return table.KeyEnded(row)
+	}
+	era := r.horizon.Era()
+	if row.Revision.Era() < era && era <= later.Revision.Era() && later.Revision.Version() > r.horizon.Version() {
+		return false // edited since
+	}
+	return row.Revision.Version() > later.Revision.Version()
+}
+
+// Horizon returns the horizon to be stored with an edit.
+func (r *Replica) Horizon() models.Revision {
+	if r.horizon.Era() == r.through.Era() {
+		return r.horizon
+	}
+	return r.through
+}
+
+// Lost returns the rows that operators edit and that the table may lack, since it
+// returned from an older copy.
+func (r *Replica) Lost() []models.Row {
+	var rows []models.Row
+	for _, e := range r.log[:r.eraStart()] {
+		if row := r.rows[e.key]; row.Revision == e.revision && row.Key.Partition == models.PartitionConfig {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// eraStart returns the index of the first log entry of the current era.
+func (r *Replica) eraStart() int {
+	return sort.Search(len(r.log), func(i int) bool { return r.log[i].revision.Era() >= r.through.Era() })
+}
+
+// DropRegistrations drops the rows of the partition of registrations that are of
+// an earlier era, and returns the changes. It is called when all rows of the
+// current era have been applied.
+func (r *Replica) DropRegistrations() []table.Change {
+	var changes []table.Change
+	for key, row := range r.rows {
+		if key.Partition == models.PartitionDaemons && row.Revision.Era() < r.through.Era() {
+			delete(r.rows, key)
+			changes = append(changes, table.Change{Old: row, New: models.Row{Key: key}})
+		}
+	}
+	return changes
+}
+
 // Advance records that all rows after base and up to through have been applied.
 // It has no effect if rows up to base may be missing, or if through is not
 // newer than what is recorded.
@@ -64,7 +138,8 @@
 
 // RowsAfter returns the rows written after a revision, oldest first, and the
 // revision through which the list is complete. It stops at the limit, but never
-// between rows of the same revision; more reports that rows were left out.
+// between rows of the same revision; more reports that rows were left out. Rows
+// that the table may lack are always included.
 func (r *Replica) RowsAfter(after models.Revision, limit int) (rows []models.Row, through models.Revision, more bool) {
 	start := sort.Search(len(r.log), func(i int) bool { return r.log[i].revision > after })
 	for _, e := range r.log[start:] {
@@ -77,6 +152,15 @@
 		}
 		rows = append(rows, row)
 	}
+	for _, row := range r.Lost() {
+		if row.Revision > after {
+			continue // included above
+		}
+		if len(rows) >= limit {
+			return rows, r.through, true
+		}
+		rows = append(rows, row)
+	}
 	return rows, r.through, false
 }
 
--- a/control/roster.go
+++ b/control/roster.go
@@ -44,6 +44,9 @@
 		id := models.DaemonID(change.New.Key.Name)
 		delete(next.Members, id)
 		delete(next.Removed, id)
+		if change.New.Revision == 0 {
+			continue // lost from the table
+		}
 		if change.New.Deleted {
 			next.Removed[id] = change.New.Revision
 			continue
