control: desired states are read anew when the table returns from an older copy

Seen (TestRestoredDesiredState): a desired state that the copy lacks stayed in the cache. Each write of it has a condition on its lost revision and is rejected, so that the engine would never get a desired state again. Change: the cache is cleared when a read is of a later era; that read has all rows. Evidence: the test passes, as do the tests of the fleet and of provisioning.

--- a/control/fleet_rows.go
+++ b/control/fleet_rows.go
@@ -35,7 +35,8 @@
 	return &desiredRows{table: table, rows: map[models.EngineID]desiredRow{}}
 }
 
-// refresh reads the rows that changed since the last read.
+// refresh reads the rows that changed since the last read. If the table has
+// returned from an older copy, it reads all rows anew.
 func (d *desiredRows) refresh(ctx context.Context) error {
 	d.mu.Lock()
 	through := d.through
@@ -46,6 +47,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if changes.Through.Era() > d.through.Era() {
+		clear(d.rows)
+	}
 	d.through = changes.Through
 	for _, row := range changes.Rows {
 		d.apply(row)
