peer/platform: late attempts of a cancelled transaction fail after a restore

Seen (TestRestoredMarker): a transaction whose attempts got no answer was cancelled and reported as not done. The table returned from a copy without the marker of the cancellation; an attempt that arrived then took effect, since its marker "was never written". Change: a transaction with an ID gets as Basis the latest revision that the table was seen at, so that it is committed in that era only. The cancellation has no Basis: in a later era nothing else can be committed under the ID, whether or not the marker is there.

--- a/peer/platform/retry.go
+++ b/peer/platform/retry.go
@@ -44,6 +44,10 @@
 // done, a cancellation is written to the marker, which makes every attempt
 // still in flight fail.
 //
+// The table may return from an older copy without the marker. A transaction with
+// an ID is therefore tied to the era that the table was last seen in, so that
+// attempts still in flight fail as well.
+//
 // A transaction without an ID has no marker. It is retried only while it is
 // certain that no earlier attempt took effect.
 type RetryTable struct {
@@ -54,6 +58,7 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	seen   models.Revision // latest revision in any answer
 }
 
 // NewRetryTable returns a table that retries calls of another one.
@@ -75,6 +80,9 @@
 		rows, err = t.table.Read(ctx, keys...)
 		return err
 	})
+	for _, row := range rows {
+		t.observe(row.Revision)
+	}
 	return rows, err
 }
 
@@ -86,9 +94,24 @@
 		changes, err = t.table.Changes(ctx, partition, after)
 		return err
 	})
+	t.observe(changes.Through)
 	return changes, err
 }
 
+// observe records a revision in an answer.
+func (t *RetryTable) observe(revision models.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seen = max(t.seen, revision)
+}
+
+// latestSeen returns the latest revision in any answer.
+func (t *RetryTable) latestSeen() models.Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.seen
+}
+
 // retryRead repeats a read until it succeeds, fails for good or may not be
 // retried any more.
 func (t *RetryTable) retryRead(ctx context.Context, read func(ctx context.Context) error) error {
@@ -107,6 +130,9 @@
 	if transaction.ID == "" {
 		return t.transactWithoutMarker(ctx, transaction)
 	}
+	if transaction.Basis == 0 {
+		transaction.Basis = t.latestSeen()
+	}
 	var markerRevision models.Revision // of a cancellation by an earlier call
 	inDoubt := false
 	for attempt := 1; ; attempt++ {
@@ -233,6 +259,7 @@
 		revision, err = t.table.Transact(ctx, transaction)
 		return err
 	})
+	t.observe(revision)
 	return revision, err
 }
 
