request: the outcome of a claim that was lost is stored all the same

Seen (TestRestoredClaims): if the table returned from a copy without the claim of a request that was running, the claim's outcome was dropped as superseded, and a retry ran the request again at any later time. Change: an outcome whose row is missing is written as a new row. A stale read that lacks the row does no harm: the write then conflicts and is repeated on the row's revision. What is left is a retry at another daemon while the first attempt runs. Evidence: the subtest passes, as does the package except for the subtest that stays listed.

--- a/request/commit.go
+++ b/request/commit.go
@@ -348,6 +348,8 @@
 			w.convertToRelease()
 		case own:
 			w.revision = row.Revision
+		case row.Revision == 0 && w.persistent:
+			w.revision = 0 // the table has lost the claim, but the outcome still counts
 		default:
 			c.finish(w, commitSuperseded, row)
 		}
