--- a/control/restored_world_test.go
+++ b/control/restored_world_test.go
@@ -118,3 +118,42 @@
 		is.Equal(len(b.store.ServerOrders()), 1)
 	})
 }
+
+// TestRestoredMarkerCursor returns the table to a copy from before the markers of
+// old transactions were deleted, which must be deleted again.
+func TestRestoredMarkerCursor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newStoreFixture(t, true)
+		leases := &settableAuthority{authority: b.takeOver(t, 1)}
+		settings := control.DefaultMarkerSettings()
+		cleaner := control.NewMarkerCleaner(b.store, leases, clock, settings)
+		for _, name := range []string{"a", "b"} {
+			key := models.RowKey{Partition: models.PartitionMarkers, Name: name}
+			_, err := b.store.Transact(t.Context(), models.Transaction{Writes: []models.Write{{Key: key}}})
+			is.NoErr(err)
+		}
+		clean := func() {
+			cleaner.Step(t.Context())
+			sleep(t, settings.Retention)
+			cleaner.Step(t.Context())
+		}
+		assertDeleted := func() {
+			t.Helper()
+			rows := b.rows(t, models.PartitionMarkers)
+			is.Equal(len(rows), 2)
+			for _, row := range rows {
+				is.True(row.Deleted)
+			}
+		}
+		copied := b.store.Revision().Version()
+		clean()
+		assertDeleted()
+		b.store.Restore(copied)
+		is.True(!b.rows(t, models.PartitionMarkers)[0].Deleted) // the deletion is lost
+		cleaner.Step(t.Context())                               // under the authority from before
+		leases.authority = b.takeOver(t, 2)
+		clean()
+		assertDeleted()
+	})
+}
