control: a lost row does not replace one edited since

A daemon wrote a lost edit again over one that had been accepted since the restore. Cause: it read the edited row without the row of the latest edit, which has the horizon, and compared version numbers alone. Change: both are read together.

--- a/control/editor.go
+++ b/control/editor.go
@@ -205,7 +205,8 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for _, row := range e.configuration.Lost() {
-		stored, err := e.table.Read(ctx, row.Key)
+		// The row of the latest edit tells whether the stored row is a later one.
+		stored, err := e.table.Read(ctx, row.Key, table.LatestEditKey)
 		if err != nil {
 			return
 		}
@@ -214,8 +215,10 @@
 			continue // the table has it, or a later edit of it
 		}
 		var version models.Revision
-		if len(stored) > 0 {
-			version = stored[0].Revision
+		for _, other := range stored {
+			if other.Key == row.Key {
+				version = other.Revision
+			}
 		}
 		write := models.Write{Key: row.Key, Value: row.Value, Delete: row.Deleted}
 		_, _ = e.commit(ctx, write, version, "it was lost when the table returned from an older copy")
