control: a row that was written again does not hide a later lost edit

Two edits of a row were lost. A daemon that knew only the first wrote it again; the one that knew the second took that for an edit made since the restore. Change: the row of the latest edit lists the rows of the era that were only written again, with the revision that was lost; a lost row with a later revision stays in force and is written again in its turn. An edit takes its row off the list.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -253,12 +253,12 @@
 	return c.replica.Lost()
 }
 
-// Horizon returns the horizon to be stored with an edit, see
-// table.EncodeLatestEdit.
-func (c *Configuration) Horizon() models.Revision {
+// NextEdit returns what to store in the row of the latest edit, see
+// Replica.NextEdit.
+func (c *Configuration) NextEdit(name string, original models.Revision) table.LatestEdit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replica.Horizon()
+	return c.replica.NextEdit(name, original)
 }
 
 // AddEvidence records evidence for rows that have already been applied.
--- a/control/editor.go
+++ b/control/editor.go
@@ -221,20 +221,21 @@
 			}
 		}
 		write := models.Write{Key: row.Key, Value: row.Value, Delete: row.Deleted}
-		_, _ = e.commit(ctx, write, version, "it was lost when the table returned from an older copy")
+		_, _ = e.commit(ctx, write, version, row.Revision)
 	}
 }
 
 // write commits an operator's edit of one row if the row still has the given
 // version.
 func (e *Editor) write(ctx context.Context, write models.Write, version models.Revision) (peer.TableRow, error) {
-	return e.commit(ctx, write, version, "an operator's edit was accepted")
+	return e.commit(ctx, write, version, 0)
 }
 
 // commit commits one row if it still has the given version and this daemon's
-// registration is unchanged.
-func (e *Editor) commit(ctx context.Context, write models.Write, version models.Revision, why string) (peer.TableRow, error) {
-	latestEdit, err := table.EncodeLatestEdit(e.configuration.Horizon())
+// registration is unchanged. If the row is only written again, original is its
+// lost revision, otherwise 0.
+func (e *Editor) commit(ctx context.Context, write models.Write, version, original models.Revision) (peer.TableRow, error) {
+	latestEdit, err := table.EncodeLatestEdit(e.configuration.NextEdit(write.Key.Name, original))
 	if err != nil {
 		return peer.TableRow{}, err
 	}
@@ -256,6 +257,10 @@
 		return e.withCurrentRow(ctx, write.Key, err)
 	}
 	e.editing.Settle()
+	why := "an operator's edit was accepted"
+	if original > 0 {
+		why = "it was lost when the table returned from an older copy"
+	}
 	e.timeline.Record(models.Event{Kind: models.EventConfig, What: "row " + write.Key.Name + " written", Why: why})
 	return toTableRow(row), nil
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"sort"
 
@@ -19,7 +20,7 @@
 	rows    map[models.RowKey]models.Row
 	log     []logEntry // in order of revision; superseded entries stay until compaction
 	through models.Revision
-	horizon models.Revision // see table.EncodeLatestEdit
+	edit    table.LatestEdit // the latest one that has a horizon
 }
 
 // logEntry records that a row was written at a revision.
@@ -45,8 +46,11 @@
 // Apply applies committed rows and returns the changes they made.
 func (r *Replica) Apply(rows []models.Row) []table.Change {
 	for _, row := range rows {
-		if row.Key == table.LatestEditKey {
-			r.horizon = max(r.horizon, table.ParseLatestEdit(row))
+		if row.Key != table.LatestEditKey || row.Revision <= r.rows[row.Key].Revision {
+			continue
+		}
+		if edit := table.ParseLatestEdit(row); edit.Horizon > 0 {
+			r.edit = edit
 		}
 	}
 	var changes []table.Change
@@ -81,19 +85,28 @@
 	if table.KeyEnded(row) != table.KeyEnded(later) {
 		return table.KeyEnded(row)
 	}
-	era := r.horizon.Era()
-	if row.Revision.Era() < era && era <= later.Revision.Era() && later.Revision.Version() > r.horizon.Version() {
-		return false // edited since
+	era := r.edit.Horizon.Era()
+	if row.Revision.Era() < era && era <= later.Revision.Era() && later.Revision.Version() > r.edit.Horizon.Version() {
+		original, rewritten := r.edit.Rewritten[row.Key.Name]
+		return rewritten && row.Revision > original
 	}
 	return row.Revision.Version() > later.Revision.Version()
 }
 
-// Horizon returns the horizon to be stored with an edit.
-func (r *Replica) Horizon() models.Revision {
-	if r.horizon.Era() == r.through.Era() {
-		return r.horizon
+// NextEdit returns what to store in the row of the latest edit with an edit of a
+// row. If the row is only written again, original is its lost revision, otherwise
+// 0.
+func (r *Replica) NextEdit(name string, original models.Revision) table.LatestEdit {
+	edit := table.LatestEdit{Horizon: r.through, Rewritten: map[string]models.Revision{}}
+	if r.edit.Horizon.Era() == r.through.Era() {
+		edit.Horizon = r.edit.Horizon
+		maps.Copy(edit.Rewritten, r.edit.Rewritten)
 	}
-	return r.through
+	delete(edit.Rewritten, name)
+	if original > 0 {
+		edit.Rewritten[name] = original
+	}
+	return edit
 }
 
 // Lost returns the rows that operators edit and that the table may lack, since it
--- a/table/restored.go
+++ b/table/restored.go
@@ -8,30 +8,48 @@
 	"quincewinch/models"
 )
 
-// latestEditJSON is the JSON form of the row of LatestEditKey.
+// LatestEdit is the content of the row of LatestEditKey.
+type LatestEdit struct {
+	// Horizon is a revision of the table's era before the first edit in it: rows up
+	// to it are from the copy that the table returned from, later ones were written
+	// since. It is 0 if the table has never returned from an older copy.
+	Horizon models.Revision
+	// Rewritten has the rows above the horizon that were not edited since, only
+	// written again, by name, with the revision that was lost.
+	Rewritten map[string]models.Revision
+}
+
+// latestEditJSON is the JSON form of a LatestEdit.
 type latestEditJSON struct {
-	Horizon uint64 `json:"horizon"`
+	Horizon   uint64            `json:"horizon"`
+	Rewritten map[string]uint64 `json:"rewritten,omitempty"`
 }
 
-// EncodeLatestEdit returns the value of the row of LatestEditKey. The horizon is
-// a revision of the table's era before the first edit in it: rows up to it are
-// from the copy that the table returned from, later ones were edited since.
-func EncodeLatestEdit(horizon models.Revision) ([]byte, error) {
-	if horizon.Era() == 0 {
+// EncodeLatestEdit returns the value of the row of LatestEditKey.
+func EncodeLatestEdit(edit LatestEdit) ([]byte, error) {
+	if edit.Horizon.Era() == 0 {
 		return nil, nil
 	}
-	raw, err := json.Marshal(latestEditJSON{Horizon: uint64(horizon)})
+	stored := latestEditJSON{Horizon: uint64(edit.Horizon), Rewritten: map[string]uint64{}}
+	for name, revision := range edit.Rewritten {
+		stored.Rewritten[name] = uint64(revision)
+	}
+	raw, err := json.Marshal(stored)
 	return raw, errors.Annotate(err, "cannot encode the latest edit")
 }
 
-// ParseLatestEdit returns the horizon in the row of LatestEditKey, 0 if it has
-// none.
-func ParseLatestEdit(row models.Row) models.Revision {
+// ParseLatestEdit returns the content of the row of LatestEditKey, the zero
+// LatestEdit if it has none.
+func ParseLatestEdit(row models.Row) LatestEdit {
 	var stored latestEditJSON
 	if err := json.Unmarshal(row.Value, &stored); err != nil {
-		return 0
+		return LatestEdit{}
+	}
+	edit := LatestEdit{Horizon: models.Revision(stored.Horizon), Rewritten: map[string]models.Revision{}}
+	for name, revision := range stored.Rewritten {
+		edit.Rewritten[name] = models.Revision(revision)
 	}
-	return models.Revision(stored.Horizon)
+	return edit
 }
 
 // KeyEnded reports whether a row is that of a caller's key that was withdrawn or
