--- a/control/meter.go
+++ b/control/meter.go
@@ -112,14 +112,15 @@
 
 // Flush writes all counts, ambiguous ones included, and returns the first error.
 func (m *Meter) Flush(ctx context.Context) error {
-	return m.writePending(ctx, func(requestCount) bool { return false })
+	return m.writePending(ctx, func(requestCount, time.Time) bool { return false })
 }
 
 // writePending writes all counts except those that deferred selects.
-func (m *Meter) writePending(ctx context.Context, deferred func(requestCount) bool) error {
+func (m *Meter) writePending(ctx context.Context, deferred func(c requestCount, now time.Time) bool) error {
 	m.writeMu.Lock()
 	defer m.writeMu.Unlock()
-	now, _, known := m.platform.At(m.clock.Now())
+	local := m.clock.Now()
+	now, _, known := m.platform.At(local)
 	if !known && m.idle() {
 		return nil
 	}
@@ -127,7 +128,7 @@
 		return notDoneError("the platform's time is not known yet")
 	}
 	current := windowStart(now, m.settings.Window)
-	m.assignWindows(current, deferred)
+	m.assignWindows(current, func(c requestCount) bool { return deferred(c, local) })
 	var firstErr error
 	for _, window := range m.dirty() {
 		if err := m.flushWindow(ctx, window, current); err != nil && firstErr == nil {
@@ -147,9 +148,9 @@
 
 // ambiguous reports whether a count's window is uncertain and waiting may still
 // settle it.
-func (m *Meter) ambiguous(c requestCount) bool {
+func (m *Meter) ambiguous(c requestCount, now time.Time) bool {
 	at, bound, _ := m.platform.At(c.endedAt)
-	if bound <= maxClockError || m.clock.Now().Sub(c.endedAt) > maxAmbiguityWait {
+	if bound <= maxClockError || now.Sub(c.endedAt) > maxAmbiguityWait {
 		return false
 	}
 	length := m.settings.Window
