billing: windows that a faster clock has frozen are listed too

Found in review by reading. The list of frozen windows ended at this daemon's last window that is due; an earlier holder whose clock was ahead may have frozen a later one. The list has no upper end any more.

--- a/billing/closer.go
+++ b/billing/closer.go
@@ -105,7 +105,7 @@
 	closeBefore := now.Add(-c.closeDelay())
 	last := windowNumber(closeBefore, c.settings.Window) - 1
 	first := windowNumber(now.Add(-abandonFactor*c.settings.ReportDeadline), c.settings.Window)
-	if authority.Fence != c.fence && (now.Sub(c.lastFailureAt) < retryInterval || !c.takeOver(ctx, authority, first, last, now)) {
+	if authority.Fence != c.fence && (now.Sub(c.lastFailureAt) < retryInterval || !c.takeOver(ctx, authority, first, now)) {
 		return
 	}
 	for number := first; number <= last; number++ {
@@ -129,11 +129,11 @@
 	return time.Duration(closeFraction * float64(c.settings.ReportDeadline))
 }
 
-// takeOver prepares for a new authority: it finds out which windows from first to
-// last earlier holders have frozen, and up to which one they may have reported
-// windows that the table no longer shows. A daemon that continues as the holder
+// takeOver prepares for a new authority: it finds out which windows from first on
+// earlier holders have frozen, and up to which one they may have reported windows
+// that the table no longer shows. A daemon that continues as the holder
 // knows that from before.
-func (c *Closer) takeOver(ctx context.Context, authority models.Authority, first, last int64, now time.Time) bool {
+func (c *Closer) takeOver(ctx context.Context, authority models.Authority, first int64, now time.Time) bool {
 	current, err := c.findHorizon(ctx, authority, now)
 	if err != nil {
 		c.lastFailureAt = now
@@ -141,7 +141,7 @@
 		return false
 	}
 	if authority.Continues == 0 || authority.Continues != c.fence {
-		frozen, err := c.frozenWindows(ctx, authority, first, last, current)
+		frozen, err := c.frozenWindows(ctx, authority, first, current)
 		if err != nil {
 			c.lastFailureAt = now
 			c.logger.Warn("failed to list frozen billing windows", zap.Uint64("fence", authority.Fence), zap.Error(err))
@@ -191,10 +191,10 @@
 	return current, nil
 }
 
-// frozenWindows returns the counts of the windows from first to last that were
-// frozen when the authority began.
-func (c *Closer) frozenWindows(ctx context.Context, authority models.Authority, first, last int64, current horizon) (map[int64]map[models.Workspace]int64, error) {
-	rows, err := c.rows.Range(ctx, models.PartitionUsage, frozenRowName(first), frozenRowName(last+1))
+// frozenWindows returns the counts of the windows from first on that were frozen
+// when the authority began. An earlier holder's clock may have been ahead.
+func (c *Closer) frozenWindows(ctx context.Context, authority models.Authority, first int64, current horizon) (map[int64]map[models.Workspace]int64, error) {
+	rows, err := c.rows.Range(ctx, models.PartitionUsage, frozenRowName(first), frozenPrefix+"\xff")
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
