entry: a request whose first byte arrives early is answered at a stop

The request arrived 2.41 s after SIGTERM, was sent to its backend server, and its connection was closed 1 ms later, at the end of the time in which requests are accepted.

Cause, as far as code and log tell: while net/http serves a request it reads one byte ahead. On a VM short of processor time the caller has the answer, and its next request has begun to arrive, before the server calls the connection idle; idle then cleared the mark of the byte that had been read, and the drain closed the connection.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -34,7 +34,8 @@
 // connections. A connection is idle again once an answer has been written.
 func (c *connections) stateChanged(conn net.Conn, state http.ConnState) {
 	if tracked, ok := conn.(*trackedConn); ok && state == http.StateIdle {
-		tracked.unanswered.Store(false)
+		tracked.unanswered.Store(tracked.nextBegun.Swap(false))
+		tracked.idles.Add(1)
 	}
 }
 
@@ -107,17 +108,24 @@
 }
 
 // trackedConn is a connection that knows whether it has an unanswered request:
-// whether bytes have been read since the server last called it idle.
+// whether bytes of one have been read since the last answer.
 type trackedConn struct {
 	net.Conn
 	connections *connections
 	unanswered  atomic.Bool
+	nextBegun   atomic.Bool  // a byte of the next request has been read
+	idles       atomic.Int64 // how often the server has called it idle
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		// While net/http serves a request, it reads one byte ahead to notice that the
+		// caller has gone. It may call the connection idle after that.
+		if len(b) == 1 {
+			c.nextBegun.Store(true)
+		}
 		c.unanswered.Store(true)
 	}
 	return n, err
--- a/entry/connections_test.go
+++ b/entry/connections_test.go
@@ -18,12 +18,18 @@
 // testTimeout ends a test that hangs.
 const testTimeout = 10 * time.Second
 
-// startServer serves "ok" on tracked connections, and returns its address and the
-// first connection that it accepts.
-func startServer(t *testing.T) (*connections, string, <-chan *trackedConn) {
+// listen returns a listener on this host.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
+	return listener
+}
+
+// startServer serves "ok" on tracked connections of a listener, and returns its
+// address and the first connection that it accepts.
+func startServer(t *testing.T, listener net.Listener) (*connections, string, <-chan *trackedConn) {
+	t.Helper()
 	tracked := &connections{}
 	accepted := make(chan *trackedConn, 1)
 	server := &http.Server{
@@ -67,7 +73,7 @@
 // answered; Shutdown of http.Server would drop it.
 func TestRequestReadBeforeShutdownIsAnswered(t *testing.T) {
 	is := is.New(t)
-	tracked, address, accepted := startServer(t)
+	tracked, address, accepted := startServer(t, listen(t))
 	conn, err := net.Dial("tcp", address)
 	is.NoErr(err)
 	defer conn.Close()
@@ -96,3 +102,64 @@
 		runtime.Gosched()
 	}
 }
+
+// slowListener accepts slow connections.
+type slowListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &slowConn{Conn: conn, read: make(chan struct{}, 1)}, err
+}
+
+// slowConn is a connection whose first write returns only when the caller's next
+// request has begun to arrive, as on a VM that is short of processor time.
+type slowConn struct {
+	net.Conn
+	read    chan struct{}
+	written bool
+}
+
+// Read implements net.Conn.
+func (c *slowConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if len(b) == 1 && n == 1 {
+		c.read <- struct{}{}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *slowConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if !c.written {
+		c.written = true
+		<-c.read
+	}
+	return n, err
+}
+
+// A request that begins to arrive while the server still ends the one before is
+// answered, too.
+func TestRequestReadBeforeIdleIsAnswered(t *testing.T) {
+	is := is.New(t)
+	tracked, address, accepted := startServer(t, slowListener{listen(t)})
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	is.Equal(exchange(t, conn, reader, []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}, nil), http.StatusOK)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	status := exchange(t, conn, reader, []string{"GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"}, func() {
+		server := <-accepted
+		for server.idles.Load() == 0 {
+			is.NoErr(ctx.Err())
+			runtime.Gosched()
+		}
+		is.Equal(tracked.closeIdle(), 1)
+	})
+	is.Equal(status, http.StatusOK)
+}
