entry: an idle connection is not read any more once the drain closes it

Cause: the drain looked for connections without an unanswered request, and closed them afterwards. On a VM that gets no processor time in between, a request was read and sent on before its connection was closed.

The drain now claims a connection in the same step: bytes read after that are dropped with an error, so that the request is not handled, and its caller may send it again.

TestRequestReadWhileClosingIsNotHandled sends a request between the two steps: one request handled and not answered before ('1 != 0'), none now, 10 of 10.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -34,8 +33,7 @@
 // connections. A connection is idle again once an answer has been written.
 func (c *connections) stateChanged(conn net.Conn, state http.ConnState) {
 	if tracked, ok := conn.(*trackedConn); ok && state == http.StateIdle {
-		tracked.unanswered.Store(tracked.nextBegun.Swap(false))
-		tracked.idles.Add(1)
+		tracked.setAnswered()
 	}
 }
 
@@ -51,12 +49,12 @@
 }
 
 // closeIdle closes connections without an unanswered request, and returns how
-// many others are open.
+// many others are open. What arrives at those from then on is not read.
 func (c *connections) closeIdle() (others int) {
 	c.mu.Lock()
 	var idle []*trackedConn
 	for conn := range c.open {
-		if conn.unanswered.Load() {
+		if !conn.stopReading() {
 			others++
 			continue
 		}
@@ -112,25 +110,63 @@
 type trackedConn struct {
 	net.Conn
 	connections *connections
-	unanswered  atomic.Bool
-	nextBegun   atomic.Bool  // a byte of the next request has been read
-	idles       atomic.Int64 // how often the server has called it idle
+
+	mu         sync.Mutex
+	unanswered bool
+	nextBegun  bool // a byte of the next request has been read
+	stopped    bool // no more bytes are to be read
+	idles      int  // how often the server has called it idle
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		// While net/http serves a request, it reads one byte ahead to notice that the
-		// caller has gone. It may call the connection idle after that.
-		if len(b) == 1 {
-			c.nextBegun.Store(true)
-		}
-		c.unanswered.Store(true)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return 0, net.ErrClosed
 	}
+	c.unanswered = true
+	// While net/http serves a request, it reads one byte ahead to notice that the
+	// caller has gone. It may call the connection idle after that.
+	c.nextBegun = c.nextBegun || len(b) == 1
 	return n, err
 }
 
+// setAnswered records that an answer has been written.
+func (c *trackedConn) setAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = c.nextBegun
+	c.nextBegun = false
+	c.idles++
+}
+
+// stopReading makes all later reads fail, unless there is an unanswered request.
+func (c *trackedConn) stopReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = c.stopped || !c.unanswered
+	return c.stopped
+}
+
+// hasUnanswered reports whether there is an unanswered request.
+func (c *trackedConn) hasUnanswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unanswered
+}
+
+// idleCount returns how often the server has called the connection idle.
+func (c *trackedConn) idleCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idles
+}
+
 // CloseWrite closes the sending side, as net/http does before it closes a
 // connection whose caller may still be sending.
 func (c *trackedConn) CloseWrite() error {
--- a/entry/connections_test.go
+++ b/entry/connections_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 // waitUntilRead waits until the server has read bytes that it has not answered.
 func waitUntilRead(ctx context.Context, t *testing.T, conn *trackedConn) {
 	t.Helper()
-	for !conn.unanswered.Load() {
+	for !conn.hasUnanswered() {
 		is.New(t).NoErr(ctx.Err())
 		runtime.Gosched()
 	}
@@ -155,7 +156,7 @@
 	defer cancel()
 	status := exchange(t, conn, reader, []string{"GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"}, func() {
 		server := <-accepted
-		for server.idles.Load() == 0 {
+		for server.idleCount() == 0 {
 			is.NoErr(ctx.Err())
 			runtime.Gosched()
 		}
@@ -163,3 +164,80 @@
 	})
 	is.Equal(status, http.StatusOK)
 }
+
+// closingListener accepts connections that call a function before they close.
+type closingListener struct {
+	net.Listener
+	beforeClose func()
+}
+
+// Accept implements net.Listener.
+func (l closingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &closingConn{Conn: conn, beforeClose: l.beforeClose}, err
+}
+
+// closingConn calls a function before it first closes.
+type closingConn struct {
+	net.Conn
+	beforeClose func()
+	closing     atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *closingConn) Close() error {
+	if !c.closing.Swap(true) {
+		c.beforeClose()
+	}
+	return c.Conn.Close()
+}
+
+// A request that arrives while its idle connection is being closed is answered or
+// not handled.
+func TestRequestReadWhileClosingIsNotHandled(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan struct{}, 2)
+	tracked := &connections{}
+	idle := make(chan struct{}, 2)
+	ended := make(chan struct{})
+	server := &http.Server{
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			tracked.stateChanged(conn, state)
+			switch state {
+			case http.StateIdle:
+				idle <- struct{}{}
+			case http.StateClosed:
+				close(ended)
+			case http.StateNew, http.StateActive, http.StateHijacked:
+			}
+		},
+		ReadHeaderTimeout: testTimeout,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			handled <- struct{}{}
+			_, _ = io.WriteString(w, "ok")
+		}),
+	}
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	var conn net.Conn
+	listener := closingListener{listen(t), func() {
+		_, err := io.WriteString(conn, request)
+		is.NoErr(err)
+		select {
+		case <-handled:
+			handled <- struct{}{}
+		case <-ended:
+		}
+	}}
+	go func() { _ = server.Serve(tracked.listen(listener)) }() // ends with the shutdown
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	is.Equal(exchange(t, conn, reader, []string{request}, nil), http.StatusOK)
+	<-handled
+	<-idle
+	is.Equal(tracked.closeIdle(), 0)
+	<-ended
+	is.Equal(len(handled), 0)
+}
