entry: the drain of a planned stop is logged

One line at its end now states how many connections were closed idle, how many requests were read after it had begun and answered, how many reads were discarded (hypothesis D of docs/incidents/requests-lost-at-a-stop.md), how many connections were closed before anything of an answer was written though their caller was there (hypothesis C), how many are still open, and how long it took. Nothing else changes.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"quincewinch/peer"
 )
@@ -22,6 +24,28 @@
 type connections struct {
 	mu   sync.Mutex
 	open map[*trackedConn]bool
+
+	draining atomic.Bool
+	counts   drainCounts
+}
+
+// drainCounts are what a drain did, for its log line.
+type drainCounts struct {
+	idle       atomic.Int64 // connections closed without an unanswered request
+	late       atomic.Int64 // requests read after the drain had begun that got an answer
+	discarded  atomic.Int64 // reads whose bytes were discarded
+	unanswered atomic.Int64 // connections closed before anything of an answer was written
+}
+
+// drainFields returns the counts of a drain for a log line.
+func (c *connections) drainFields() []zap.Field {
+	return []zap.Field{
+		zap.Int64("closed-idle", c.counts.idle.Load()),
+		zap.Int64("late-answered", c.counts.late.Load()),
+		zap.Int64("discarded", c.counts.discarded.Load()),
+		zap.Int64("unanswered", c.counts.unanswered.Load()),
+		zap.Int("open", c.count()),
+	}
 }
 
 // listen returns a listener whose connections are tracked.
@@ -40,6 +64,7 @@
 // drain closes connections without an unanswered request until none is open. It
 // returns the error of ctx if there are others until it ends.
 func (c *connections) drain(ctx context.Context, clock peer.Clock) error {
+	c.draining.Store(true)
 	for c.closeIdle() > 0 {
 		if err := clock.Sleep(ctx, drainInterval); err != nil {
 			return errors.Annotatef(err, "%d connections with unanswered requests", c.count())
@@ -61,6 +86,7 @@
 		idle = append(idle, conn)
 	}
 	c.mu.Unlock()
+	c.counts.idle.Add(int64(len(idle)))
 	for _, conn := range idle {
 		_ = conn.Close() // the caller may have closed it
 	}
@@ -116,20 +142,28 @@
 	nextBegun  bool // a byte of the next request has been read
 	stopped    bool // no more bytes are to be read
 	idles      int  // how often the server has called it idle
+	written    bool // something was written since the request began
+	late       bool // the request began after the drain
+	gone       bool // the caller has closed it, or it broke
+	closed     bool
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone = c.gone || err != nil && !isTimeout(err)
 	if n == 0 {
 		return n, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.stopped {
+		c.connections.counts.discarded.Add(1)
 		return 0, net.ErrClosed
 	}
-	c.unanswered = true
+	if !c.unanswered {
+		c.unanswered, c.written, c.late = true, false, c.connections.draining.Load()
+	}
 	// While net/http serves a request, it reads one byte ahead to notice that the
 	// caller has gone. It may call the connection idle after that.
 	c.nextBegun = c.nextBegun || len(b) == 1
@@ -140,7 +174,8 @@
 func (c *trackedConn) setAnswered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unanswered = c.nextBegun
+	c.countAnswer()
+	c.unanswered, c.written, c.late = c.nextBegun, false, c.connections.draining.Load()
 	c.nextBegun = false
 	c.idles++
 }
@@ -176,8 +211,38 @@
 	return nil
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.written = true
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	if !c.closed {
+		c.countAnswer()
+	}
+	c.closed = true
+	c.mu.Unlock()
 	c.connections.remove(c)
 	return c.Conn.Close()
 }
+
+// countAnswer counts the request that ends, if there is one, as answered or not.
+func (c *trackedConn) countAnswer() {
+	switch {
+	case c.stopped || !c.unanswered || !c.connections.draining.Load():
+	case !c.written && !c.gone:
+		c.connections.counts.unanswered.Add(1)
+	case c.written && c.late:
+		c.connections.counts.late.Add(1)
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/entry/memory_test.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"quincewinch/peer/system"
+)
+
+const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// memoryListener accepts connections in memory. A write to one returns once the
+// other side has read all of it.
+type memoryListener struct {
+	dialed    chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newMemoryListener() *memoryListener {
+	return &memoryListener{dialed: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.dialed:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *memoryListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial returns the caller's side of a connection that will be accepted, or nil
+// if the listener is closed. The server sees the other side through wrap.
+func (l *memoryListener) dial(wrap func(net.Conn) net.Conn) net.Conn {
+	caller, server := net.Pipe()
+	if wrap != nil {
+		server = wrap(server)
+	}
+	select {
+	case l.dialed <- server:
+		return caller
+	case <-l.closed:
+		return nil
+	}
+}
+
+// stopFixture is a daemon that serves callers only.
+type stopFixture struct {
+	*Daemon
+	listener *memoryListener
+	logs     *observer.ObservedLogs
+}
+
+// newStopFixture serves connections with a handler, answer if it is nil. The
+// listener that the server gets is the result of wrap.
+func newStopFixture(t *testing.T, handler http.Handler, wrap func(net.Listener) net.Listener) *stopFixture {
+	t.Helper()
+	core, logs := observer.New(zapcore.InfoLevel)
+	f := &stopFixture{
+		Daemon:   &Daemon{logger: zap.New(core), clock: system.NewClock()},
+		listener: newMemoryListener(),
+		logs:     logs,
+	}
+	if handler == nil {
+		handler = http.HandlerFunc(f.answer)
+	}
+	f.callerServer = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: time.Second,
+		IdleTimeout:       time.Minute,
+		ConnState:         f.connections.stateChanged,
+	}
+	var listener net.Listener = f.listener
+	if wrap != nil {
+		listener = wrap(listener)
+	}
+	f.callers = f.connections.listen(listener)
+	f.serve(f.callerServer, f.callers)
+	return f
+}
+
+// stop begins to stop the daemon as after the time for new requests.
+func (f *stopFixture) stop(t *testing.T) <-chan error {
+	f.stopping.Store(true)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.stopCallers(t.Context()) }()
+	return stopped
+}
+
+// answer answers "ok", and asks callers to close once the daemon stops.
+func (f *stopFixture) answer(w http.ResponseWriter, r *http.Request) {
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "ok")
+}
+
+// readAnswer returns the status of a whole answer, 0 if there is none.
+func readAnswer(conn net.Conn) int {
+	return readNextAnswer(bufio.NewReader(conn))
+}
+
+func readNextAnswer(reader *bufio.Reader) int {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "ok" {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// send sends parts of requests on a connection.
+func send(t *testing.T, conn net.Conn, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		_, err := io.WriteString(conn, part)
+		is.New(t).NoErr(err)
+	}
+}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -78,6 +78,14 @@
 // stopCallers stops accepting connections and returns once all requests that have
 // been read are answered, or with the error of ctx.
 func (d *Daemon) stopCallers(ctx context.Context) error {
+	begun := d.clock.Now()
+	err := d.drainCallers(ctx)
+	d.logger.Info("connections of callers drained",
+		append(d.connections.drainFields(), zap.Duration("took", d.clock.Now().Sub(begun)))...)
+	return err
+}
+
+func (d *Daemon) drainCallers(ctx context.Context) error {
 	if err := d.callers.Close(); err != nil {
 		return errors.Annotate(err, "cannot stop listening")
 	}
