entry: failing test for a request that is read as the drain looks

The server's read of an idle connection takes a whole request and is held before it returns; the drain begins and claims the connection; the read returns. The request is dropped and its caller gets no answer.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"bufio"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -34,3 +37,37 @@
 		})
 	})
 }
+
+func TestRequestReadAsTheDrainLooksIsAnswered(t *testing.T) {
+	for name, kept := range map[string]bool{"new connection": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newStopFixture(t, nil, nil)
+				var holds atomic.Bool
+				release := make(chan struct{})
+				conn := f.listener.dial(func(conn net.Conn) net.Conn {
+					return &hookConn{Conn: conn, afterRead: func(n int) {
+						if holds.Load() && n > 0 {
+							<-release
+						}
+					}}
+				})
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				if kept {
+					send(t, conn, request)
+					is.Equal(readNextAnswer(reader), http.StatusOK)
+				}
+				synctest.Wait() // the server waits for a request
+				holds.Store(true)
+				send(t, conn, request) // the server has read it
+				stopped := f.stop(t)
+				synctest.Wait()
+				close(release)
+				is.Equal(readNextAnswer(reader), http.StatusOK)
+				is.NoErr(<-stopped)
+			})
+		})
+	}
+}
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -65,6 +65,30 @@
 	}
 }
 
+// hookConn is a connection with functions that are called at certain steps.
+type hookConn struct {
+	net.Conn
+	afterRead   func(n int) // may be nil
+	beforeClose func()      // may be nil
+}
+
+// Read implements net.Conn.
+func (c *hookConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.afterRead != nil {
+		c.afterRead(n)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *hookConn) Close() error {
+	if c.beforeClose != nil {
+		c.beforeClose()
+	}
+	return c.Conn.Close()
+}
+
 // stopFixture is a daemon that serves callers only.
 type stopFixture struct {
 	*Daemon
