entry: failing test for a request that is accepted as the drain ends

The accept loop holds a connection that it has accepted while the drain looks for open ones; it is passed on, and its request handled, while the drain closes an idle connection of that look. The drain then finds none open, and closing the server closes the connection under the handler.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -71,3 +72,55 @@
 		})
 	}
 }
+
+func TestRequestAcceptedAsTheDrainEndsIsAnsweredOrNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		accept, closeIdle, finish := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		var holds, late, handled atomic.Bool
+		var f *stopFixture
+		f = newStopFixture(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if late.Load() {
+				handled.Store(true)
+				<-finish
+			}
+			f.answer(w, r)
+		}), func(listener net.Listener) net.Listener {
+			return hookListener{listener, func() {
+				if holds.Load() {
+					<-accept
+				}
+			}}
+		})
+		idle := f.listener.dial(func(conn net.Conn) net.Conn {
+			return &hookConn{Conn: conn, beforeClose: func() { <-closeIdle }}
+		})
+		defer idle.Close()
+		send(t, idle, request)
+		is.Equal(readAnswer(idle), http.StatusOK)
+		synctest.Wait() // the connection is idle
+		holds.Store(true)
+		late.Store(true)
+		conn := f.listener.dial(nil)
+		defer conn.Close()
+		status := make(chan int, 1)
+		go func() {
+			if _, err := io.WriteString(conn, request); err != nil {
+				status <- 0
+				return
+			}
+			status <- readAnswer(conn)
+		}()
+		stopped := f.stop(t)
+		synctest.Wait()
+		close(accept)
+		synctest.Wait()
+		close(closeIdle)
+		synctest.Wait()
+		close(finish)
+		is.NoErr(<-stopped)
+		if got := <-status; handled.Load() {
+			is.Equal(got, http.StatusOK)
+		}
+	})
+}
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -89,6 +89,21 @@
 	return c.Conn.Close()
 }
 
+// hookListener calls a function when it has accepted a connection.
+type hookListener struct {
+	net.Listener
+	accepted func()
+}
+
+// Accept implements net.Listener.
+func (l hookListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted()
+	}
+	return conn, err
+}
+
 // stopFixture is a daemon that serves callers only.
 type stopFixture struct {
 	*Daemon
