entry: a drain begins once no more connections are accepted

After the listener is closed the drain waits for the end of the accept loop, within the time in which running requests may finish. From then on all connections are tracked, and the server's close has nothing to cut. Ruled out: closing the server first, because it drops requests that were read but not passed on.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,7 +41,8 @@
 	balancer        *balance.Balancer
 	callerServer    *http.Server
 	callers         net.Listener
-	connections     connections // of callers
+	acceptEnded     <-chan struct{} // closed once no more callers' connections are accepted
+	connections     connections     // of callers
 	sharing         sharing
 	duties          duties
 	internalServers []*http.Server // readiness and metrics
@@ -128,7 +129,7 @@
 		return err
 	}
 	d.callers = d.connections.listen(listener)
-	d.serve(d.callerServer, d.callers)
+	d.acceptEnded = d.serve(d.callerServer, d.callers)
 	readiness := &http.Server{Handler: platform.NewReadiness(d.Ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
 	if err := d.serveInternal(readiness, settings.ReadinessAddress); err != nil {
 		return err
@@ -158,16 +159,20 @@
 }
 
 // serve serves a listener in the background until the server or, at a stop, the
-// listener is closed.
-func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+// listener is closed. It closes the channel that it returns once no connection is
+// accepted any more.
+func (d *Daemon) serve(server *http.Server, listener net.Listener) <-chan struct{} {
 	server.ErrorLog = zap.NewStdLog(d.logger)
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) || d.stopping.Load() && errors.Is(err, net.ErrClosed) {
 			return
 		}
 		d.logger.Error("HTTP server failed", zap.String("address", listener.Addr().String()), zap.Error(err))
 	}()
+	return ended
 }
 
 // Spawn runs a task at an interval until the daemon stops.
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -135,7 +135,7 @@
 		listener = wrap(listener)
 	}
 	f.callers = f.connections.listen(listener)
-	f.serve(f.callerServer, f.callers)
+	f.acceptEnded = f.serve(f.callerServer, f.callers)
 	return f
 }
 
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -89,6 +89,13 @@
 	if err := d.callers.Close(); err != nil {
 		return errors.Annotate(err, "cannot stop listening")
 	}
+	// A connection that has been accepted but is not tracked yet would be closed
+	// with the server, whatever has been read from it.
+	select {
+	case <-d.acceptEnded:
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "still accepting connections")
+	}
 	if err := d.connections.drain(ctx, d.clock); err != nil {
 		return err
 	}
