relay, docs/incidents: the log lists the parts that a prompt may share

Lines of requests that no backend server answered have the hashes of the parts of the prompt, all but the last, so that crashes can be compared.

--- a/relay/sender.go
+++ b/relay/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -201,11 +202,21 @@
 		zap.Int("attempts", e.Route.Attempts),
 		zap.Bool("repeatable", e.Route.Repeatable),
 		zap.String("last-event", d.events.lastID),
+		zap.String("parts", partList(e.Prompt)),
 		milliseconds("left-ms", d.timeLeft()),
 		zap.Error(err),
 	)
 }
 
+// partList returns the parts of a prompt that other prompts may share.
+func partList(prompt models.Prompt) string {
+	var list []string
+	for _, part := range prompt.SharedParts() {
+		list = append(list, part.String())
+	}
+	return strings.Join(list, ",")
+}
+
 // attempt sends the request to one backend server and relays its response.
 func (d *delivery) attempt(ctx context.Context, placement Placement) (Result, error) {
 	d.tracePlacement(placement)
--- a/relay/trace_test.go
+++ b/relay/trace_test.go
@@ -137,3 +137,16 @@
 	}
 	return false
 }
+
+// Crashes can be traced to a prompt part by the log alone.
+func TestFailureLogListsSharedParts(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	f := newFixture(t, nonRepeatable, lostAnswer)
+	f.exchange.Prompt = models.Prompt{Parts: []models.PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}}
+	is := is.New(t)
+	is.True(relay.NewSender(&f.upstreams, &f.placer, &f.meter, f.origins, system.NewClock(), zap.New(core)).Handle(t.Context(), &f.exchange) != nil)
+	shared := f.exchange.Prompt.SharedParts()
+	lines := logs.FilterMessage("request not answered by a backend server").All()
+	is.Equal(len(lines), 1)
+	is.Equal(lines[0].ContextMap()["parts"], shared[0].String()+","+shared[1].String())
+}
