entry: a read that the drain ends keeps the bytes that it got

A request that the process had read whole, to the point of having it in memory, got no answer, and no log line told of it.

The drain now interrupts such a read by a read deadline in the past. A read that has got bytes begins a request, the deadline that net/http set last is restored, and the request is answered; one without any fails, and net/http closes the connection. A read that begins afterwards without an unanswered request fails without touching the connection. A read that belongs to a request is never interrupted: net/http would cancel the request's context. The error is a net.OpError, because net/http answers 400 on a new connection to one that it does not know. Ruled out: that the drain closes idle connections itself, because a request may be in the server's buffer.

The log line has no count of discarded reads any more: there are none.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -14,26 +14,26 @@
 	"quincewinch/peer"
 )
 
-// drainInterval is the time between two looks for idle connections while the
+// drainInterval is the time between two looks for open connections while the
 // daemon stops.
 const drainInterval = 10 * time.Millisecond
 
+// longAgo is a deadline that interrupts a read.
+var longAgo = time.Unix(1, 0)
+
 // connections tracks the connections of callers, so that a planned stop answers
 // each request that has been read. Shutdown of http.Server does not: it drops
 // requests that it has read but not yet passed to the handler.
 type connections struct {
-	mu   sync.Mutex
-	open map[*trackedConn]bool
-
-	draining atomic.Bool
-	counts   drainCounts
+	mu     sync.Mutex
+	open   map[*trackedConn]bool
+	counts drainCounts
 }
 
 // drainCounts are what a drain did, for its log line.
 type drainCounts struct {
 	idle       atomic.Int64 // connections closed without an unanswered request
 	late       atomic.Int64 // requests read after the drain had begun that got an answer
-	discarded  atomic.Int64 // reads whose bytes were discarded
 	unanswered atomic.Int64 // connections closed before anything of an answer was written
 }
 
@@ -42,7 +42,6 @@
 	return []zap.Field{
 		zap.Int64("closed-idle", c.counts.idle.Load()),
 		zap.Int64("late-answered", c.counts.late.Load()),
-		zap.Int64("discarded", c.counts.discarded.Load()),
 		zap.Int64("unanswered", c.counts.unanswered.Load()),
 		zap.Int("open", c.count()),
 	}
@@ -62,10 +61,11 @@
 }
 
 // drain closes connections without an unanswered request until none is open. It
-// returns the error of ctx if there are others until it ends.
+// returns the error of ctx if there are others until it ends. No connection may be
+// accepted once it has begun.
 func (c *connections) drain(ctx context.Context, clock peer.Clock) error {
-	c.draining.Store(true)
-	for c.closeIdle() > 0 {
+	c.stopIdle()
+	for c.count() > 0 {
 		if err := clock.Sleep(ctx, drainInterval); err != nil {
 			return errors.Annotatef(err, "%d connections with unanswered requests", c.count())
 		}
@@ -73,24 +73,17 @@
 	return nil
 }
 
-// closeIdle closes connections without an unanswered request, and returns how
-// many others are open. What arrives at those from then on is not read.
-func (c *connections) closeIdle() (others int) {
+// stopIdle makes the server close each connection as soon as it has no unanswered
+// request, and returns how many have one now.
+func (c *connections) stopIdle() (unanswered int) {
 	c.mu.Lock()
-	var idle []*trackedConn
+	defer c.mu.Unlock()
 	for conn := range c.open {
-		if !conn.stopReading() {
-			others++
-			continue
+		if conn.stopIdle() {
+			unanswered++
 		}
-		idle = append(idle, conn)
-	}
-	c.mu.Unlock()
-	c.counts.idle.Add(int64(len(idle)))
-	for _, conn := range idle {
-		_ = conn.Close() // the caller may have closed it
 	}
-	return others
+	return unanswered
 }
 
 func (c *connections) count() int {
@@ -132,42 +125,108 @@
 }
 
 // trackedConn is a connection that knows whether it has an unanswered request:
-// whether bytes of one have been read since the last answer.
+// whether bytes of one have been read since the last answer. Bytes that have been
+// read are never dropped: a read either begins a request or fails without any.
 type trackedConn struct {
 	net.Conn
 	connections *connections
 
-	mu         sync.Mutex
-	unanswered bool
-	nextBegun  bool // a byte of the next request has been read
-	stopped    bool // no more bytes are to be read
-	idles      int  // how often the server has called it idle
-	written    bool // something was written since the request began
-	late       bool // the request began after the drain
-	gone       bool // the caller has closed it, or it broke
-	closed     bool
+	mu          sync.Mutex
+	reading     bool
+	deadline    time.Time // of reads, as the server set it last
+	draining    bool      // reads fail unless there is an unanswered request
+	interrupted bool      // the read in progress has the deadline longAgo
+	unanswered  bool
+	nextBegun   bool // a byte of the next request has been read
+	idles       int  // how often the server has called it idle
+	written     bool // something was written since the request began
+	late        bool // the request began after the drain
+	gone        bool // the caller has closed it, or it broke
+	closed      bool
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
+	ahead, ok := c.beginRead(len(b))
+	if !ok {
+		return 0, c.closedError()
+	}
 	n, err := c.Conn.Read(b)
+	return c.endRead(n, err, ahead)
+}
+
+// beginRead reports whether the connection may be read, and whether the server
+// reads ahead.
+func (c *trackedConn) beginRead(size int) (ahead, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// While net/http serves a request, it reads one byte ahead to notice that the
+	// caller has gone.
+	ahead = size == 1
+	if c.draining && !c.unanswered {
+		c.connections.counts.idle.Add(1)
+		return ahead, false
+	}
+	c.reading = true
+	return ahead, true
+}
+
+// endRead returns the result of a read.
+func (c *trackedConn) endRead(n int, err error, ahead bool) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	interrupted := c.interrupted
+	c.reading, c.interrupted = false, false
 	c.gone = c.gone || err != nil && !isTimeout(err)
-	if n == 0 {
-		return n, err
+	switch {
+	case n > 0:
+		c.begin()
+		// The server may call the connection idle after it has read ahead.
+		c.nextBegun = c.nextBegun || ahead
+		if !interrupted {
+			return n, err
+		}
+		_ = c.Conn.SetReadDeadline(c.deadline) // the next read fails if it is closed
+		if isTimeout(err) {
+			err = nil
+		}
+	case interrupted && isTimeout(err):
+		c.connections.counts.idle.Add(1)
+		err = c.closedError()
 	}
-	if c.stopped {
-		c.connections.counts.discarded.Add(1)
-		return 0, net.ErrClosed
+	return n, err
+}
+
+// closedError is the error of a read that was not to begin a request. The server
+// does not answer to an error of this type.
+func (c *trackedConn) closedError() error {
+	return &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	if c.interrupted {
+		return nil
 	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *trackedConn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// begin records that there is an unanswered request. The caller holds mu.
+func (c *trackedConn) begin() {
 	if !c.unanswered {
-		c.unanswered, c.written, c.late = true, false, c.connections.draining.Load()
+		c.unanswered, c.written, c.late = true, false, c.draining
 	}
-	// While net/http serves a request, it reads one byte ahead to notice that the
-	// caller has gone. It may call the connection idle after that.
-	c.nextBegun = c.nextBegun || len(b) == 1
-	return n, err
 }
 
 // setAnswered records that an answer has been written.
@@ -175,17 +234,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.countAnswer()
-	c.unanswered, c.written, c.late = c.nextBegun, false, c.connections.draining.Load()
+	c.unanswered = false
+	if c.nextBegun {
+		c.begin()
+	}
 	c.nextBegun = false
 	c.idles++
 }
 
-// stopReading makes all later reads fail, unless there is an unanswered request.
-func (c *trackedConn) stopReading() bool {
+// stopIdle makes reads fail whenever there is no unanswered request, and reports
+// whether there is one. A read in progress ends at once, with what it has got. One
+// that belongs to a request is not interrupted: net/http would cancel the request.
+func (c *trackedConn) stopIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped = c.stopped || !c.unanswered
-	return c.stopped
+	c.draining = true
+	if c.reading && !c.unanswered && !c.interrupted {
+		c.interrupted = true
+		_ = c.Conn.SetReadDeadline(longAgo) // the read fails if it is closed
+	}
+	return c.unanswered
 }
 
 // hasUnanswered reports whether there is an unanswered request.
@@ -234,7 +302,7 @@
 // countAnswer counts the request that ends, if there is one, as answered or not.
 func (c *trackedConn) countAnswer() {
 	switch {
-	case c.stopped || !c.unanswered || !c.connections.draining.Load():
+	case !c.unanswered || !c.draining:
 	case !c.written && !c.gone:
 		c.connections.counts.unanswered.Add(1)
 	case c.written && c.late:
