entry: a request that came with the one before is answered by a drain

A caller that pipelines got no answer to a request that had been read whole.

For an idle connection net/http sets a deadline, reads unless it has at least four bytes of a request, and sets another deadline: two deadlines without a read begin a request. Fewer than four bytes of a next request are still dropped with the connection, without an answer; they are no whole request. Ruled out: parsing requests in the connection.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -134,6 +134,7 @@
 	mu          sync.Mutex
 	reading     bool
 	deadline    time.Time // of reads, as the server set it last
+	deadlines   int       // how often the server has set it since the last read or answer
 	draining    bool      // reads fail unless there is an unanswered request
 	interrupted bool      // the read in progress has the deadline longAgo
 	unanswered  bool
@@ -163,6 +164,12 @@
 	// While net/http serves a request, it reads one byte ahead to notice that the
 	// caller has gone.
 	ahead = size == 1
+	// For an idle connection, it sets a deadline, reads unless it got four bytes of
+	// the next request with the last one, and sets another deadline.
+	if c.deadlines > 1 {
+		c.begin()
+	}
+	c.deadlines = 0
 	if c.draining && !c.unanswered {
 		c.connections.counts.idle.Add(1)
 		return ahead, false
@@ -208,6 +215,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
+	c.deadlines++
 	if c.interrupted {
 		return nil
 	}
@@ -239,6 +247,7 @@
 		c.begin()
 	}
 	c.nextBegun = false
+	c.deadlines = 0
 	c.idles++
 }
 
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -167,6 +167,37 @@
 	}
 }
 
+func TestPipelinedRequestIsAnsweredByADrain(t *testing.T) {
+	for name, read := range map[string]int{"whole": len(request), "part of a header": 10} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newStopFixture(t, nil, nil)
+				release := make(chan struct{})
+				stateChanged := f.callerServer.ConnState
+				f.callerServer.ConnState = func(conn net.Conn, state http.ConnState) {
+					stateChanged(conn, state)
+					if state == http.StateIdle {
+						<-release
+					}
+				}
+				conn := f.listener.dial(nil)
+				defer conn.Close()
+				send(t, conn, request+request[:read])
+				reader := bufio.NewReader(conn)
+				is.Equal(readNextAnswer(reader), http.StatusOK)
+				synctest.Wait()
+				stopped := f.stop(t)
+				synctest.Wait()
+				close(release)
+				go func() { _, _ = io.WriteString(conn, request[read:]) }() // fails if it is not read
+				is.Equal(readNextAnswer(reader), http.StatusOK)
+				is.NoErr(<-stopped)
+			})
+		})
+	}
+}
+
 func TestDrainDoesNotCancelARequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
