entry: a drain does not wait for an idle connection after a long request line

A read of one byte counted as net/http's reading ahead, after which a connection is not idle. net/http also reads one byte when that is what is left of its buffer of 4 KB: after a request line of which 4095 bytes arrived first, the idle connection held a stop until the idle timeout, a minute by the test's settings, or the end of the finish phase.

Reading ahead is now told by the deadline that net/http sets directly before it. A read that fills the buffer follows another read.

`go test -race -count=2 ./entry` ok.

--- a/entry/connections.go
+++ b/entry/connections.go
@@ -161,9 +161,9 @@
 func (c *trackedConn) beginRead(size int) (ahead, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// While net/http serves a request, it reads one byte ahead to notice that the
-	// caller has gone.
-	ahead = size == 1
+	// While net/http serves a request, it sets a deadline and reads one byte ahead
+	// to notice that the caller has gone.
+	ahead = size == 1 && c.deadlines > 0
 	// For an idle connection, it sets a deadline, reads unless it got four bytes of
 	// the next request with the last one, and sets another deadline.
 	if c.deadlines > 1 {
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -278,6 +278,24 @@
 	})
 }
 
+func TestDrainEndsThoughARequestFilledTheServersBuffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFixture(t, nil, nil)
+		conn := f.listener.dial(nil)
+		defer conn.Close()
+		large := "GET /" + strings.Repeat("a", 10000) + " HTTP/1.1\r\nHost: h\r\n\r\n"
+		send(t, conn, large[:4095])
+		synctest.Wait()
+		send(t, conn, large[4095:])
+		is.Equal(readAnswer(conn), http.StatusOK)
+		synctest.Wait() // the connection is idle
+		begun := f.clock.Now()
+		is.NoErr(<-f.stop(t))
+		is.True(f.clock.Now().Sub(begun) <= drainInterval)
+	})
+}
+
 func TestDrainEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
