peer/daemon, models: load shares carry evidence on prompt parts that crash engines

Daemons are to tell each other which prompt parts were in requests that a crash of an engine broke off, with which parts requests were answered since, and which parts are blocked. The load share gets a field for all of it, absent for a receiver that has confirmed it. Ages go over the wire instead of times, except for the start of an engine's process, which identifies it.

The type is CrashEvidence: models.Evidence is the freshness proof of the configuration. The field is ignored by daemons of the version before, and its absence is accepted from them. Decoding drops entries with negative ages or no engine, and what exceeds 512 crashes, 8,192 runs, and 65,536 parts of runs, sound parts or blocks, without failing the share: its loads still count. A crash is taken with all its runs or not at all, since those left would be suspected more than they should be. Relayed sums carry none.

--- /dev/null
+++ b/models/evidence.go
@@ -0,0 +1,52 @@
+package models
+
+import "time"
+
+// RequestHash is the hash of the ID of a request.
+type RequestHash uint64
+
+// CrashEvidence is what daemons know of prompt parts that crash engines. They send
+// each other all of it; ages and durations count from when it is sent.
+type CrashEvidence struct {
+	Crashes []Crash
+	Sound   []SoundPart
+	Blocks  []PartBlock
+}
+
+// Crash is the moment at which a process of an engine broke off its requests.
+type Crash struct {
+	Engine  EngineID
+	Started time.Time // of the process
+	Age     time.Duration
+	Refuted bool // the process has answered since
+	Runs    []CrashedRun
+}
+
+// CrashedRun is a request that was broken off by a crash.
+type CrashedRun struct {
+	Request RequestHash
+	SentAge time.Duration // since it was sent to the engine
+	Parts   []SuspectPart // all but the last of its prompt, in order
+}
+
+// SuspectPart is a prompt part of a request that was broken off.
+type SuspectPart struct {
+	ID PartID
+	// Served reports that a request with the part had been answered before.
+	Served bool
+}
+
+// SoundPart is a suspect part with which a request was answered to its end.
+type SoundPart struct {
+	ID  PartID
+	Age time.Duration // since the answer began
+}
+
+// PartBlock keeps requests with a part from engines.
+type PartBlock struct {
+	ID       PartID
+	Age      time.Duration // since it was decided
+	CrashAge time.Duration // since the last crash that it rests on
+	Duration time.Duration
+	Count    int // how often the part has been blocked
+}
--- a/models/share.go
+++ b/models/share.go
@@ -17,6 +17,7 @@
 	Prompts  []CachedPrompt // prefilled since the previous share
 	Relayed  []LoadShare    // sums of other zones that the sender forwards
 	Origins  []StreamOrigin // that the receiver may not know
+	Evidence *CrashEvidence // nil: nothing that the receiver has not confirmed
 }
 
 // StreamOrigin is the software that began the stream of a request.
--- a/peer/daemon/fuzz_test.go
+++ b/peer/daemon/fuzz_test.go
@@ -32,3 +32,29 @@
 		}
 	})
 }
+
+// FuzzEvidence checks that any message accepted by protobuf is decoded within
+// bounds, and that what is accepted survives another round trip.
+func FuzzEvidence(f *testing.F) {
+	for _, evidence := range []*models.CrashEvidence{fullEvidence(), {}} {
+		raw, err := gproto.Marshal(encodeEvidence(evidence))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Add([]byte{0x0a, 0x00, 0x12, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var form proto.CrashEvidence
+		if err := gproto.Unmarshal(raw, &form); err != nil {
+			return
+		}
+		evidence := decodeEvidence(&form)
+		if len(evidence.Crashes) > maxSharedCrashes || len(evidence.Sound) > maxSharedParts || len(evidence.Blocks) > maxSharedParts {
+			t.Errorf("%d crashes, %d sound parts, %d blocks", len(evidence.Crashes), len(evidence.Sound), len(evidence.Blocks))
+		}
+		if again := decodeEvidence(encodeEvidence(evidence)); !reflect.DeepEqual(evidence, again) {
+			t.Errorf("round trip changed %+v to %+v", evidence, again)
+		}
+	})
+}
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -66,6 +66,7 @@
 		form.Prompts = append(form.Prompts, prompt)
 	}
 	form.Origins = encodeOrigins(share.Origins)
+	form.Evidence = encodeEvidence(share.Evidence)
 	for _, relayed := range share.Relayed {
 		form.Relayed = append(form.Relayed, encodeShare(relayed))
 	}
@@ -99,9 +100,12 @@
 		share.Prompts = append(share.Prompts, prompt)
 	}
 	share.Origins = decodeOrigins(form.GetOrigins())
+	share.Evidence = decodeEvidence(form.GetEvidence())
 	for _, relayed := range form.GetRelayed() {
-		// Relayed sums are forwarded over one hop only.
+		// Relayed sums are forwarded over one hop only, and evidence comes with the
+		// share itself.
 		relayed.Relayed = nil
+		relayed.Evidence = nil
 		sum, err := decodeShare(relayed)
 		if err != nil {
 			return models.LoadShare{}, err
--- a/peer/daemon/share_test.go
+++ b/peer/daemon/share_test.go
@@ -27,6 +27,7 @@
 			{Stream: 3, Software: models.Software{Service: "s", Version: "v2"}, Revision: 1, TimeLeft: time.Second},
 			{Stream: 4, Revision: 2, TimeLeft: time.Second},
 		},
+		Evidence: fullEvidence(),
 		Relayed: []models.LoadShare{{
 			From: "zone/b", Zone: "b", Address: netip.MustParseAddrPort("10.0.0.2:7780"), Sequence: 9,
 			Loads: map[models.EngineID]models.ServerLoad{"e2": {Running: 1}},
@@ -52,4 +53,12 @@
 		is.Equal(len(decoded.Relayed), 1)
 		is.Equal(len(decoded.Relayed[0].Relayed), 0)
 	})
+	t.Run("evidence of relayed sums is dropped", func(t *testing.T) {
+		is := is.New(t)
+		address := "10.0.0.1:1"
+		sum := &proto.LoadShare{From: "zone/b", Address: address, Evidence: encodeEvidence(fullEvidence())}
+		decoded, err := decodeShare(&proto.LoadShare{From: "vm-1", Address: address, Relayed: []*proto.LoadShare{sum}})
+		is.NoErr(err)
+		is.True(decoded.Relayed[0].Evidence == nil)
+	})
 }
