policy/blame: finds the prompt part that crashes engines

A part that crashes each engine which begins to answer on it is in a request of each of these crashes, and no request with it is answered to its end. Other parts of these requests are in all of them, too: sound requests share them. What tells them apart:

- an answer that began after a crash clears all parts of its request;
- engines that crash together, for a reason of their own, count once: a crash counts against a part only if its request was sent after the crash before;
- of the parts that remain, one with which nothing was ever answered goes first, then one that is in more crashes, then the one in fewer requests;
- crashes with a part that is blocked already are explained by it.

Three crashes are needed, four if requests with the part were answered before them, by two requests at least.

--- /dev/null
+++ b/policy/blame/blame.go
@@ -0,0 +1,146 @@
+// Package blame finds the prompt parts that crash engines. A part that does so
+// crashes each engine that begins to answer on it, so it is in a request of each
+// of these crashes, and no request with it is answered to its end.
+package blame
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"quincewinch/models"
+)
+
+const (
+	// minCrashes is the number of crashes, each by a request that was sent after
+	// the one before, from which a part is blamed.
+	minCrashes = 3
+	// minServedCrashes is the same for a part with which requests were answered
+	// before the first crash.
+	minServedCrashes = 4
+	// minRequests is the number of different requests with the part in them.
+	minRequests = 2
+)
+
+// Crash is the moment at which an engine broke off its requests.
+type Crash struct {
+	At   time.Time
+	Runs []Run
+}
+
+// Run is a request that was broken off by a crash.
+type Run struct {
+	Request models.RequestHash
+	SentAt  time.Time
+	Parts   []models.SuspectPart
+}
+
+// Finding is a part that crashes engines.
+type Finding struct {
+	Part      models.PartID
+	Crashes   int // each by a request that was sent after the one before
+	Requests  int
+	LastCrash time.Time
+}
+
+// suspect is what the crashes that nothing explains tell of a part.
+type suspect struct {
+	part     models.PartID
+	served   bool
+	crashes  int // each by a request that was sent after the one before
+	involved int // all crashes with a request that had the part
+	runs     int
+	position int // of the part in the prompts, the highest
+	last     time.Time
+	requests map[models.RequestHash]bool
+}
+
+func (s *suspect) guilty() bool {
+	needed := minCrashes
+	if s.served {
+		needed = minServedCrashes
+	}
+	return s.crashes >= needed && len(s.requests) >= minRequests
+}
+
+// Find returns the part that explains the crashes best, if there is one that has
+// to be blamed. Crashes are in order of time; those with a blocked part are
+// explained by it. Sound has, for parts with which a request was answered to its
+// end, when that answer began: crashes before it do not count against the part.
+func Find(crashes []Crash, sound map[models.PartID]time.Time, blocked func(models.PartID) bool) (Finding, bool) {
+	suspects := map[models.PartID]*suspect{}
+	for _, crash := range crashes {
+		if !explained(crash, blocked) {
+			accuse(suspects, crash, sound)
+		}
+	}
+	var best *suspect
+	for _, s := range suspects {
+		if s.guilty() && (best == nil || compare(s, best) < 0) {
+			best = s
+		}
+	}
+	if best == nil {
+		return Finding{}, false
+	}
+	return Finding{Part: best.part, Crashes: best.crashes, Requests: len(best.requests), LastCrash: best.last}, true
+}
+
+// explained reports whether a request with a blocked part was broken off.
+func explained(crash Crash, blocked func(models.PartID) bool) bool {
+	return slices.ContainsFunc(crash.Runs, func(run Run) bool {
+		return slices.ContainsFunc(run.Parts, func(part models.SuspectPart) bool { return blocked(part.ID) })
+	})
+}
+
+// accuse counts a crash against the parts of the requests that it broke off.
+// Engines that crash together count once, as the requests at them were sent before.
+func accuse(suspects map[models.PartID]*suspect, crash Crash, sound map[models.PartID]time.Time) {
+	counted := map[models.PartID]bool{}
+	involved := map[models.PartID]bool{}
+	for _, run := range crash.Runs {
+		for position, part := range run.Parts {
+			if at, ok := sound[part.ID]; ok && !crash.At.After(at) {
+				continue
+			}
+			s := suspects[part.ID]
+			if s == nil {
+				s = &suspect{part: part.ID, requests: map[models.RequestHash]bool{}}
+				suspects[part.ID] = s
+			}
+			s.served = s.served || part.Served
+			s.position = max(s.position, position)
+			s.requests[run.Request] = true
+			s.runs++
+			if !involved[part.ID] {
+				involved[part.ID] = true
+				s.involved++
+			}
+			if !counted[part.ID] && !run.SentAt.Before(s.last) {
+				counted[part.ID] = true
+				s.crashes++
+			}
+		}
+	}
+	for id := range counted {
+		suspects[id].last = crash.At
+	}
+}
+
+// compare orders suspects: first those with which nothing was ever answered, those
+// that are in more of the crashes, and those that are in fewer requests: all
+// requests of a kind may share a part that is sound.
+func compare(a, b *suspect) int {
+	switch {
+	case a.served != b.served && b.served:
+		return -1
+	case a.served != b.served:
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(b.involved, a.involved),
+		cmp.Compare(a.runs, b.runs),
+		cmp.Compare(b.position, a.position),
+		cmp.Compare(a.part, b.part),
+	)
+}
