quarantine, balance: daemons share evidence on prompt parts that crash engines

Package quarantine collects which requests engines broke off and which were answered, blocks the part that policy/blame finds, and lets one request at a time probe it once the block has lapsed.

Evidence travels with the load shares, all of it to each daemon that has not confirmed it, so that a new process gets it from any other; what a daemon observed itself makes the next share urgent for half a second, what it learned goes along. Nothing is sent while there is none. Ruled out: a log with positions as for origins of streams; crashes are few, and merging a state again changes nothing.

--- a/balance/share.go
+++ b/balance/share.go
@@ -26,7 +26,8 @@
 	fullMeshLimit = 12
 	// minShareInterval is the shortest time between two load shares to fewer
 	// than peersPerInterval daemons, urgentShareInterval the same after a long
-	// prompt was sent or a stream has begun that callers may resume. Each further peersPerInterval daemons add as much again.
+	// prompt was sent, a stream has begun that callers may resume or an engine was
+	// seen to crash. Each further peersPerInterval daemons add as much again.
 	minShareInterval    = 50 * time.Millisecond
 	urgentShareInterval = 20 * time.Millisecond
 	peersPerInterval    = 6
@@ -63,13 +64,15 @@
 	Since(position uint64, scope resume.Scope, limit int) (origins []models.StreamOrigin, next uint64)
 }
 
-// originCursor is how far a daemon has the origins of streams that it is sent.
-type originCursor struct {
+// cursor is how far a daemon has the origins of streams and the evidence that it is
+// sent.
+type cursor struct {
 	instance uint64 // of the daemon's process; 0 before its first receipt
-	position uint64
+	position uint64 // of origins
 	// fullThrough is the position up to which the daemon is sent the origins of all
 	// scopes: those before it were sent to an earlier process, or to none.
 	fullThrough uint64
+	evidence    uint64 // revision that the daemon has confirmed
 }
 
 // sendFailures are the consecutive failed sends to a daemon.
@@ -90,47 +93,55 @@
 	members  Members
 	client   ShareClient
 	origins  OriginLog
+	evidence EvidenceLog
 	clock    peer.Clock
 	logger   *zap.Logger
 
 	// Used only by Step.
-	sharedAt    time.Time
-	originHead  uint64 // position of the last origin when the last load share was sent
-	lastPeers   int    // number of daemons that the last load share was sent to
-	sentZoneSum bool   // the sum of the zone was sent with the last load share
+	sharedAt       time.Time
+	originHead     uint64                          // position of the last origin when the last load share was sent
+	latestEvidence uint64                          // revision of the evidence when the last load share was sent
+	ownEvidence    uint64                          // the same of the evidence that this daemon observed
+	ownEvidenceAt  time.Time                       // when ownEvidence was first sent
+	lastPeers      map[models.DaemonID]models.Peer // that the last load share was sent to
+	sentZoneSum    bool                            // the sum of the zone was sent with the last load share
 
 	mu       sync.Mutex
 	sequence uint64 // of the last share
 	leads    bool   // zone leader, or all other daemons are direct peers
 	inFlight map[models.DaemonID]bool
 	failures map[models.DaemonID]sendFailures
-	cursors  map[models.DaemonID]originCursor
+	cursors  map[models.DaemonID]cursor
 }
 
 // NewSharer returns a sharer for the load of a balancer. Self identifies the
 // sender.
-func NewSharer(self models.LoadShare, balancer *Balancer, members Members, client ShareClient, origins OriginLog, clock peer.Clock, logger *zap.Logger) *Sharer {
+func NewSharer(self models.LoadShare, balancer *Balancer, members Members, client ShareClient, origins OriginLog, evidence EvidenceLog, clock peer.Clock, logger *zap.Logger) *Sharer {
 	return &Sharer{
 		self:     self,
 		balancer: balancer,
 		members:  members,
 		client:   client,
 		origins:  origins,
+		evidence: evidence,
 		clock:    clock,
 		logger:   logger,
 		sequence: uint64(clock.Now().UnixNano()), // above those of earlier processes
 		inFlight: map[models.DaemonID]bool{},
 		failures: map[models.DaemonID]sendFailures{},
-		cursors:  map[models.DaemonID]originCursor{},
+		cursors:  map[models.DaemonID]cursor{},
 	}
 }
 
 // Step sends a load share if at least minInterval has passed since the last one
-// and the load has changed, a stream has begun or maxShareInterval has passed. A zone leader sends
-// one even if nothing has changed, and exchanges zone sums at the same time.
+// and the load or the evidence has changed, a stream has begun, a daemon lacks
+// urgent evidence or maxShareInterval has passed. A zone leader sends one even if
+// nothing has changed, and exchanges zone sums at the same time.
 func (s *Sharer) Step(ctx context.Context) {
 	now := s.clock.Now()
-	if now.Sub(s.sharedAt) < s.minInterval() {
+	latest, own := s.evidence.Revision()
+	urgent := s.evidenceUrgent(own, now)
+	if now.Sub(s.sharedAt) < s.minInterval(urgent) {
 		return
 	}
 	others := s.members.Others()
@@ -142,28 +153,34 @@
 	s.mu.Unlock()
 	share, changed := s.balancer.NextShare()
 	head := s.origins.Head()
-	if !changed && head == s.originHead && !leads && now.Sub(s.sharedAt) < maxShareInterval {
+	if !changed && head == s.originHead && latest == s.latestEvidence && !urgent && !leads && now.Sub(s.sharedAt) < maxShareInterval {
 		return
 	}
 	s.sharedAt = now
 	s.originHead = head
-	s.lastPeers = len(peers)
+	s.latestEvidence = latest
+	if own != s.ownEvidence {
+		s.ownEvidence = own
+		s.ownEvidenceAt = now
+	}
+	s.lastPeers = peers
 	s.sentZoneSum = leads
+	evidence := evidenceSnapshot{log: s.evidence, revision: latest}
 	if leads {
 		share.Relayed = s.balancer.RelayedSums()
-		s.sendZoneSum(ctx, others)
+		s.sendZoneSum(ctx, &evidence, others)
 	}
-	s.send(ctx, share, peers)
+	s.send(ctx, share, &evidence, peers)
 }
 
 // minInterval returns the shortest time between the last load share and the next
 // one.
-func (s *Sharer) minInterval() time.Duration {
+func (s *Sharer) minInterval(evidenceUrgent bool) time.Duration {
 	interval := minShareInterval
-	if own, zone := s.balancer.Urgent(); own || zone && s.sentZoneSum || s.origins.Head() != s.originHead {
+	if own, zone := s.balancer.Urgent(); own || zone && s.sentZoneSum || evidenceUrgent || s.origins.Head() != s.originHead {
 		interval = urgentShareInterval
 	}
-	return interval * time.Duration(1+s.lastPeers/peersPerInterval)
+	return interval * time.Duration(1+len(s.lastPeers)/peersPerInterval)
 }
 
 // LeadsZone reports whether this daemon is the leader of its zone. It is true
@@ -233,7 +250,7 @@
 }
 
 // sendZoneSum sends the sum of this zone to the leaders of the other zones.
-func (s *Sharer) sendZoneSum(ctx context.Context, others map[models.DaemonID]models.Peer) {
+func (s *Sharer) sendZoneSum(ctx context.Context, evidence *evidenceSnapshot, others map[models.DaemonID]models.Peer) {
 	zones := map[models.Zone]bool{}
 	for _, other := range others {
 		zones[other.Zone] = other.Zone != s.self.Zone
@@ -253,7 +270,7 @@
 	sum := s.balancer.NextZoneSum()
 	sum.Sequence = s.nextSequence()
 	sum.Address = s.self.Address
-	s.sendAll(ctx, sum, leaders, resume.ScopeOwn|resume.ScopeZone)
+	s.sendAll(ctx, sum, evidence, leaders, resume.ScopeOwn|resume.ScopeZone)
 }
 
 // resetFailures clears the failures of a zone's daemons once all of them are
@@ -273,10 +290,11 @@
 func (s *Sharer) Leave(ctx context.Context) {
 	share, _ := s.balancer.NextShare()
 	share.Leaving = true
-	s.send(ctx, share, s.directPeers(s.members.Others()))
+	latest, _ := s.evidence.Revision()
+	s.send(ctx, share, &evidenceSnapshot{log: s.evidence, revision: latest}, s.directPeers(s.members.Others()))
 }
 
-func (s *Sharer) send(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer) {
+func (s *Sharer) send(ctx context.Context, share models.LoadShare, evidence *evidenceSnapshot, to map[models.DaemonID]models.Peer) {
 	share.From = s.self.From
 	share.Zone = s.self.Zone
 	share.Address = s.self.Address
@@ -286,7 +304,7 @@
 	if s.LeadsZone() && len(to) < len(s.members.Others()) {
 		scope |= resume.ScopeRemote
 	}
-	s.sendAll(ctx, share, to, scope)
+	s.sendAll(ctx, share, evidence, to, scope)
 }
 
 func (s *Sharer) nextSequence() uint64 {
@@ -296,27 +314,38 @@
 	return s.sequence
 }
 
-func (s *Sharer) sendAll(ctx context.Context, share models.LoadShare, to map[models.DaemonID]models.Peer, scope resume.Scope) {
+// sendAll sends a load share, to each daemon with the evidence if it has not
+// confirmed it.
+func (s *Sharer) sendAll(ctx context.Context, share models.LoadShare, evidence *evidenceSnapshot, to map[models.DaemonID]models.Peer, scope resume.Scope) {
 	for id, other := range to {
-		if s.beginSend(id) {
-			go s.sendTo(ctx, id, other.Address, share, scope)
+		confirmed, ok := s.beginSend(id)
+		if !ok {
+			continue
 		}
+		share.Evidence = nil
+		if confirmed < evidence.revision {
+			share.Evidence = evidence.get()
+			confirmed = evidence.revision
+		}
+		go s.sendTo(ctx, id, other.Address, share, scope, confirmed)
 	}
 }
 
-// beginSend marks a send to a daemon as in flight. It returns false if one is in
-// flight already.
-func (s *Sharer) beginSend(id models.DaemonID) bool {
+// beginSend marks a send to a daemon as in flight and returns the revision of the
+// evidence that the daemon has confirmed. ok is false if one is in flight already.
+func (s *Sharer) beginSend(id models.DaemonID) (confirmed uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inFlight[id] {
-		return false
+		return 0, false
 	}
 	s.inFlight[id] = true
-	return true
+	return s.cursors[id].evidence, true
 }
 
-func (s *Sharer) sendTo(ctx context.Context, id models.DaemonID, address netip.AddrPort, share models.LoadShare, scope resume.Scope) {
+// sendTo sends a load share to a daemon. Evidence is the revision that the daemon
+// then has, unless it is a new process.
+func (s *Sharer) sendTo(ctx context.Context, id models.DaemonID, address netip.AddrPort, share models.LoadShare, scope resume.Scope, evidence uint64) {
 	var next uint64
 	share.Origins, next = s.nextOrigins(id, scope)
 	receipt, err := s.client.Share(ctx, address, share)
@@ -325,7 +354,7 @@
 	defer s.mu.Unlock()
 	delete(s.inFlight, id)
 	if err == nil {
-		s.advanceOrigins(id, receipt.Instance, next)
+		s.advance(id, receipt.Instance, next, evidence)
 		if s.failures[id].count >= maxSendFailures {
 			s.logger.Info("daemon reachable again", zap.String("daemon", string(id)))
 		}
@@ -347,27 +376,28 @@
 // those of all scopes: the daemons that it could have had them from may be gone.
 func (s *Sharer) nextOrigins(id models.DaemonID, scope resume.Scope) (origins []models.StreamOrigin, next uint64) {
 	s.mu.Lock()
-	cursor, ok := s.cursors[id]
+	c, ok := s.cursors[id]
 	if !ok {
-		cursor.fullThrough = s.origins.Head()
-		s.cursors[id] = cursor
+		c.fullThrough = s.origins.Head()
+		s.cursors[id] = c
 	}
-	if s.leads && cursor.position < cursor.fullThrough {
+	if s.leads && c.position < c.fullThrough {
 		scope = resume.ScopeAll
 	}
 	s.mu.Unlock()
-	return s.origins.Since(cursor.position, scope, maxSharedOrigins)
+	return s.origins.Since(c.position, scope, maxSharedOrigins)
 }
 
-// advanceOrigins records that a daemon has received origins. The caller must hold
-// s.mu.
-func (s *Sharer) advanceOrigins(id models.DaemonID, instance, next uint64) {
-	cursor := s.cursors[id]
-	if cursor.instance != 0 && cursor.instance != instance {
-		s.cursors[id] = originCursor{instance: instance, fullThrough: s.origins.Head()}
+// advance records that a daemon has received origins and evidence. The caller must
+// hold s.mu.
+func (s *Sharer) advance(id models.DaemonID, instance, next, evidence uint64) {
+	c := s.cursors[id]
+	if c.instance != 0 && c.instance != instance {
+		s.cursors[id] = cursor{instance: instance, fullThrough: s.origins.Head()}
 		return
 	}
-	cursor.instance = instance
-	cursor.position = next
-	s.cursors[id] = cursor
+	c.instance = instance
+	c.position = next
+	c.evidence = evidence
+	s.cursors[id] = c
 }
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -30,30 +30,56 @@
 	mu        sync.Mutex
 	daemons   map[netip.AddrPort]*balance.Balancer
 	origins   map[netip.AddrPort]*resume.Origins
+	evidence  map[netip.AddrPort]*evidenceLog
+	lost      shareLoss
+	delay     time.Duration // of each share
 	members   map[models.DaemonID]models.Peer
 	down      map[netip.AddrPort]bool
 	messages  map[models.DaemonID]int // sent by each daemon
 	addresses []netip.AddrPort
+
+	evidenceSent int // shares with evidence that were sent
 }
 
 // Share implements balance.ShareClient.
-func (n *network) Share(_ context.Context, to netip.AddrPort, share models.LoadShare) (models.ShareReceipt, error) {
+func (n *network) Share(ctx context.Context, to netip.AddrPort, share models.LoadShare) (models.ShareReceipt, error) {
+	if err := n.wait(ctx); err != nil {
+		return models.ShareReceipt{}, err
+	}
 	n.mu.Lock()
 	from := share.Address
 	down := n.down[to] || n.down[from]
 	n.messages[models.DaemonID(from.String())]++
 	target := n.daemons[to]
 	origins := n.origins[to]
+	evidence := n.evidence[to]
+	if share.Evidence != nil {
+		n.evidenceSent++
+	}
+	lost := n.lost.loses(share.Address, to, share.Sequence)
 	n.mu.Unlock()
-	if down {
+	if down || lost {
 		return models.ShareReceipt{}, peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
 	}
 	origins.Learn(share.Origins, n.scope(share.Zone, to))
 	share.Origins = nil
+	evidence.learn(share.Evidence)
+	share.Evidence = nil
 	target.ReceiveShare(share)
 	return models.ShareReceipt{Instance: origins.Instance()}, nil
 }
 
+// wait delays a load share.
+func (n *network) wait(ctx context.Context) error {
+	n.mu.Lock()
+	delay := n.delay
+	n.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
+	return system.NewClock().Sleep(ctx, delay)
+}
+
 // scope returns the scope of what a daemon learns from a zone.
 func (n *network) scope(zone models.Zone, at netip.AddrPort) resume.Scope {
 	for _, member := range n.members {
@@ -91,7 +117,7 @@
 func newNetwork(t *testing.T, daemons, zones int) *network {
 	n := &network{
 		t: t, fleet: newFleet(engines(networkEngines, models.RoleDecode)...), daemons: map[netip.AddrPort]*balance.Balancer{},
-		origins: map[netip.AddrPort]*resume.Origins{}, members: map[models.DaemonID]models.Peer{},
+		origins: map[netip.AddrPort]*resume.Origins{}, evidence: map[netip.AddrPort]*evidenceLog{}, members: map[models.DaemonID]models.Peer{},
 		down: map[netip.AddrPort]bool{}, messages: map[models.DaemonID]int{}, stop: map[netip.AddrPort]context.CancelFunc{},
 	}
 	for i := range daemons {
@@ -119,6 +145,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.origins[member.Address] = resume.NewOrigins(clock)
+	n.evidence[member.Address] = newEvidenceLog()
 	n.daemons[member.Address] = balance.New(n.fleet, clock, balance.Settings{
 		Zone: member.Zone, Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
 	}, 1)
@@ -129,7 +156,7 @@
 	member := n.members[daemonID(i)]
 	clock := system.NewClock()
 	self := models.LoadShare{From: daemonID(i), Zone: member.Zone, Address: member.Address}
-	sharer := balance.NewSharer(self, n.daemons[member.Address], others{n, daemonID(i)}, n, n.origins[member.Address], clock, zap.NewNop())
+	sharer := balance.NewSharer(self, n.daemons[member.Address], others{n, daemonID(i)}, n, n.origins[member.Address], n.evidence[member.Address], clock, zap.NewNop())
 	ctx, cancel := context.WithCancel(n.t.Context())
 	n.stop[member.Address] = cancel
 	go func() {
@@ -275,7 +302,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t, 3, 1)
 		self := models.LoadShare{From: "vm-000", Zone: "z0", Address: n.addresses[0]}
-		sharer := balance.NewSharer(self, n.daemon(0), others{n, "vm-000"}, n, n.origins[n.addresses[0]], system.NewClock(), zap.NewNop())
+		sharer := balance.NewSharer(self, n.daemon(0), others{n, "vm-000"}, n, n.origins[n.addresses[0]], n.evidence[n.addresses[0]], system.NewClock(), zap.NewNop())
 		var steps sync.WaitGroup
 		steps.Go(func() {
 			for range 100 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"quincewinch/lib/logfmt"
 	"quincewinch/peer"
 	"quincewinch/platform"
+	"quincewinch/quarantine"
 	"quincewinch/relay"
 	"quincewinch/resume"
 	"quincewinch/routing"
@@ -38,6 +39,7 @@
 	versions        *routing.Versions
 	fleet           *routing.Fleet
 	origins         *resume.Origins
+	quarantine      *quarantine.Quarantine
 	balancer        *balance.Balancer
 	callerServer    *http.Server
 	callers         net.Listener
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -16,6 +16,7 @@
 	"quincewinch/models"
 	peerdaemon "quincewinch/peer/daemon"
 	"quincewinch/platform"
+	"quincewinch/quarantine"
 	"quincewinch/resume"
 	"quincewinch/table"
 )
@@ -83,7 +84,9 @@
 	s.members = membership.New(self, store, d.clock, d.logger)
 	s.server = peerdaemon.NewEntryServer(shareReceiver{d}, s.reader, insecure.NewCredentials(), &s.traffic)
 	sender := models.LoadShare{From: self.ID, Zone: self.Zone, Address: self.Address}
-	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.origins, d.clock, d.logger)
+	d.quarantine = quarantine.New(self.ID, s.members, d.clock, d.logger)
+	d.gauge("prompt_parts_blocked", "Prompt parts that are blocked because engines crash on them.", func() float64 { return float64(d.quarantine.Blocked()) })
+	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.origins, d.quarantine, d.clock, d.logger)
 	go func() {
 		if err := s.server.Serve(listener); err != nil {
 			d.logger.Error("gRPC server for other daemons failed", zap.Error(err))
@@ -125,6 +128,8 @@
 	}
 	r.daemon.origins.Learn(share.Origins, scope)
 	share.Origins = nil
+	r.daemon.quarantine.Learn(share.Evidence)
+	share.Evidence = nil
 	r.daemon.balancer.ReceiveShare(share)
 	return models.ShareReceipt{Instance: r.daemon.origins.Instance()}
 }
--- a/models/refusal.go
+++ b/models/refusal.go
@@ -17,6 +17,7 @@
 	RefusalRateLimit        RefusalCode = "rate-limited"
 	RefusalOverload         RefusalCode = "overloaded"
 	RefusalUnknownStream    RefusalCode = "unknown-stream"
+	RefusalQuarantined      RefusalCode = "quarantined"
 	RefusalDeadline         RefusalCode = "deadline"
 	RefusalNoBackend        RefusalCode = "no-backend"
 	RefusalDraining         RefusalCode = "draining"
--- /dev/null
+++ b/quarantine/block.go
@@ -0,0 +1,125 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/policy/blame"
+)
+
+const (
+	// firstBlockDuration is how long a part is blocked at first; each crash of a
+	// probe doubles it up to maxBlockDuration.
+	firstBlockDuration = time.Minute
+	maxBlockDuration   = time.Hour
+	// probeInterval is the time between two probes. A probe has ended, and the
+	// other daemons know how, within that time.
+	probeInterval = 5 * time.Second
+	// probePeriod is how long probes are allowed. A block that has had none by then
+	// is forgotten.
+	probePeriod = 10 * time.Minute
+	// maxBlocks bounds the blocked parts.
+	maxBlocks = 256
+)
+
+// block keeps requests with a part from engines until it ends, and all but probes
+// afterwards.
+type block struct {
+	part      models.PartID
+	since     time.Time
+	lastCrash time.Time
+	duration  time.Duration
+	count     int // how often the part has been blocked
+
+	probes int // interval of the last probe of this daemon, from 1; 0: none
+	probe  models.RequestHash
+}
+
+func (b *block) until() time.Time {
+	return b.since.Add(b.duration)
+}
+
+func (b *block) expired(now time.Time) bool {
+	return now.Sub(b.until()) >= probePeriod
+}
+
+// block blocks a part. The caller must hold q.mu.
+func (q *Quarantine) block(finding blame.Finding, now time.Time) {
+	b := &block{part: finding.Part, since: now, lastCrash: finding.LastCrash, duration: firstBlockDuration, count: 1}
+	q.blocks[finding.Part] = b
+	q.changed(true)
+	q.logger.Warn("prompt part blocked",
+		partField(b.part),
+		zap.Int("crashes", finding.Crashes),
+		zap.Int("requests", finding.Requests),
+		zap.Duration("for", b.duration),
+	)
+}
+
+// renew blocks a part again after a probe has crashed its engine. The caller must
+// hold q.mu.
+func (q *Quarantine) renew(b *block, crashedAt, now time.Time) {
+	b.since = now
+	b.lastCrash = crashedAt
+	b.duration = min(2*b.duration, maxBlockDuration)
+	b.count++
+	b.probes = 0
+	q.changed(true)
+	q.logger.Warn("prompt part blocked again: its probe was broken off", partField(b.part), zap.Int("times", b.count), zap.Duration("for", b.duration))
+}
+
+// lift removes the block of a part if an answer began after the last crash that it
+// rests on. The caller must hold q.mu.
+func (q *Quarantine) lift(part models.PartID, answered time.Time) {
+	b, ok := q.blocks[part]
+	if !ok || !answered.After(b.lastCrash) {
+		return
+	}
+	delete(q.blocks, part)
+	q.logger.Info("prompt part no longer blocked: a request with it was answered", partField(part), zap.Int("times", b.count))
+}
+
+// admits reports whether a request with a blocked part may be sent: as the probe
+// of the interval, at the one daemon that sends it. The caller must hold q.mu.
+func (q *Quarantine) admits(b *block, request models.RequestHash, now time.Time) bool {
+	if now.Before(b.until()) {
+		return false
+	}
+	if b.expired(now) {
+		delete(q.blocks, b.part)
+		return true
+	}
+	interval := 1 + int(now.Sub(b.until())/probeInterval)
+	if b.probes == interval {
+		return b.probe == request
+	}
+	if !q.sendsProbe(b.part, interval) {
+		return false
+	}
+	b.probes = interval
+	b.probe = request
+	q.logger.Info("request sent to probe a blocked prompt part", partField(b.part), zap.Int("interval", interval))
+	return true
+}
+
+// sendsProbe reports whether this daemon sends the probe of an interval. All
+// daemons with the same members choose the same one, another for each interval.
+func (q *Quarantine) sendsProbe(part models.PartID, interval int) bool {
+	own := probeRank(part, interval, q.self)
+	for id := range q.peers.Others() {
+		if probeRank(part, interval, id) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func probeRank(part models.PartID, interval int, id models.DaemonID) uint64 {
+	key := binary.BigEndian.AppendUint64(nil, uint64(part))
+	key = binary.BigEndian.AppendUint64(key, uint64(interval))
+	return xxhash.Sum64(append(key, id...))
+}
--- /dev/null
+++ b/quarantine/crash.go
@@ -0,0 +1,225 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/policy/blame"
+	"quincewinch/relay"
+)
+
+const (
+	// crashSpan is the time within which the requests that a process breaks off
+	// belong to one crash.
+	crashSpan = 2 * time.Second
+	// signDelay is the time after a crash from which a response shows that there was
+	// none: an earlier one may have been sent before.
+	signDelay = 500 * time.Millisecond
+	// minRestartTime is the shortest time in which an engine is back after a crash.
+	minRestartTime = 1500 * time.Millisecond
+	// registrationLag is the longest time after which a restarted engine has
+	// registered its new process.
+	registrationLag = 8 * time.Second
+	// soundInterval is the shortest time between two answers that are noted for
+	// one suspected part.
+	soundInterval = 500 * time.Millisecond
+	// maxCrashes, maxRuns and maxParts bound the crashes, the requests of each and
+	// the parts of each request that are remembered.
+	maxCrashes = 64
+	maxRuns    = 64
+	maxParts   = 16
+)
+
+// crash is the moment at which a process of an engine broke off requests.
+type crash struct {
+	blame.Crash
+	engine  models.EngineID
+	started time.Time // the process
+	refuted bool      // the process has answered since
+}
+
+// isOf reports whether requests that a process broke off at a time belong to the
+// crash.
+func (c *crash) isOf(engine models.EngineID, started, at time.Time) bool {
+	return c.engine == engine && c.started.Equal(started) && at.Sub(c.At).Abs() < crashSpan
+}
+
+// refutedBy reports whether a response shows that the process has not crashed. A late
+// one may come from the next process, which has not registered yet.
+func (c *crash) refutedBy(r response) bool {
+	if !c.started.Equal(r.started) {
+		return false
+	}
+	after := r.at.Sub(c.At)
+	return after >= signDelay && after < minRestartTime || after >= registrationLag && !c.started.IsZero()
+}
+
+// addRun adds a request unless it is known or there are too many. It reports
+// whether that has changed anything.
+func (c *crash) addRun(run blame.Run) bool {
+	for _, known := range c.Runs {
+		if known.Request == run.Request {
+			return markServed(known.Parts, run.Parts)
+		}
+	}
+	if len(c.Runs) >= maxRuns {
+		return false
+	}
+	c.Runs = append(c.Runs, run)
+	return true
+}
+
+// markServed marks the parts that are marked in another list of the same parts. It
+// reports whether that has changed any.
+func markServed(parts, marked []models.SuspectPart) bool {
+	changed := false
+	for i := range min(len(parts), len(marked)) {
+		if parts[i].ID == marked[i].ID && marked[i].Served && !parts[i].Served {
+			parts[i].Served = true
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Responded implements relay.Guard.
+func (q *Quarantine) Responded(server models.Upstream) {
+	now := q.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := response{started: server.Started, at: now}
+	q.responses[server.ID] = r
+	for _, c := range q.crashes {
+		if c.engine == server.ID && !c.refuted && c.refutedBy(r) {
+			c.refuted = true
+			q.changed(true)
+		}
+	}
+}
+
+// Completed implements relay.Guard.
+func (q *Quarantine) Completed(run relay.Run) {
+	parts := run.Prompt.SharedParts()
+	q.Responded(run.Server)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range parts {
+		q.served.add(part, run.BegunAt)
+		if _, ok := q.suspected[part]; ok && q.noteSound(part, run.BegunAt) {
+			q.changed(true)
+		}
+	}
+}
+
+// noteSound notes that the answer to a request with a suspected part began at a
+// time. It reports whether that is news. The caller must hold q.mu.
+func (q *Quarantine) noteSound(part models.PartID, begun time.Time) bool {
+	known, ok := q.sound[part]
+	crashed := q.suspected[part]
+	// News is what clears the part of its last crash, or of more than before.
+	if ok && !begun.After(known) || ok && begun.Sub(known) < soundInterval && (known.After(crashed) || !begun.After(crashed)) {
+		return false
+	}
+	q.sound[part] = begun
+	q.lift(part, begun)
+	return true
+}
+
+// BrokenOff implements relay.Guard.
+func (q *Quarantine) BrokenOff(run relay.Run) {
+	parts := run.Prompt.SharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	now := q.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.prune(now)
+	request := requestHash(run.Request)
+	for _, part := range parts {
+		if b, ok := q.blocks[part]; ok && !run.SentAt.Before(b.until()) {
+			q.renew(b, now, now)
+		}
+	}
+	c, found := q.crashOf(run.Server.ID, run.Server.Started, now)
+	if c.refuted {
+		return
+	}
+	if !found {
+		q.logger.Info("engine broke off requests", zap.String("engine", string(run.Server.ID)), zap.String("address", run.Server.Address.String()))
+	}
+	broken := blame.Run{Request: request, SentAt: run.SentAt}
+	for _, part := range parts[:min(len(parts), maxParts)] {
+		_, served := q.served.last(part)
+		broken.Parts = append(broken.Parts, models.SuspectPart{ID: part, Served: served})
+	}
+	if c.addRun(broken) {
+		q.suspect(c, broken.Parts)
+		q.changed(true)
+	}
+}
+
+// crashOf returns the crash of a process at a time, a new one if none is known. The
+// caller must hold q.mu.
+func (q *Quarantine) crashOf(engine models.EngineID, started, at time.Time) (c *crash, found bool) {
+	for _, c := range q.crashes {
+		if c.isOf(engine, started, at) {
+			return c, true
+		}
+	}
+	c = &crash{Crash: blame.Crash{At: at}, engine: engine, started: started}
+	q.crashes = append(q.crashes, c)
+	slices.SortStableFunc(q.crashes, func(a, b *crash) int { return a.At.Compare(b.At) })
+	if r, ok := q.responses[engine]; ok {
+		c.refuted = c.refutedBy(r)
+	}
+	return c, false
+}
+
+// suspect notes that requests with some parts were broken off by a crash. The
+// caller must hold q.mu.
+func (q *Quarantine) suspect(c *crash, parts []models.SuspectPart) {
+	for _, part := range parts {
+		if c.At.After(q.suspected[part.ID]) {
+			q.suspected[part.ID] = c.At
+		}
+	}
+	q.evaluateNoLaterThan(c.At.Add(settleTime))
+}
+
+// prune forgets what is too old or too much. The caller must hold q.mu.
+func (q *Quarantine) prune(now time.Time) {
+	old := func(at time.Time) bool { return now.Sub(at) >= evidenceRetention }
+	crashes := len(q.crashes)
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *crash) bool { return old(c.At) })
+	if len(q.crashes) >= maxCrashes {
+		q.crashes = slices.DeleteFunc(q.crashes, func(c *crash) bool { return c.refuted })
+	}
+	q.crashes = q.crashes[max(0, len(q.crashes)-maxCrashes+1):]
+	if len(q.crashes) != crashes {
+		clear(q.suspected)
+		for _, c := range q.crashes {
+			for _, run := range c.Runs {
+				q.suspect(c, run.Parts)
+			}
+		}
+	}
+	for part, at := range q.sound {
+		if old(at) {
+			delete(q.sound, part)
+		}
+	}
+	for part, b := range q.blocks {
+		if b.expired(now) {
+			delete(q.blocks, part)
+		}
+	}
+	for engine, r := range q.responses {
+		if old(r.at) {
+			delete(q.responses, engine)
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,169 @@
+// Package quarantine keeps requests from engines that would crash them. A prompt
+// part that is found to crash engines is blocked at all daemons, for a while and
+// then until a single request with it, a probe, has been answered. What the
+// daemons have seen travels with their load shares and is kept in memory only.
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/policy/blame"
+	"quincewinch/relay"
+)
+
+const (
+	// settleTime is how long after a crash it counts: the other daemons report the
+	// requests that it broke off at them, and an engine that has only closed a
+	// connection answers other requests.
+	settleTime = 200 * time.Millisecond
+	// evidenceRetention is how long crashes and answers are remembered.
+	evidenceRetention = 10 * time.Minute
+	// maxServedParts bounds each of the two generations of parts that are known to
+	// have been served.
+	maxServedParts = 4096
+)
+
+// Peers lists the other daemons, live or not.
+type Peers interface {
+	Others() map[models.DaemonID]models.Peer
+}
+
+// Quarantine holds what is known of prompt parts that crash engines. It implements
+// relay.Guard and balance.EvidenceLog.
+type Quarantine struct {
+	self   models.DaemonID
+	peers  Peers
+	clock  peer.Clock
+	logger *zap.Logger
+
+	mu         sync.Mutex
+	served     servedParts
+	responses  map[models.EngineID]response // the last of each engine
+	crashes    []*crash                     // in order of time
+	suspected  map[models.PartID]time.Time  // last crash with each part
+	sound      map[models.PartID]time.Time  // begin of the last answer to a suspected part
+	blocks     map[models.PartID]*block
+	evaluateAt time.Time // when a crash begins to count; zero: none will
+	latest     uint64    // revision of the last change
+	own        uint64    // revision of the last change that this daemon observed
+}
+
+// response is a sign of life of a process of an engine.
+type response struct {
+	started time.Time // the process
+	at      time.Time
+}
+
+// New returns a quarantine that knows of no crash.
+func New(self models.DaemonID, peers Peers, clock peer.Clock, logger *zap.Logger) *Quarantine {
+	return &Quarantine{
+		self:      self,
+		peers:     peers,
+		clock:     clock,
+		logger:    logger,
+		served:    newServedParts(maxServedParts),
+		responses: map[models.EngineID]response{},
+		suspected: map[models.PartID]time.Time{},
+		sound:     map[models.PartID]time.Time{},
+		blocks:    map[models.PartID]*block{},
+	}
+}
+
+// Admit implements relay.Guard.
+func (q *Quarantine) Admit(request models.RequestID, prompt models.Prompt) *models.Refusal {
+	parts := prompt.SharedParts()
+	if len(parts) == 0 {
+		return nil
+	}
+	now := q.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.evaluate(now)
+	for _, part := range parts {
+		b, ok := q.blocks[part]
+		if !ok || q.admits(b, requestHash(request), now) {
+			continue
+		}
+		return &models.Refusal{
+			Code:       models.RefusalQuarantined,
+			Message:    "engines have crashed on a part of the prompt",
+			NotRun:     true,
+			RetryAfter: max(b.until().Sub(now), probeInterval),
+		}
+	}
+	return nil
+}
+
+// Blocked returns the number of blocked parts.
+func (q *Quarantine) Blocked() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.blocks)
+}
+
+// Revision implements balance.EvidenceLog.
+func (q *Quarantine) Revision() (latest, own uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.latest, q.own
+}
+
+// evaluate blocks the parts that the crashes are to be blamed on. The caller must
+// hold q.mu.
+func (q *Quarantine) evaluate(now time.Time) {
+	if q.evaluateAt.IsZero() || now.Before(q.evaluateAt) {
+		return
+	}
+	q.evaluateAt = time.Time{}
+	var settled []blame.Crash
+	for _, c := range q.crashes {
+		if c.refuted {
+			continue
+		}
+		if counts := c.At.Add(settleTime); now.Before(counts) {
+			q.evaluateNoLaterThan(counts)
+			continue
+		}
+		settled = append(settled, c.Crash)
+	}
+	blocked := func(part models.PartID) bool { return q.blocks[part] != nil }
+	for {
+		finding, ok := blame.Find(settled, q.sound, blocked)
+		if !ok {
+			return
+		}
+		q.block(finding, now)
+	}
+}
+
+func (q *Quarantine) evaluateNoLaterThan(at time.Time) {
+	if q.evaluateAt.IsZero() || at.Before(q.evaluateAt) {
+		q.evaluateAt = at
+	}
+}
+
+// changed notes a change. Observed is set if this daemon has seen it itself, rather
+// than learned it from another. The caller must hold q.mu.
+func (q *Quarantine) changed(observed bool) {
+	q.latest++
+	if observed {
+		q.own = q.latest
+	}
+}
+
+func requestHash(id models.RequestID) models.RequestHash {
+	return models.RequestHash(xxhash.Sum64String(string(id)))
+}
+
+// partField is the log field of a part.
+func partField(part models.PartID) zap.Field {
+	return zap.String("part", part.String())
+}
+
+var _ relay.Guard = (*Quarantine)(nil)
--- a/quarantine/schedule_daemons_test.go
+++ b/quarantine/schedule_daemons_test.go
@@ -13,6 +13,7 @@
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/policy/retry"
+	"quincewinch/quarantine"
 	"quincewinch/relay"
 	"quincewinch/resume"
 	"quincewinch/routing"
@@ -39,13 +40,14 @@
 
 // process is a process of a daemon.
 type process struct {
-	ctx      context.Context
-	cancel   context.CancelFunc
-	balancer *balance.Balancer
-	origins  *resume.Origins
-	handler  relay.Handler
-	snapshot *routing.Snapshot
-	step     func(ctx context.Context)
+	ctx        context.Context
+	cancel     context.CancelFunc
+	balancer   *balance.Balancer
+	origins    *resume.Origins
+	quarantine *quarantine.Quarantine
+	handler    relay.Handler
+	snapshot   *routing.Snapshot
+	step       func(ctx context.Context)
 }
 
 // newProcess returns a process that knows nothing.
@@ -56,15 +58,17 @@
 	p.ctx, p.cancel = context.WithCancel(s.t.Context())
 	retries := retry.Settings{Ratio: 0.2, Reserve: 50, Window: 10 * time.Second}
 	p.balancer = balance.New(d, s.clock, balance.Settings{Zone: d.zone(), Retries: retries}, s.seed+uint64(d.index))
+	p.quarantine = quarantine.New(d.id(), d, s.clock, logger)
 	p.handler = relay.NewSender(d, p.balancer, d, p.origins, s.clock, logger)
 	self := models.LoadShare{From: d.id(), Zone: d.zone(), Address: d.address()}
-	sharer := balance.NewSharer(self, p.balancer, d, d, noOrigins{}, s.clock, logger)
+	sharer := balance.NewSharer(self, p.balancer, d, d, noOrigins{}, p.quarantine, s.clock, logger)
 	p.step = sharer.Step
 	return p
 }
 
 // receive applies a load share of another daemon.
 func (p process) receive(share models.LoadShare) models.ShareReceipt {
+	p.quarantine.Learn(share.Evidence)
 	p.balancer.ReceiveShare(share)
 	return models.ShareReceipt{Instance: p.origins.Instance()}
 }
--- /dev/null
+++ b/quarantine/share.go
@@ -0,0 +1,129 @@
+package quarantine
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/policy/blame"
+)
+
+// Evidence implements balance.EvidenceLog.
+func (q *Quarantine) Evidence() *models.CrashEvidence {
+	now := q.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.prune(now)
+	if len(q.crashes) == 0 && len(q.sound) == 0 && len(q.blocks) == 0 {
+		return nil
+	}
+	evidence := &models.CrashEvidence{}
+	for _, c := range q.crashes {
+		evidence.Crashes = append(evidence.Crashes, c.share(now))
+	}
+	for part, at := range q.sound {
+		evidence.Sound = append(evidence.Sound, models.SoundPart{ID: part, Age: now.Sub(at)})
+	}
+	for part, b := range q.blocks {
+		evidence.Blocks = append(evidence.Blocks, models.PartBlock{
+			ID: part, Age: now.Sub(b.since), CrashAge: now.Sub(b.lastCrash), Duration: b.duration, Count: b.count,
+		})
+	}
+	return evidence
+}
+
+func (c *crash) share(now time.Time) models.Crash {
+	shared := models.Crash{Engine: c.engine, Started: c.started, Age: now.Sub(c.At), Refuted: c.refuted}
+	for _, run := range c.Runs {
+		// The receiver may mark parts as served while this daemon does too.
+		parts := append([]models.SuspectPart(nil), run.Parts...)
+		shared.Runs = append(shared.Runs, models.CrashedRun{Request: run.Request, SentAge: now.Sub(run.SentAt), Parts: parts})
+	}
+	return shared
+}
+
+// Learn adds what another daemon knows. Merging the same evidence again changes
+// nothing.
+func (q *Quarantine) Learn(evidence *models.CrashEvidence) {
+	if evidence == nil {
+		return
+	}
+	now := q.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.prune(now)
+	for _, shared := range evidence.Crashes {
+		if shared.Age < evidenceRetention {
+			q.learnCrash(shared, now)
+		}
+	}
+	for _, shared := range evidence.Sound {
+		if shared.Age < evidenceRetention && q.noteSound(shared.ID, now.Add(-shared.Age)) {
+			q.changed(false)
+		}
+	}
+	for _, shared := range evidence.Blocks {
+		q.learnBlock(shared, now)
+	}
+}
+
+// learnCrash merges a crash. The caller must hold q.mu.
+func (q *Quarantine) learnCrash(shared models.Crash, now time.Time) {
+	c, found := q.crashOf(shared.Engine, shared.Started, now.Add(-shared.Age))
+	changed := !found
+	if shared.Refuted && !c.refuted {
+		c.refuted = true
+		changed = true
+	}
+	for _, run := range shared.Runs {
+		merged := blame.Run{Request: run.Request, SentAt: c.At.Add(shared.Age - run.SentAge)}
+		for _, part := range run.Parts[:min(len(run.Parts), maxParts)] {
+			_, served := q.served.last(part.ID)
+			merged.Parts = append(merged.Parts, models.SuspectPart{ID: part.ID, Served: part.Served || served})
+		}
+		if c.addRun(merged) {
+			q.suspect(c, merged.Parts)
+			changed = true
+		}
+		q.defend(merged.Parts)
+	}
+	if changed {
+		q.changed(false)
+	}
+}
+
+// defend notes which parts this daemon has seen answered since they were
+// suspected. The caller must hold q.mu.
+func (q *Quarantine) defend(parts []models.SuspectPart) {
+	for _, part := range parts {
+		if begun, ok := q.served.last(part.ID); ok && begun.After(q.suspected[part.ID]) && q.noteSound(part.ID, begun) {
+			q.changed(true)
+		}
+	}
+}
+
+// learnBlock takes over a block unless the part has been answered since. The caller
+// must hold q.mu.
+func (q *Quarantine) learnBlock(shared models.PartBlock, now time.Time) {
+	b := &block{
+		part:      shared.ID,
+		since:     now.Add(-shared.Age),
+		lastCrash: now.Add(-shared.CrashAge),
+		duration:  min(shared.Duration, maxBlockDuration),
+		count:     shared.Count,
+	}
+	if begun, ok := q.served.last(shared.ID); ok && begun.After(b.lastCrash) && q.noteSound(shared.ID, begun) {
+		q.changed(true)
+	}
+	if q.sound[shared.ID].After(b.lastCrash) || b.expired(now) {
+		return
+	}
+	known, ok := q.blocks[shared.ID]
+	if ok && known.count >= b.count || !ok && len(q.blocks) >= maxBlocks {
+		return
+	}
+	q.blocks[shared.ID] = b
+	q.changed(false)
+	q.logger.Warn("prompt part blocked, as another daemon found", partField(b.part), zap.Int("times", b.count), zap.Duration("for", b.until().Sub(now)))
+}
--- a/resume/schedule_test.go
+++ b/resume/schedule_test.go
@@ -25,6 +25,7 @@
 	"quincewinch/peer"
 	"quincewinch/peer/system"
 	"quincewinch/policy/retry"
+	"quincewinch/quarantine"
 	"quincewinch/relay"
 	"quincewinch/resume"
 	"quincewinch/routing"
@@ -214,6 +215,7 @@
 	}
 	origins.Learn(share.Origins, resume.ScopeRemote)
 	share.Origins = nil
+	share.Evidence = nil
 	balancer.ReceiveShare(share)
 	if receiptLost {
 		return models.ShareReceipt{}, unanswered
@@ -321,10 +323,11 @@
 	d.versions = routing.NewVersions(d, s.clock)
 	d.balancer = balance.New(d, s.clock, balance.Settings{Zone: d.zone(), Retries: retry.Settings{Ratio: 1, Reserve: 1000, Window: time.Second}}, s.seed)
 	d.snapshot = nil
+	self := models.LoadShare{From: models.DaemonID(strconv.Itoa(d.index)), Zone: d.zone(), Address: d.address()}
+	guard := quarantine.New(self.From, d, s.clock, zap.NewNop())
 	sender := relay.NewSender(s, d.balancer, s, d.origins, s.clock, zap.NewNop())
 	d.handler = relay.Chain(sender, relay.Resume(d.origins, d.versions))
-	self := models.LoadShare{From: models.DaemonID(strconv.Itoa(d.index)), Zone: d.zone(), Address: d.address()}
-	sharer := balance.NewSharer(self, d.balancer, d, s, d.origins, s.clock, zap.NewNop())
+	sharer := balance.NewSharer(self, d.balancer, d, s, d.origins, guard, s.clock, zap.NewNop())
 	ctx, versions := d.ctx, d.versions
 	go func() {
 		for {
