entry: the tests' daemons keep the addresses found for them

90 runs of the 26 subtests that follow, each with a daemon of its own, ended 8 times with "cannot listen at 127.0.0.1:35085: bind: address already in use".

freeAddress opens a listener, closes it and returns its address. Until the daemon listens there, a connection of the tests or a stand-in may be given the same port, and so may the next call of freeAddress itself: each daemon takes five.

The addresses are now of 127.0.0.2, from which the tests have no connections and where no stand-in listens, and none is given twice.

freeAddress of soak takes ports below those given to connections, each once; it does not have the fault.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -35,14 +36,23 @@
 	daemon        *entry.Daemon
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+// givenAddresses holds the results of freeAddress.
+var givenAddresses sync.Map
+
+// freeAddress returns a loopback address on which nothing listens, another with
+// each call. Its IP is that of no other server or connection of these tests: one
+// of them could take the port before the caller does.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	address := listener.Addr().String()
-	is.New(t).NoErr(listener.Close())
-	return address
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.2:0")
+		is.New(t).NoErr(err)
+		address := listener.Addr().String()
+		is.New(t).NoErr(listener.Close())
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			return address
+		}
+	}
 }
 
 func start(t *testing.T) *deployment {
