entry, platform: tests of answers with neither length nor chunks

Backend servers may answer with neither a length nor chunks, and end the answer with its connection. The tests play such answers from a server that writes given bytes and then closes (FIN) or resets (RST) the connection: whole, broken off midway, and at each place of a stream. They go through platform.Upstreams, and through the whole daemon on routes that may be repeated or resumed and on others, and check what the caller gets, how often the request is sent and after which event, and that the caller's connection serves another request where the answer was complete.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -56,6 +56,14 @@
 }
 
 func start(t *testing.T) *deployment {
+	t.Helper()
+	d := prepare(t)
+	d.daemon = d.startDaemon("vm-1", d.callerAddress)
+	return d
+}
+
+// prepare starts everything but the daemon.
+func prepare(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{
 		t: t, is: is.New(t), store: emulator.NewStore(),
@@ -69,7 +77,6 @@
 	store := httptest.NewServer(d.store)
 	t.Cleanup(store.Close)
 	d.storeAddress = store.Listener.Addr().String()
-	d.daemon = d.startDaemon("vm-1", d.callerAddress)
 	return d
 }
 
@@ -121,6 +128,8 @@
 			map[string]any{"name": "reserve", "host": "h.example", "prefix": "/reserve/", "kind": "non_idempotent", "service": "desk", "attempts": 1, "timeout_ms": 5000},
 			map[string]any{"name": "trouble", "host": "h.example", "prefix": "/trouble/", "kind": "non_idempotent", "service": "trouble", "attempts": 1, "timeout_ms": 60000},
 			map[string]any{"name": "trouble-stream", "host": "h.example", "prefix": "/trouble-stream/", "kind": "stream", "service": "trouble", "attempts": 1, "timeout_ms": 60000},
+			map[string]any{"name": "trouble-again", "host": "h.example", "prefix": "/trouble-again/", "kind": "idempotent", "service": "trouble", "attempts": 2, "timeout_ms": 60000},
+			map[string]any{"name": "trouble-resumed", "host": "h.example", "prefix": "/trouble-resumed/", "kind": "stream", "resumable": true, "service": "trouble", "attempts": 2, "timeout_ms": 60000},
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "kv_capacity": 100000}},
