relay: a comment of a stream is no event

The splitter counted a comment between two empty lines as an event, so that `events` of the log line was too high by the comments of a stream.

TestEventSplitterChunks checks the count: 4 before, 3 with the change, for a stream of three events and a comment. Comments are relayed as before.

--- a/relay/events.go
+++ b/relay/events.go
@@ -12,7 +12,7 @@
 type eventSplitter struct {
 	pending   []byte // the start of an incomplete event
 	lastID    string // of the last complete event that has one
-	count     int    // complete events
+	count     int    // complete events; comments alone are none
 	malformed bool   // something was added that is no event
 }
 
@@ -67,7 +67,7 @@
 			s.malformed = true
 			return events[:scanned]
 		}
-		fields = true
+		fields = fields || line[0] != ':'
 		if text, ok := bytes.CutPrefix(line, idField); ok {
 			id = string(bytes.TrimSpace(text))
 		}
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -18,6 +18,7 @@
 		}
 		is.Equal(passed.String(), stream) // unchanged for every chunk size
 		is.Equal(s.lastID, "4")
+		is.Equal(s.count, 3) // the comment is no event
 		is.True(!s.partial())
 	}
 }
