relay, platform: a stream that ends before an event has been broken off

A backend server may answer a stream with neither a length nor chunks and end it with its connection. One that crashes after the header closes its connection in the same way. The caller got 200 and a complete stream without an event, and the attempt counted as served: the stream was not sent elsewhere, and nothing spoke against the server.

Such a stream that ends without an event in this answer has failed: it is sent elsewhere if it may be resumed, attempts and retry budget permitting; else it is answered 502, or aborted if a comment or the events of an earlier server have been relayed. A framed stream without events is complete, as before, and so is a plain answer without a body.

Leniency where a stream goes on after its last event and the next server has nothing to add: it cannot be told from a crash, and a stream must not end as complete before its last piece.

Not noticed: a crash between two events whose connection is closed, not reset.

--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -29,6 +29,8 @@
 	Header http.Header // as forwarded to the caller
 	Body   io.ReadCloser
 	Length int64 // of the body; -1: unknown
+	// The answer ends with its connection: it states neither length nor chunks.
+	Unframed bool
 	// The backend server states that it has not run the request.
 	NotRun        bool
 	WrongInstance bool                 // another backend server has the address
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -195,6 +195,7 @@
 // interrupted stream can be resumed at another engine.
 func (d *delivery) relayStream(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
 	d.events.reset()
+	eventsBefore := d.events.count
 	buffer := make([]byte, readBufferBytes)
 	first := true
 	for {
@@ -225,6 +226,9 @@
 			return ResultFailed, errors.New("the stream has bytes that are no event")
 		case d.events.tooLarge():
 			return ResultFailed, errors.Errorf("an event of the stream has no end within %d bytes", maxEventBytes)
+		case errors.Is(err, io.EOF) && answer.Unframed && d.events.count == eventsBefore:
+			// An engine that crashes closes its connection in the same way.
+			return ResultFailed, errors.New("the stream ended with its connection before an event")
 		case errors.Is(err, io.EOF) && !d.events.partial():
 			if !d.headerWritten {
 				d.writeHeader(answer, -1)
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -25,6 +25,7 @@
 	body        string
 	breaksAfter int  // connection is reset after this many bytes of the body; 0: never
 	noLength    bool // the answer states no length
+	unframed    bool // the answer states no length and ends with its connection
 	stallsAfter int  // nothing more is sent after this many bytes of the body; 0: never
 	notRun      bool
 	moved       bool
@@ -79,7 +80,7 @@
 		body = io.MultiReader(strings.NewReader(a.body[:a.stallsAfter]), stalledReader{ctx})
 	}
 	length := int64(len(a.body))
-	if a.noLength {
+	if a.noLength || a.unframed {
 		length = -1
 	}
 	return peer.UpstreamResponse{
@@ -87,6 +88,7 @@
 		Header:        http.Header{"From": {string(to.ID)}},
 		Body:          &countedBody{Reader: body, upstreams: u},
 		Length:        length,
+		Unframed:      a.unframed,
 		NotRun:        a.notRun || a.moved,
 		WrongInstance: a.moved,
 	}, nil
