--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -129,10 +129,8 @@
 	failed := errors.Annotate(d.gate.Drain(ctx), "requests were still running at the end of the drain timeout")
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), connectionCloseTimeout)
 	defer cancel()
-	for _, server := range d.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			failed = errors.Annotate(err, "connections were still open at the end of the drain")
-		}
+	if err := d.shutDownServers(ctx); err != nil {
+		failed = err
 	}
 	if err := d.flushUsage(ctx); err != nil {
 		failed = err
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -66,12 +67,29 @@
 	if !b.plain {
 		listener = tls.NewListener(tcp, certificates.Server(d.source, false))
 	}
-	server := &http.Server{Handler: b.handler, ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
+	d.serveListener(listener, b.handler)
+	return nil
+}
+
+// serveListener serves a listener in the background until the servers are shut
+// down.
+func (d *Daemon) serveListener(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error("HTTP server failed", zap.Error(err))
 		}
 	}()
-	return nil
+}
+
+// shutDownServers stops listening and waits until requests are answered.
+func (d *Daemon) shutDownServers(ctx context.Context) error {
+	var failed error
+	for _, server := range d.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			failed = errors.Annotate(err, "connections were still open at the end of the drain")
+		}
+	}
+	return failed
 }
