relay: an answer that ends with its connection does not clear a prompt part

Such an answer looks whole where its engine crashed between two events, so that it is no evidence that the engine got through the prompt. A stream that ends so before any event counts as broken off by the engine, as one that is reset does.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -73,7 +73,7 @@
 		return d.serverError(response)
 	}
 	if answer.Status < minFailureStatus {
-		d.sender.guard.Completed(d.current)
+		d.runCompleted(answer)
 	}
 	return ResultServed, d.writeBuffered(ctx, response)
 }
@@ -181,7 +181,7 @@
 			return ResultCancelled, writeErr
 		}
 		if errors.Is(err, io.EOF) {
-			d.sender.guard.Completed(d.current)
+			d.runCompleted(answer)
 			return ResultServed, nil
 		}
 		if err != nil {
@@ -228,13 +228,14 @@
 			return ResultFailed, errors.Errorf("an event of the stream has no end within %d bytes", maxEventBytes)
 		case errors.Is(err, io.EOF) && answer.Unframed && d.events.count == eventsBefore:
 			// An engine that crashes closes its connection in the same way.
+			d.runBroken(ctx, err)
 			return ResultFailed, errors.New("the stream ended with its connection before an event")
 		case errors.Is(err, io.EOF) && !d.events.partial():
 			if !d.headerWritten {
 				d.writeHeader(answer, -1)
 			}
-			if !first {
-				d.sender.guard.Completed(d.current)
+			if d.events.count > eventsBefore {
+				d.runCompleted(answer)
 			}
 			return ResultServed, nil
 		case err != nil && ctx.Err() != nil:
--- a/relay/run.go
+++ b/relay/run.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"quincewinch/models"
+	"quincewinch/peer"
 )
 
 // connectionLost reports whether a call failed because the backend server closed or
@@ -38,6 +39,14 @@
 	}
 }
 
+// runCompleted reports that the answer has arrived whole. One that ends with its
+// connection may have been cut short.
+func (d *delivery) runCompleted(answer peer.UpstreamResponse) {
+	if !answer.Unframed {
+		d.sender.guard.Completed(d.current)
+	}
+}
+
 // runBroken reports that the answer has ended early.
 func (d *delivery) runBroken(ctx context.Context, err error) {
 	if connectionLost(ctx, err) {
