--- a/entry/connections_test.go
+++ b/entry/connections_test.go
@@ -96,6 +96,30 @@
 	is.Equal(err, io.EOF) // and then closed
 }
 
+// A drain ends the reads of idle connections of the operating system, too.
+func TestDrainClosesIdleConnections(t *testing.T) {
+	for name, requests := range map[string]int{"new connection": 0, "kept connection": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracked, address, accepted := startServer(t, listen(t))
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for range requests {
+				is.Equal(exchange(t, conn, reader, []string{request}, nil), http.StatusOK)
+			}
+			server := <-accepted
+			for !server.isReading() || server.hasUnanswered() {
+				runtime.Gosched()
+			}
+			is.NoErr(tracked.drain(t.Context(), system.NewClock()))
+			_, err = reader.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
+}
+
 // waitUntilRead waits until the server has read bytes that it has not answered.
 func waitUntilRead(ctx context.Context, t *testing.T, conn *trackedConn) {
 	t.Helper()
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -34,9 +34,7 @@
 		is.Equal(readAnswer(begun), http.StatusOK)
 		left.Close()
 		is.NoErr(<-stopped)
-		logged := f.logs.FilterMessage("connections of callers drained").All()
-		is.Equal(len(logged), 1)
-		fields := logged[0].ContextMap()
+		fields := f.drainLogged(t)
 		is.True(fields["took"] != nil)
 		delete(fields, "took")
 		is.Equal(fields, map[string]any{
@@ -74,6 +72,7 @@
 				close(release)
 				is.Equal(readNextAnswer(reader), http.StatusOK)
 				is.NoErr(<-stopped)
+				is.Equal(f.drainLogged(t)["late-answered"], int64(1))
 			})
 		})
 	}
@@ -232,6 +231,7 @@
 		begun := f.clock.Now()
 		is.NoErr(<-f.stop(t))
 		is.True(f.clock.Now().Sub(begun) <= headerTimeout+drainInterval)
+		is.Equal(f.drainLogged(t)["unanswered"], int64(1))
 	})
 }
 
@@ -308,9 +308,7 @@
 		defer cancel()
 		err := f.stopCallers(ctx)
 		is.True(errors.Is(err, context.DeadlineExceeded))
-		logged := f.logs.FilterMessage("connections of callers drained").All()
-		is.Equal(len(logged), 1)
-		is.Equal(logged[0].ContextMap()["open"], int64(1))
+		is.Equal(f.drainLogged(t)["open"], int64(1))
 		close(finish)
 	})
 }
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -154,6 +154,14 @@
 	return stopped
 }
 
+// drainLogged returns the fields of the drain's log line.
+func (f *stopFixture) drainLogged(t *testing.T) map[string]any {
+	t.Helper()
+	logged := f.logs.FilterMessage("connections of callers drained").All()
+	is.New(t).Equal(len(logged), 1)
+	return logged[0].ContextMap()
+}
+
 // answer answers "ok", and asks callers to close once the daemon stops.
 func (f *stopFixture) answer(w http.ResponseWriter, r *http.Request) {
 	if f.stopping.Load() {
@@ -190,3 +198,10 @@
 		is.New(t).NoErr(err)
 	}
 }
+
+// isReading reports whether the server waits for bytes of a connection.
+func (c *trackedConn) isReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading
+}
