--- /dev/null
+++ b/balance/share_bench_test.go
@@ -0,0 +1,90 @@
+package balance
+
+import (
+	"context"
+	"net/netip"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/resume"
+	"quincewinch/routing"
+)
+
+// steppedClock is moved on by a benchmark.
+type steppedClock struct {
+	peer.Clock
+	now time.Time
+}
+
+func (c *steppedClock) Now() time.Time { return c.now }
+
+// benchmarkPeers are the other daemons of a benchmark, which confirm each share. It
+// implements Members and ShareClient.
+type benchmarkPeers map[models.DaemonID]models.Peer
+
+func (p benchmarkPeers) Others() map[models.DaemonID]models.Peer { return p }
+
+func (p benchmarkPeers) Share(context.Context, netip.AddrPort, models.LoadShare) (models.ShareReceipt, error) {
+	return models.ShareReceipt{Instance: 1}, nil
+}
+
+func (p benchmarkPeers) Drop(netip.AddrPort) {}
+
+// benchmarkEvidence implements EvidenceLog.
+type benchmarkEvidence struct{ revision uint64 }
+
+func (e *benchmarkEvidence) Revision() (latest, own uint64) { return e.revision, e.revision }
+
+func (e *benchmarkEvidence) Evidence() *models.CrashEvidence { return &models.CrashEvidence{} }
+
+// emptyFleet implements FleetView.
+type emptyFleet struct{}
+
+func (emptyFleet) Snapshot() *routing.Snapshot { return &routing.Snapshot{} }
+
+// sending reports whether a share is in flight.
+func (s *Sharer) sending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.inFlight) > 0
+}
+
+// BenchmarkStep measures load shares to 12 daemons, without the codec.
+func BenchmarkStep(b *testing.B) {
+	const others = 12
+	for _, test := range []struct {
+		name    string
+		known   uint64 // revision of the evidence
+		changes uint64 // before each step
+	}{
+		{name: "no evidence"},
+		{name: "confirmed evidence", known: 1},
+		{name: "new evidence", changes: 1},
+	} {
+		b.Run(test.name, func(b *testing.B) {
+			clock := &steppedClock{now: time.Unix(1, 0)}
+			peers := benchmarkPeers{}
+			for i := range others {
+				peers[models.DaemonID(strconv.Itoa(i))] = models.Peer{}
+			}
+			evidence := &benchmarkEvidence{revision: test.known}
+			balancer := New(emptyFleet{}, clock, Settings{}, 1)
+			sharer := NewSharer(models.LoadShare{From: "self"}, balancer, peers, peers, resume.NewOrigins(clock), evidence, clock, zap.NewNop())
+			b.ReportAllocs()
+			for b.Loop() {
+				evidence.revision += test.changes
+				clock.now = clock.now.Add(time.Second)
+				sharer.Step(b.Context())
+				for sharer.sending() {
+					runtime.Gosched()
+				}
+			}
+		})
+	}
+}
