entry: a request that was given up cannot reach its backend server later

Cause: the request was sent at 10.8 s on a connection across the cut. At 12.0 s the connection timed out and the caller got a 502; the daemon closed the connection, and the bytes that the cut had held up arrived at 17.08 s, after the cut had healed. Only a reset discards them. Calls of lease holders were reset for this reason already; requests to backend servers were not. Ruled out: that the daemon learned of the leaving late (it logs it at 14.807 s, 3 ms after the store's answer), and a send after that (its last line of the request is of 12.0 s).

Connections to backend servers are now reset when they are closed, too.

--- a/entry/transport.go
+++ b/entry/transport.go
@@ -61,11 +61,28 @@
 	}
 }
 
+// dialReset returns a function that opens connections which are reset when they are
+// closed. Bytes that a network partition has held up are discarded: they cannot
+// arrive once the request has been given up.
+func dialReset(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	d := dialer(timeout)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			err = tcp.SetLinger(0)
+		}
+		return connection, err
+	}
+}
+
 // upstreamTransport returns a transport for backend servers that closes
 // connections after they have been idle for the given time.
 func upstreamTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer(upstreamDialTimeout).DialContext,
+		DialContext:            dialReset(upstreamDialTimeout),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
@@ -85,22 +102,11 @@
 	}}
 }
 
-// dutyClient returns the client for the calls of a lease holder. Closing one of
-// its connections resets it and discards unsent data, so that a call delayed by
-// a network partition cannot arrive after the calls of the next holder.
+// dutyClient returns the client for the calls of a lease holder. A call that a
+// network partition has held up must not arrive after the calls of the next holder.
 func dutyClient() *http.Client {
-	d := dialer(storeDialTimeout)
 	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := d.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			if tcp, ok := connection.(*net.TCPConn); ok {
-				err = tcp.SetLinger(0)
-			}
-			return connection, err
-		},
+		DialContext:            dialReset(storeDialTimeout),
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 		IdleConnTimeout:        storeIdleTimeout,
