policy/blame: a part that occurs twice in a prompt counts once

Of equal suspects, the one in fewer requests is blamed. A part that occurs twice in each prompt counted as two requests, so that a sound part next to it was blamed.

TestPartThatOccursTwiceInAPromptIsStillBlamed failed, passes now; the other tests of the package pass.

--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -111,7 +111,9 @@
 			s.served = s.served || part.Served
 			s.position = max(s.position, position)
 			s.requests[run.Request] = true
-			s.runs++
+			if !slices.ContainsFunc(run.Parts[:position], func(former models.SuspectPart) bool { return former.ID == part.ID }) {
+				s.runs++
+			}
 			if !involved[part.ID] {
 				involved[part.ID] = true
 				s.involved++
