relay: an answer of another engine is no sign of life

A 421 of the engine that got an address was reported as a response of the engine that had it, and refuted its crash.

TestAnswerOfAnotherEngineIsNoSignOfLife scripts both answers now: the second attempt got the fixture's default, a success, which is a response of that engine. It failed (2 responses) and passes now.

--- a/relay/moved_guard_test.go
+++ b/relay/moved_guard_test.go
@@ -11,7 +11,8 @@
 // Another engine may have got the address of one that has crashed.
 func TestAnswerOfAnotherEngineIsNoSignOfLife(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(t, models.PathRoute{Attempts: 1}, scriptedAnswer{status: 421, moved: true})
+	moved := scriptedAnswer{status: 421, moved: true}
+	f := newFixture(t, models.PathRoute{Attempts: 1}, moved, moved)
 	_ = f.handle(t.Context())
 	is.Equal(len(f.guard.responded), 0)
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -274,7 +274,9 @@
 
 // handleResponse handles a response whose header has arrived.
 func (d *delivery) handleResponse(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
-	d.sender.guard.Responded(placement.Target())
+	if !answer.WrongInstance {
+		d.sender.guard.Responded(placement.Target())
+	}
 	if answer.NotRun {
 		d.releasePrefilled(ctx)
 		return d.handleRejection(answer)
