quarantine: an answer clears the earlier crashes that are learned after later ones

The answers that a daemon has seen cleared a part only if they began after the last crash known with it. A crash that is learned late, after a later one, was counted though the part had been answered in between. Compared is the crash that is learned.

--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -86,18 +86,18 @@
 			q.suspect(c, merged.Parts)
 			changed = true
 		}
-		q.defend(merged.Parts)
+		q.defend(c, merged.Parts)
 	}
 	if changed {
 		q.changed(false)
 	}
 }
 
-// defend notes which parts this daemon has seen answered since they were
-// suspected. The caller must hold q.mu.
-func (q *Quarantine) defend(parts []models.SuspectPart) {
+// defend notes which parts this daemon has seen answered since a crash. The caller
+// must hold q.mu.
+func (q *Quarantine) defend(c *crash, parts []models.SuspectPart) {
 	for _, part := range parts {
-		if begun, ok := q.served.last(part.ID); ok && begun.After(q.suspected[part.ID]) && q.noteSound(part.ID, begun) {
+		if begun, ok := q.served.last(part.ID); ok && begun.After(c.At) && q.noteSound(part.ID, begun) {
 			q.changed(true)
 		}
 	}
