quarantine, relay: an answer of the next process does not refute a crash

A response under the registration of a process eight seconds after it broke off requests refutes the crash: by then a next process would have registered. Compared was when the response came, or a stream ended; it may have been asked of the next process before that had registered. Compared is when the request was sent.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -48,13 +48,13 @@
 }
 
 // refutedBy reports whether a response shows that the process has not crashed. A late
-// one may come from the next process, which has not registered yet.
+// one may come from the next process, if that had not registered when it was asked.
 func (c *crash) refutedBy(r response) bool {
 	if !c.started.Equal(r.started) {
 		return false
 	}
 	after := r.at.Sub(c.At)
-	return after >= signDelay && after < minRestartTime || after >= registrationLag && !c.started.IsZero()
+	return after >= signDelay && after < minRestartTime || r.sentAt.Sub(c.At) >= registrationLag && !c.started.IsZero()
 }
 
 // addRun adds a request unless it is known or there are too many. It reports
@@ -86,11 +86,11 @@
 }
 
 // Responded implements relay.Guard.
-func (q *Quarantine) Responded(server models.Upstream) {
+func (q *Quarantine) Responded(server models.Upstream, sentAt time.Time) {
 	now := q.clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := response{started: server.Started, at: now}
+	r := response{started: server.Started, sentAt: sentAt, at: now}
 	q.responses[server.ID] = r
 	for _, c := range q.crashes {
 		if c.engine == server.ID && !c.refuted && c.refutedBy(r) {
@@ -103,7 +103,7 @@
 // Completed implements relay.Guard.
 func (q *Quarantine) Completed(run relay.Run) {
 	parts := run.Prompt.SharedParts()
-	q.Responded(run.Server)
+	q.Responded(run.Server, run.SentAt)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, part := range parts {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,7 +56,8 @@
 
 // response is a sign of life of a process of an engine.
 type response struct {
-	started time.Time // the process
+	started time.Time // the process, as registered when the request was sent
+	sentAt  time.Time // the request
 	at      time.Time
 }
 
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -12,8 +12,9 @@
 	// Admit returns a refusal if engines crash on a part of a prompt, nil otherwise.
 	// It is asked each time that a request is about to be sent.
 	Admit(request models.RequestID, prompt models.Prompt) *models.Refusal
-	// Responded reports that a backend server has sent the header of a response.
-	Responded(server models.Upstream)
+	// Responded reports that a backend server has sent the header of a response to a
+	// request that was sent to it at a time.
+	Responded(server models.Upstream, sentAt time.Time)
 	// Completed reports a run whose answer has arrived whole.
 	Completed(run Run)
 	// BrokenOff reports a run whose connection the backend server closed or reset
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -36,7 +36,7 @@
 }
 
 // Responded implements relay.Guard.
-func (g *fakeGuard) Responded(server models.Upstream) {
+func (g *fakeGuard) Responded(server models.Upstream, _ time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.responded = append(g.responded, server.ID)
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -275,7 +275,7 @@
 // handleResponse handles a response whose header has arrived.
 func (d *delivery) handleResponse(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
 	if !answer.WrongInstance {
-		d.sender.guard.Responded(placement.Target())
+		d.sender.guard.Responded(placement.Target(), d.current.SentAt)
 	}
 	if answer.NotRun {
 		d.releasePrefilled(ctx)
