quarantine: a crash is known by its requests, though its share was delayed

A share that was held up for over two seconds between sender and receiver had its crash counted again, with requests that seemed to be sent later. A request is sent to an engine once, so a shared crash with a request that is known of the same process is the same crash, whatever its age.

--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,7 +71,10 @@
 
 // learnCrash merges a crash. The caller must hold q.mu.
 func (q *Quarantine) learnCrash(shared models.Crash, now time.Time) {
-	c, found := q.crashOf(shared.Engine, shared.Started, now.Add(-shared.Age))
+	c, found := q.knownCrash(shared)
+	if !found {
+		c, found = q.crashOf(shared.Engine, shared.Started, now.Add(-shared.Age))
+	}
 	changed := !found
 	if shared.Refuted && !c.refuted {
 		c.refuted = true
@@ -93,6 +97,22 @@
 	}
 }
 
+// knownCrash returns the crash that has a request of a shared one: no request is sent
+// to an engine twice. The share may have been delayed, and its ages be too low. The
+// caller must hold q.mu.
+func (q *Quarantine) knownCrash(shared models.Crash) (c *crash, found bool) {
+	for _, c := range q.crashes {
+		if c.engine == shared.Engine && c.started.Equal(shared.Started) && slices.ContainsFunc(shared.Runs, c.hasRun) {
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+func (c *crash) hasRun(shared models.CrashedRun) bool {
+	return slices.ContainsFunc(c.Runs, func(run blame.Run) bool { return run.Request == shared.Request })
+}
+
 // defend notes which parts this daemon has seen answered since a crash. The caller
 // must hold q.mu.
 func (q *Quarantine) defend(c *crash, parts []models.SuspectPart) {
