quarantine: a crash soon after a reset of the same engine counts

Requests that a process broke off within two seconds of a reset were added to the reset, which the process had refuted by answering; a real crash in that time was lost, and with engines that often reset connections most were (found in review).

What belongs to one crash now spans 0.5 s, no longer than the time from which a response refutes it, so that nothing is added to a crash that has been refuted. Daemons notice the end of a connection within milliseconds; a daemon that was frozen for longer sends nothing on it in between, so that its requests do not count as sent after the crash.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -13,8 +13,9 @@
 
 const (
 	// crashSpan is the time within which the requests that a process breaks off
-	// belong to one crash.
-	crashSpan = 2 * time.Second
+	// belong to one crash. It is no longer than signDelay: what a process that has
+	// answered since breaks off is another one.
+	crashSpan = signDelay
 	// signDelay is the time after a crash from which a response shows that there was
 	// none: an earlier one may have been sent before.
 	signDelay = 500 * time.Millisecond
