quarantine: probes are apart at the turn of an interval, too

The daemon of an interval could send its probe at the interval's end and that of the next one at its beginning, before the first result was known: two engines crashed (found in review). Probes are sent in the first 2.5 s of each 5 s now.

TestProbesAreApartEvenAtTheTurnOfAnInterval failed, passes now, and so do the tests of how blocks lapse.

--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -16,9 +16,11 @@
 	// probe doubles it up to maxBlockDuration.
 	firstBlockDuration = time.Minute
 	maxBlockDuration   = time.Hour
-	// probeInterval is the time between two probes. A probe has ended, and the
-	// other daemons know how, within that time.
+	// probeInterval is the time between two probes, which are sent in the first
+	// probeWindow of it. A probe has ended, and the other daemons know how, within the
+	// rest.
 	probeInterval = 5 * time.Second
+	probeWindow   = 2500 * time.Millisecond
 	// probePeriod is how long probes are allowed. A block that has had none by then
 	// is forgotten.
 	probePeriod = 10 * time.Minute
@@ -93,11 +95,12 @@
 		delete(q.blocks, b.part)
 		return true
 	}
-	interval := 1 + int(now.Sub(b.until())/probeInterval)
+	lapsed := now.Sub(b.until())
+	interval := 1 + int(lapsed/probeInterval)
 	if b.probes == interval {
 		return b.probe == request
 	}
-	if !q.sendsProbe(b.part, interval) {
+	if lapsed%probeInterval >= probeWindow || !q.sendsProbe(b.part, interval) {
 		return false
 	}
 	b.probes = interval
