quarantine: a block that rests on refuted crashes is lifted

A crash counts after 0.2 s and is refuted 0.5 s after it at the earliest. Three resets by live engines within a second blocked a sound part for a minute, and a probe that a live engine reset blocked it again for twice as long, whatever these engines answered afterwards (found in review).

When a crash is refuted, blocks are checked: one that the other crashes do not support is lifted, one that was renewed for a probe at that engine ends at once, so that the next probe follows. A block of another daemon that rests on crashes known to be refuted is not taken over. Ruled out: to count a crash only once it can no longer be refuted, as engine after engine would crash meanwhile.

--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -86,6 +86,16 @@
 	return Finding{Part: best.part, Crashes: best.crashes, Requests: len(best.requests), LastCrash: best.last}, true
 }
 
+// Supports reports whether the crashes suffice to blame a part.
+func Supports(crashes []Crash, sound map[models.PartID]time.Time, part models.PartID) bool {
+	suspects := map[models.PartID]*suspect{}
+	for _, crash := range crashes {
+		accuse(suspects, crash, sound)
+	}
+	s := suspects[part]
+	return s != nil && s.guilty()
+}
+
 // explained reports whether a request with a blocked part was broken off.
 func explained(crash Crash, blocked func(models.PartID) bool) bool {
 	return slices.ContainsFunc(crash.Runs, func(run Run) bool {
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -45,6 +45,11 @@
 	return b.since.Add(b.duration)
 }
 
+// endEarly makes the next probe due now, if it is not already.
+func (b *block) endEarly(now time.Time) {
+	b.duration = min(b.duration, now.Sub(b.since))
+}
+
 func (b *block) expired(now time.Time) bool {
 	return now.Sub(b.until()) >= probePeriod
 }
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -95,12 +95,32 @@
 	q.responses[server.ID] = r
 	for _, c := range q.crashes {
 		if c.engine == server.ID && !c.refuted && c.refutedBy(r) {
-			c.refuted = true
+			q.refute(c, now)
 			q.changed(true)
 		}
 	}
 }
 
+// refute notes that the process has not crashed, and undoes what rests on that. The
+// caller must hold q.mu.
+func (q *Quarantine) refute(c *crash, now time.Time) {
+	c.refuted = true
+	settled, _ := q.settled(now)
+	for _, run := range c.Runs {
+		for _, part := range run.Parts {
+			b, ok := q.blocks[part.ID]
+			switch {
+			case !ok:
+			case b.count > 1 && b.lastCrash.Sub(c.At).Abs() < crashSpan:
+				b.endEarly(now)
+			case b.count == 1 && !blame.Supports(settled, q.sound, part.ID):
+				delete(q.blocks, part.ID)
+				q.logger.Info("prompt part no longer blocked: engines that it was blamed for answer", partField(part.ID))
+			}
+		}
+	}
+}
+
 // Completed implements relay.Guard.
 func (q *Quarantine) Completed(run relay.Run) {
 	parts := run.Prompt.SharedParts()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -122,16 +122,9 @@
 		return
 	}
 	q.evaluateAt = time.Time{}
-	var settled []blame.Crash
-	for _, c := range q.crashes {
-		if c.refuted {
-			continue
-		}
-		if counts := c.At.Add(settleTime); now.Before(counts) {
-			q.evaluateNoLaterThan(counts)
-			continue
-		}
-		settled = append(settled, c.Crash)
+	settled, next := q.settled(now)
+	if !next.IsZero() {
+		q.evaluateNoLaterThan(next)
 	}
 	blocked := func(part models.PartID) bool { return q.blocks[part] != nil }
 	for {
@@ -143,6 +136,22 @@
 	}
 }
 
+// settled returns the crashes that count, and when the next one does; zero if none
+// will. The caller must hold q.mu.
+func (q *Quarantine) settled(now time.Time) (list []blame.Crash, next time.Time) {
+	for _, c := range q.crashes {
+		if c.refuted {
+			continue
+		}
+		if counts := c.At.Add(settleTime); !now.Before(counts) {
+			list = append(list, c.Crash)
+		} else if next.IsZero() || counts.Before(next) {
+			next = counts
+		}
+	}
+	return list, next
+}
+
 func (q *Quarantine) evaluateNoLaterThan(at time.Time) {
 	if q.evaluateAt.IsZero() || at.Before(q.evaluateAt) {
 		q.evaluateAt = at
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -77,7 +77,7 @@
 	}
 	changed := !found
 	if shared.Refuted && !c.refuted {
-		c.refuted = true
+		q.refute(c, now)
 		changed = true
 	}
 	for _, run := range shared.Runs {
@@ -136,7 +136,7 @@
 	if begun, ok := q.served.last(shared.ID); ok && begun.After(b.lastCrash) && q.noteSound(shared.ID, begun) {
 		q.changed(true)
 	}
-	if q.sound[shared.ID].After(b.lastCrash) || b.expired(now) {
+	if q.sound[shared.ID].After(b.lastCrash) || b.expired(now) || b.count == 1 && q.refutes(shared.ID, now) {
 		return
 	}
 	known, ok := q.blocks[shared.ID]
@@ -147,3 +147,17 @@
 	q.changed(false)
 	q.logger.Warn("prompt part blocked, as another daemon found", partField(b.part), zap.Int("times", b.count), zap.Duration("for", b.until().Sub(now)))
 }
+
+// refutes reports whether a crash with a part has been refuted, and the others do not
+// suffice to blame it. The caller must hold q.mu.
+func (q *Quarantine) refutes(part models.PartID, now time.Time) bool {
+	refuted := slices.ContainsFunc(q.crashes, func(c *crash) bool { return c.refuted && c.has(part) })
+	settled, _ := q.settled(now)
+	return refuted && !blame.Supports(settled, q.sound, part)
+}
+
+func (c *crash) has(part models.PartID) bool {
+	return slices.ContainsFunc(c.Runs, func(run blame.Run) bool {
+		return slices.ContainsFunc(run.Parts, func(suspect models.SuspectPart) bool { return suspect.ID == part })
+	})
+}
