relay: streams that end with their connection clear prompt parts, too

Where all answers of a service state neither length nor chunks, none cleared a part, and crashes minutes apart blocked one that all requests share (found in review).

Engines crash as they begin to write, so that a stream of more than one event shows that its engine got through the prompt, however it ends. One with a single event, and an answer that is no stream, may have been cut and still count for nothing.

TestPartIsSoundAlthoughAllAnswersEndWithTheirConnection failed, passes now. TestGuardIsToldHowRunsEnd expected no evidence from a whole stream of two events; it expects a completed run there and none from one of a single event.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -234,8 +234,8 @@
 			if !d.headerWritten {
 				d.writeHeader(answer, -1)
 			}
-			if d.events.count > eventsBefore {
-				d.runCompleted(answer)
+			if events := d.events.count - eventsBefore; events > 1 || events == 1 && !answer.Unframed {
+				d.sender.guard.Completed(d.current)
 			}
 			return ResultServed, nil
 		case err != nil && ctx.Err() != nil:
--- a/relay/run.go
+++ b/relay/run.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// runCompleted reports that the answer has arrived whole. One that ends with its
-// connection may have been cut short.
+// runCompleted reports that an answer other than a stream has arrived whole. One that
+// ends with its connection may have been cut short.
 func (d *delivery) runCompleted(answer peer.UpstreamResponse) {
 	if !answer.Unframed {
 		d.sender.guard.Completed(d.current)
