quarantine: further answers to a part that has been cleared are no news

For ten minutes after a crash each busy part that was along made its daemon send all evidence to all others, as urgent, every half second: an answer counted as news although the part had been cleared of its last crash (found in review). An answer is news now if it clears the part of a crash, or of a block, that earlier ones did not. A daemon that gets a block without its crashes still answers it with what it has seen answered.

TestFurtherAnswersToAClearedPartAreNoNews failed (120 changes in a minute), passes now; TestBlockOfAnAnsweredPartIsNotTakenOver guards the exchange, and fails if such answers are left to the rule above alone.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -24,9 +24,6 @@
 	// registrationLag is the longest time after which a restarted engine has
 	// registered its new process.
 	registrationLag = 8 * time.Second
-	// soundInterval is the shortest time between two answers that are noted for
-	// one suspected part.
-	soundInterval = 500 * time.Millisecond
 	// maxCrashes, maxRuns and maxParts bound the crashes, the requests of each and
 	// the parts of each request that are remembered.
 	maxCrashes = 64
@@ -135,13 +132,16 @@
 	}
 }
 
-// noteSound notes that the answer to a request with a suspected part began at a
-// time. It reports whether that is news. The caller must hold q.mu.
+// noteSound notes that the answer to a request with a part began at a time. It
+// reports whether that is news: whether it clears the part of a crash. The caller must
+// hold q.mu.
 func (q *Quarantine) noteSound(part models.PartID, begun time.Time) bool {
-	known, ok := q.sound[part]
-	crashed := q.suspected[part]
-	// News is what clears the part of its last crash, or of more than before.
-	if ok && !begun.After(known) || ok && begun.Sub(known) < soundInterval && (known.After(crashed) || !begun.After(crashed)) {
+	known := q.sound[part]
+	clears := func(crashed time.Time) bool { return crashed.After(known) && begun.After(crashed) }
+	b, blocked := q.blocks[part]
+	news := blocked && clears(b.lastCrash) || q.suspected[part].After(known) &&
+		slices.ContainsFunc(q.crashes, func(c *crash) bool { return clears(c.At) && c.has(part) })
+	if !news {
 		return false
 	}
 	q.sound[part] = begun
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -133,7 +133,8 @@
 		duration:  min(shared.Duration, maxBlockDuration),
 		count:     shared.Count,
 	}
-	if begun, ok := q.served.last(shared.ID); ok && begun.After(b.lastCrash) && q.noteSound(shared.ID, begun) {
+	if begun, ok := q.served.last(shared.ID); ok && begun.After(b.lastCrash) && !q.sound[shared.ID].After(b.lastCrash) {
+		q.sound[shared.ID] = begun
 		q.changed(true)
 	}
 	if q.sound[shared.ID].After(b.lastCrash) || b.expired(now) || b.count == 1 && q.refutes(shared.ID, now) {
--- a/quarantine/sound_news_test.go
+++ b/quarantine/sound_news_test.go
@@ -21,3 +21,22 @@
 		d.is.Equal(after, before)
 	})
 }
+
+// A block may outlive the crashes that it rests on.
+func TestBlockOfAnAnsweredPartIsNotTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newGroup(t, 2)
+		for _, engine := range []string{"e0", "e1", "e2"} {
+			d.crash(0, engine, []string{"shared"})
+		}
+		d.sleep(300 * time.Millisecond)
+		d.is.True(!d.admits(0, "shared"))
+		d.serve(1, "e9", "shared")
+		share := d.list[0].Evidence()
+		share.Crashes = nil
+		d.list[1].Learn(share)
+		d.is.True(d.admits(1, "shared"))
+		d.list[0].Learn(d.list[1].Evidence())
+		d.is.True(d.admits(0, "shared"))
+	})
+}
