relay: a buffered answer begins with its header

An answer that is buffered was reported to have begun when it was whole, so that one which began before a prompt part turned deadly cleared the part of the crashes until then (found in review).

TestBufferedAnswerBeginsWithItsFirstByte failed, passes now. TestGuardIsToldHowRunsEnd expects that a response which is cut had begun.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -48,6 +48,7 @@
 // maxBufferedBytes is left to relayLarge if it states its length; another may
 // have no end.
 func (d *delivery) relayBuffered(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
+	d.answerBegun()
 	body, err := d.readBuffered(ctx, answer)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -61,7 +62,6 @@
 	}
 	placement.ResponseStarted(answer.Load)
 	d.recordUsage()
-	d.answerBegun()
 	if len(body) > maxBufferedBytes && !d.mayRelayLarge(answer.Status) {
 		return ResultFailed, errors.Errorf("the backend server answered %d with more than %d bytes", answer.Status, maxBufferedBytes)
 	}
