relay: what a leaving engine breaks off is no crash

An engine that leaves ends after its drain time and breaks off what still runs. That was reported as a crash, which nothing refutes, so that engines replaced one after another could block a part that few, long requests use (found in review). A run that breaks off is reported only while its engine accepts work under the registration by which it was chosen.

TestRunThatEndsWithALeavingEngineIsNoCrash failed, passes now.

--- a/relay/run.go
+++ b/relay/run.go
@@ -5,7 +5,6 @@
 	stderrors "errors"
 	"net"
 
-	"quincewinch/models"
 	"quincewinch/peer"
 )
 
@@ -28,8 +27,9 @@
 }
 
 // beginRun records that the request is sent to a backend server.
-func (d *delivery) beginRun(server models.Upstream) {
-	d.current = Run{Server: server, Request: d.exchange.ID, Prompt: d.exchange.Prompt, SentAt: d.sender.clock.Now()}
+func (d *delivery) beginRun(placement Placement) {
+	d.placed = placement
+	d.current = Run{Server: placement.Target(), Request: d.exchange.ID, Prompt: d.exchange.Prompt, SentAt: d.sender.clock.Now()}
 }
 
 // answerBegun records that the first part of the answer has arrived.
@@ -47,9 +47,10 @@
 	}
 }
 
-// runBroken reports that the answer has ended early.
+// runBroken reports that the answer has ended early, unless the backend server is
+// leaving: then it breaks off what takes too long.
 func (d *delivery) runBroken(ctx context.Context, err error) {
-	if connectionLost(ctx, err) {
+	if connectionLost(ctx, err) && d.placed.AcceptsWork() {
 		d.sender.guard.BrokenOff(d.current)
 	}
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -156,6 +156,7 @@
 	originUncertain       bool      // more than one version may have begun the stream
 	originRevision        int       // of the origin that was recorded last
 	current               Run       // at the backend server that the request was sent to last
+	placed                Placement // of current
 	// fallback is the error response of a backend server, relayed if no later
 	// attempt succeeds.
 	fallback *bufferedResponse
@@ -251,7 +252,7 @@
 		call.CopyFrom = copyAddress(placement)
 	}
 	d.exchange.Sends++
-	d.beginRun(target)
+	d.beginRun(placement)
 	answer, err := d.sender.upstreams.Send(ctx, target, call)
 	if err != nil {
 		return d.handleSendError(ctx, err)
