policy/blame: crashes half a second apart are separate

A crash counted against a part only if its request was sent after the one that counted before, so that three took two further rounds of sending and crashing. Where an engine begins to answer only seconds after it got a request, five engines had crashed by then and the part was blocked too late (found in review). Engines that crash together for another reason do so at once; half a second later it is another crash, too.

--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -12,12 +12,14 @@
 )
 
 const (
-	// minCrashes is the number of crashes, each by a request that was sent after
-	// the one before, from which a part is blamed.
+	// minCrashes is the number of separate crashes from which a part is blamed.
 	minCrashes = 3
 	// minServedCrashes is the same for a part with which requests were answered
 	// before the first crash.
 	minServedCrashes = 4
+	// minSeparation is the time after which a crash is separate from the one before,
+	// whenever its request was sent. Engines that crash together do so at once.
+	minSeparation = 500 * time.Millisecond
 	// minRequests is the number of different requests with the part in them.
 	minRequests = 2
 )
@@ -38,7 +40,7 @@
 // Finding is a part that crashes engines.
 type Finding struct {
 	Part      models.PartID
-	Crashes   int // each by a request that was sent after the one before
+	Crashes   int // separate ones
 	Requests  int
 	LastCrash time.Time
 }
@@ -47,7 +49,7 @@
 type suspect struct {
 	part     models.PartID
 	served   bool
-	crashes  int // each by a request that was sent after the one before
+	crashes  int // separate ones: later, or by a request that was sent after the one before
 	involved int // all crashes with a request that had the part
 	runs     int
 	position int // of the part in the prompts, the highest
@@ -104,7 +106,7 @@
 }
 
 // accuse counts a crash against the parts of the requests that it broke off.
-// Engines that crash together count once, as the requests at them were sent before.
+// Engines that crash together count once: the requests at them were sent before.
 func accuse(suspects map[models.PartID]*suspect, crash Crash, sound map[models.PartID]time.Time) {
 	counted := map[models.PartID]bool{}
 	involved := map[models.PartID]bool{}
@@ -128,7 +130,7 @@
 				involved[part.ID] = true
 				s.involved++
 			}
-			if !counted[part.ID] && !run.SentAt.Before(s.last) {
+			if !counted[part.ID] && (!run.SentAt.Before(s.last) || crash.At.Sub(s.last) >= minSeparation) {
 				counted[part.ID] = true
 				s.crashes++
 			}
