quarantine: a block that another part explains is lifted

Of parts that were together in the first three crashes, the later one in the prompt is blamed, which may be a sound one that came along by chance. Its block stayed for a minute and longer after the part that crashes engines had been found, too.

Once a part is blocked or a crash is refuted, the other blocks that have not been probed are checked against the crashes that no other blocked part explains, and lifted if these do not suffice. A block of another daemon is taken over by the same rule.

--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -88,11 +88,15 @@
 	return Finding{Part: best.part, Crashes: best.crashes, Requests: len(best.requests), LastCrash: best.last}, true
 }
 
-// Supports reports whether the crashes suffice to blame a part.
-func Supports(crashes []Crash, sound map[models.PartID]time.Time, part models.PartID) bool {
+// Supports reports whether the crashes that no other blocked part explains suffice to
+// blame a part.
+func Supports(crashes []Crash, sound map[models.PartID]time.Time, blocked func(models.PartID) bool, part models.PartID) bool {
+	others := func(other models.PartID) bool { return other != part && blocked(other) }
 	suspects := map[models.PartID]*suspect{}
 	for _, crash := range crashes {
-		accuse(suspects, crash, sound)
+		if !explained(crash, others) {
+			accuse(suspects, crash, sound)
+		}
 	}
 	s := suspects[part]
 	return s != nil && s.guilty()
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,6 +68,28 @@
 	)
 }
 
+// dropUnfounded lifts the blocks that nothing supports any more. The caller must hold
+// q.mu.
+func (q *Quarantine) dropUnfounded(now time.Time) {
+	for part, b := range q.blocks {
+		if b.count == 1 && q.unfounded(part, now) {
+			delete(q.blocks, part)
+			q.logger.Info("prompt part no longer blocked: the crashes have another reason", partField(part))
+		}
+	}
+}
+
+// unfounded reports whether a crash with a part has been refuted, or is explained by
+// another blocked part, and the others do not suffice to blame it. The caller must hold
+// q.mu.
+func (q *Quarantine) unfounded(part models.PartID, now time.Time) bool {
+	otherReason := slices.ContainsFunc(q.crashes, func(c *crash) bool {
+		return c.has(part) && (c.refuted || c.hasAny(func(other models.PartID) bool { return other != part && q.blocked(other) }))
+	})
+	settled, _ := q.settled(now)
+	return otherReason && !blame.Supports(settled, q.sound, q.blocked, part)
+}
+
 // renew blocks a part again after a probe has crashed its engine. The caller must
 // hold q.mu.
 func (q *Quarantine) renew(b *block, crashedAt, now time.Time) {
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -102,20 +102,12 @@
 // caller must hold q.mu.
 func (q *Quarantine) refute(c *crash, now time.Time) {
 	c.refuted = true
-	settled, _ := q.settled(now)
-	for _, run := range c.Runs {
-		for _, part := range run.Parts {
-			b, ok := q.blocks[part.ID]
-			switch {
-			case !ok:
-			case b.count > 1 && b.lastCrash.Sub(c.At).Abs() < crashSpan:
-				b.endEarly(now)
-			case b.count == 1 && !blame.Supports(settled, q.sound, part.ID):
-				delete(q.blocks, part.ID)
-				q.logger.Info("prompt part no longer blocked: engines that it was blamed for answer", partField(part.ID))
-			}
+	for _, b := range q.blocks {
+		if b.count > 1 && b.lastCrash.Sub(c.At).Abs() < crashSpan && c.has(b.part) {
+			b.endEarly(now)
 		}
 	}
+	q.dropUnfounded(now)
 }
 
 // Completed implements relay.Guard.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -126,16 +126,21 @@
 	if !next.IsZero() {
 		q.evaluateNoLaterThan(next)
 	}
-	blocked := func(part models.PartID) bool { return q.blocks[part] != nil }
 	for {
-		finding, ok := blame.Find(settled, q.sound, blocked)
+		finding, ok := blame.Find(settled, q.sound, q.blocked)
 		if !ok {
 			return
 		}
 		q.block(finding, now)
+		q.dropUnfounded(now)
 	}
 }
 
+// blocked reports whether a part is blocked. The caller must hold q.mu.
+func (q *Quarantine) blocked(part models.PartID) bool {
+	return q.blocks[part] != nil
+}
+
 // settled returns the crashes that count, and when the next one does; zero if none
 // will. The caller must hold q.mu.
 func (q *Quarantine) settled(now time.Time) (list []blame.Crash, next time.Time) {
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -137,7 +137,7 @@
 		q.sound[shared.ID] = begun
 		q.changed(true)
 	}
-	if q.sound[shared.ID].After(b.lastCrash) || b.expired(now) || b.count == 1 && q.refutes(shared.ID, now) {
+	if q.sound[shared.ID].After(b.lastCrash) || b.expired(now) || b.count == 1 && q.unfounded(shared.ID, now) {
 		return
 	}
 	known, ok := q.blocks[shared.ID]
@@ -145,20 +145,17 @@
 		return
 	}
 	q.blocks[shared.ID] = b
+	q.dropUnfounded(now)
 	q.changed(false)
 	q.logger.Warn("prompt part blocked, as another daemon found", partField(b.part), zap.Int("times", b.count), zap.Duration("for", b.until().Sub(now)))
 }
 
-// refutes reports whether a crash with a part has been refuted, and the others do not
-// suffice to blame it. The caller must hold q.mu.
-func (q *Quarantine) refutes(part models.PartID, now time.Time) bool {
-	refuted := slices.ContainsFunc(q.crashes, func(c *crash) bool { return c.refuted && c.has(part) })
-	settled, _ := q.settled(now)
-	return refuted && !blame.Supports(settled, q.sound, part)
+func (c *crash) has(part models.PartID) bool {
+	return c.hasAny(func(other models.PartID) bool { return other == part })
 }
 
-func (c *crash) has(part models.PartID) bool {
+func (c *crash) hasAny(is func(models.PartID) bool) bool {
 	return slices.ContainsFunc(c.Runs, func(run blame.Run) bool {
-		return slices.ContainsFunc(run.Parts, func(suspect models.SuspectPart) bool { return suspect.ID == part })
+		return slices.ContainsFunc(run.Parts, func(suspect models.SuspectPart) bool { return is(suspect.ID) })
 	})
 }
