--- a/entry/reset_test.go
+++ b/entry/reset_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"syscall"
 	"testing"
@@ -22,7 +23,8 @@
 	for to, client := range clients {
 		t.Run(to, func(t *testing.T) {
 			is := is.New(t)
-			listener := listen(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
 			defer listener.Close()
 			ctx, giveUp := context.WithCancel(t.Context())
 			ended := make(chan error, 1)
