lib/drain: the drain of callers' connections moves out of entry

The tracked connections are unchanged; their counts are a struct, from which entry writes its log line. No change in behaviour.

The tests move along. Their fixture is a drain.Server and no longer an entry.Daemon, and they compare the counts where they compared fields of the log line. TestDrainIsLogged stays in entry; the same counts are checked by TestDrainIsCounted.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"quincewinch/balance"
 	"quincewinch/config"
 	"quincewinch/control"
+	"quincewinch/lib/drain"
 	"quincewinch/lib/logfmt"
 	"quincewinch/peer"
 	"quincewinch/platform"
@@ -41,10 +42,7 @@
 	origins         *resume.Origins
 	quarantine      *quarantine.Quarantine
 	balancer        *balance.Balancer
-	callerServer    *http.Server
-	callers         net.Listener
-	acceptEnded     <-chan struct{} // closed once no more callers' connections are accepted
-	connections     connections     // of callers
+	callers         *drain.Server
 	sharing         sharing
 	duties          duties
 	internalServers []*http.Server // readiness and metrics
@@ -119,19 +117,17 @@
 		MaxBodyBytes: d.maxBodyBytes,
 		Stopping:     d.stopping.Load,
 	})
-	d.callerServer = &http.Server{
+	callers := &http.Server{
 		Handler:           frontend,
 		ReadHeaderTimeout: settings.Callers.HeaderTimeout,
 		IdleTimeout:       settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    settings.Callers.HeaderBytes,
-		ConnState:         d.connections.stateChanged,
 	}
 	listener, err := bind(settings.Callers.Address)
 	if err != nil {
 		return err
 	}
-	d.callers = d.connections.listen(listener)
-	d.acceptEnded = d.serve(d.callerServer, d.callers)
+	d.serveCallers(callers, listener)
 	readiness := &http.Server{Handler: platform.NewReadiness(d.Ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
 	if err := d.serveInternal(readiness, settings.ReadinessAddress); err != nil {
 		return err
@@ -148,7 +144,7 @@
 		return err
 	}
 	d.internalServers = append(d.internalServers, server)
-	d.serve(server, listener)
+	d.serve(server, listener, func() error { return server.Serve(listener) })
 	return nil
 }
 
@@ -160,21 +156,21 @@
 	return listener, nil
 }
 
-// serve serves a listener in the background until the server or, at a stop, the
-// listener is closed. It closes the channel that it returns once no connection is
-// accepted any more.
-func (d *Daemon) serve(server *http.Server, listener net.Listener) <-chan struct{} {
+// serveCallers serves a listener for callers in the background until the stop.
+func (d *Daemon) serveCallers(server *http.Server, listener net.Listener) {
+	d.callers = drain.NewServer(server, listener, d.clock)
+	d.serve(server, listener, d.callers.Serve)
+}
+
+// serve serves a listener in the background until the server is shut down or
+// drained.
+func (d *Daemon) serve(server *http.Server, listener net.Listener, serve func() error) {
 	server.ErrorLog = zap.NewStdLog(d.logger)
-	ended := make(chan struct{})
 	go func() {
-		defer close(ended)
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) || d.stopping.Load() && errors.Is(err, net.ErrClosed) {
-			return
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			d.logger.Error("HTTP server failed", zap.String("address", listener.Addr().String()), zap.Error(err))
 		}
-		d.logger.Error("HTTP server failed", zap.String("address", listener.Addr().String()), zap.Error(err))
 	}()
-	return ended
 }
 
 // Spawn runs a task at an interval until the daemon stops.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 )
 
@@ -79,25 +78,13 @@
 // been read are answered, or with the error of ctx.
 func (d *Daemon) stopCallers(ctx context.Context) error {
 	begun := d.clock.Now()
-	err := d.drainCallers(ctx)
+	err := d.callers.Drain(ctx)
+	counts := d.callers.Counts()
 	d.logger.Info("connections of callers drained",
-		append(d.connections.drainFields(), zap.Duration("took", d.clock.Now().Sub(begun)))...)
+		zap.Int64("closed-idle", counts.Idle),
+		zap.Int64("late-answered", counts.Late),
+		zap.Int64("unanswered", counts.Unanswered),
+		zap.Int("open", counts.Open),
+		zap.Duration("took", d.clock.Now().Sub(begun)))
 	return err
 }
-
-func (d *Daemon) drainCallers(ctx context.Context) error {
-	if err := d.callers.Close(); err != nil {
-		return errors.Annotate(err, "cannot stop listening")
-	}
-	// A connection that has been accepted but is not tracked yet would be closed
-	// with the server, whatever has been read from it.
-	select {
-	case <-d.acceptEnded:
-	case <-ctx.Done():
-		return errors.Annotate(ctx.Err(), "still accepting connections")
-	}
-	if err := d.connections.drain(ctx, d.clock); err != nil {
-		return err
-	}
-	return errors.Annotate(d.callerServer.Close(), "cannot close the callers' server")
-}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,10 +1,20 @@
 package entry
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"quincewinch/peer/system"
 )
 
 func TestStopTimes(t *testing.T) {
@@ -23,3 +33,81 @@
 		})
 	}
 }
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener. It is called twice: by the drain and by the server.
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial() net.Conn {
+	caller, server := net.Pipe()
+	l.accepted <- server
+	return caller
+}
+
+func TestDrainIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		core, logs := observer.New(zapcore.InfoLevel)
+		d := &Daemon{logger: zap.New(core), clock: system.NewClock()}
+		listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })
+		d.serveCallers(&http.Server{ReadHeaderTimeout: time.Second, Handler: handler}, listener)
+		idle, begun, left := listener.dial(), listener.dial(), listener.dial()
+		defer idle.Close()
+		defer begun.Close()
+		send := func(conn net.Conn, part string) {
+			_, err := io.WriteString(conn, part)
+			is.NoErr(err)
+		}
+		send(begun, request[:10])
+		send(left, request[:10])
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- d.stopCallers(t.Context()) }()
+		synctest.Wait()
+		send(begun, request[10:])
+		response, err := http.ReadResponse(bufio.NewReader(begun), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		left.Close()
+		is.NoErr(<-stopped)
+		logged := logs.All()
+		is.Equal(len(logged), 1)
+		is.Equal(logged[0].Message, "connections of callers drained")
+		fields := logged[0].ContextMap()
+		is.True(fields["took"] != nil)
+		delete(fields, "took")
+		is.Equal(fields, map[string]any{
+			"closed-idle": int64(1), "late-answered": int64(0), "unanswered": int64(0), "open": int64(0),
+		})
+	})
+}
--- a/entry/connections.go
+++ b/lib/drain/connections.go
@@ -1,4 +1,4 @@
-package entry
+package drain
 
 import (
 	"context"
@@ -9,41 +9,44 @@
 	"time"
 
 	"github.com/juju/errors"
-	"go.uber.org/zap"
 
 	"quincewinch/peer"
 )
 
-// drainInterval is the time between two looks for open connections while the
-// daemon stops.
+// drainInterval is the time between two looks for open connections during a drain.
 const drainInterval = 10 * time.Millisecond
 
 // longAgo is a deadline that interrupts a read.
 var longAgo = time.Unix(1, 0)
 
-// connections tracks the connections of callers, so that a planned stop answers
-// each request that has been read. Shutdown of http.Server does not: it drops
-// requests that it has read but not yet passed to the handler.
+// connections tracks the connections of a server, so that a drain answers each
+// request that has been read.
 type connections struct {
 	mu     sync.Mutex
 	open   map[*trackedConn]bool
-	counts drainCounts
+	counts atomicCounts
 }
 
-// drainCounts are what a drain did, for its log line.
-type drainCounts struct {
-	idle       atomic.Int64 // connections closed without an unanswered request
-	late       atomic.Int64 // requests read after the drain had begun that got an answer
-	unanswered atomic.Int64 // connections closed before anything of an answer was written
+// atomicCounts are the fields of Counts.
+type atomicCounts struct {
+	idle, late, unanswered atomic.Int64
 }
 
-// drainFields returns the counts of a drain for a log line.
-func (c *connections) drainFields() []zap.Field {
-	return []zap.Field{
-		zap.Int64("closed-idle", c.counts.idle.Load()),
-		zap.Int64("late-answered", c.counts.late.Load()),
-		zap.Int64("unanswered", c.counts.unanswered.Load()),
-		zap.Int("open", c.count()),
+// Counts are what a drain did.
+type Counts struct {
+	Idle       int64 // connections closed without an unanswered request
+	Late       int64 // requests read after the drain had begun that got an answer
+	Unanswered int64 // connections closed before anything of an answer was written
+	Open       int   // connections that are still open
+}
+
+// drainCounts returns what a drain has done.
+func (c *connections) drainCounts() Counts {
+	return Counts{
+		Idle:       c.counts.idle.Load(),
+		Late:       c.counts.late.Load(),
+		Unanswered: c.counts.unanswered.Load(),
+		Open:       c.count(),
 	}
 }
 
--- a/entry/connections_test.go
+++ b/lib/drain/connections_test.go
@@ -1,4 +1,4 @@
-package entry
+package drain
 
 import (
 	"bufio"
--- a/entry/drain_test.go
+++ b/lib/drain/drain_test.go
@@ -1,4 +1,4 @@
-package entry
+package drain
 
 import (
 	"bufio"
@@ -18,7 +18,7 @@
 	"quincewinch/peer/system"
 )
 
-func TestDrainIsLogged(t *testing.T) {
+func TestDrainIsCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newStopFixture(t, nil, nil)
@@ -34,12 +34,7 @@
 		is.Equal(readAnswer(begun), http.StatusOK)
 		left.Close()
 		is.NoErr(<-stopped)
-		fields := f.drainLogged(t)
-		is.True(fields["took"] != nil)
-		delete(fields, "took")
-		is.Equal(fields, map[string]any{
-			"closed-idle": int64(1), "late-answered": int64(0), "unanswered": int64(0), "open": int64(0),
-		})
+		is.Equal(f.Counts(), Counts{Idle: 1})
 	})
 }
 
@@ -72,7 +67,7 @@
 				close(release)
 				is.Equal(readNextAnswer(reader), http.StatusOK)
 				is.NoErr(<-stopped)
-				is.Equal(f.drainLogged(t)["late-answered"], int64(1))
+				is.Equal(f.Counts().Late, int64(1))
 			})
 		})
 	}
@@ -173,8 +168,8 @@
 				is := is.New(t)
 				f := newStopFixture(t, nil, nil)
 				release := make(chan struct{})
-				stateChanged := f.callerServer.ConnState
-				f.callerServer.ConnState = func(conn net.Conn, state http.ConnState) {
+				stateChanged := f.server.ConnState
+				f.server.ConnState = func(conn net.Conn, state http.ConnState) {
 					stateChanged(conn, state)
 					if state == http.StateIdle {
 						<-release
@@ -231,7 +226,7 @@
 		begun := f.clock.Now()
 		is.NoErr(<-f.stop(t))
 		is.True(f.clock.Now().Sub(begun) <= headerTimeout+drainInterval)
-		is.Equal(f.drainLogged(t)["unanswered"], int64(1))
+		is.Equal(f.Counts().Unanswered, int64(1))
 	})
 }
 
@@ -306,9 +301,9 @@
 		send(t, conn, request)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		err := f.stopCallers(ctx)
+		err := f.Drain(ctx)
 		is.True(errors.Is(err, context.DeadlineExceeded))
-		is.Equal(f.drainLogged(t)["open"], int64(1))
+		is.Equal(f.Counts().Open, 1)
 		close(finish)
 	})
 }
--- a/entry/memory_test.go
+++ b/lib/drain/memory_test.go
@@ -1,4 +1,4 @@
-package entry
+package drain
 
 import (
 	"bufio"
@@ -6,13 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-	"go.uber.org/zap/zaptest/observer"
 
 	"quincewinch/peer/system"
 )
@@ -111,58 +109,43 @@
 	return conn, err
 }
 
-// stopFixture is a daemon that serves callers only.
+// stopFixture is a server that a test stops.
 type stopFixture struct {
-	*Daemon
+	*Server
 	listener *memoryListener
-	logs     *observer.ObservedLogs
+	stopping atomic.Bool
 }
 
 // newStopFixture serves connections with a handler, answer if it is nil. The
 // listener that the server gets is the result of wrap.
-func newStopFixture(t *testing.T, handler http.Handler, wrap func(net.Listener) net.Listener) *stopFixture {
-	t.Helper()
-	core, logs := observer.New(zapcore.InfoLevel)
-	f := &stopFixture{
-		Daemon:   &Daemon{logger: zap.New(core), clock: system.NewClock()},
-		listener: newMemoryListener(),
-		logs:     logs,
-	}
+func newStopFixture(_ *testing.T, handler http.Handler, wrap func(net.Listener) net.Listener) *stopFixture {
+	f := &stopFixture{listener: newMemoryListener()}
 	if handler == nil {
 		handler = http.HandlerFunc(f.answer)
 	}
-	f.callerServer = &http.Server{
+	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       time.Minute,
-		ConnState:         f.connections.stateChanged,
 	}
 	var listener net.Listener = f.listener
 	if wrap != nil {
 		listener = wrap(listener)
 	}
-	f.callers = f.connections.listen(listener)
-	f.acceptEnded = f.serve(f.callerServer, f.callers)
+	f.Server = NewServer(server, listener, system.NewClock())
+	go func() { _ = f.Serve() }() // ends with the drain
 	return f
 }
 
-// stop begins to stop the daemon as after the time for new requests.
+// stop begins to drain the server.
 func (f *stopFixture) stop(t *testing.T) <-chan error {
 	f.stopping.Store(true)
 	stopped := make(chan error, 1)
-	go func() { stopped <- f.stopCallers(t.Context()) }()
+	go func() { stopped <- f.Drain(t.Context()) }()
 	return stopped
 }
 
-// drainLogged returns the fields of the drain's log line.
-func (f *stopFixture) drainLogged(t *testing.T) map[string]any {
-	t.Helper()
-	logged := f.logs.FilterMessage("connections of callers drained").All()
-	is.New(t).Equal(len(logged), 1)
-	return logged[0].ContextMap()
-}
-
-// answer answers "ok", and asks callers to close once the daemon stops.
+// answer answers "ok", and asks callers to close once the server stops.
 func (f *stopFixture) answer(w http.ResponseWriter, r *http.Request) {
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
--- a/entry/drain_schedule_test.go
+++ b/lib/drain/schedule_test.go
@@ -1,4 +1,4 @@
-package entry
+package drain
 
 import (
 	"bufio"
@@ -207,7 +207,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			defer func() {
 				if t.Failed() {
-					t.Logf("seed %d: go test ./entry -run TestDrainInRandomSchedules -schedules 1 -seed %d", seed, seed)
+					t.Logf("seed %d: go test ./lib/drain -run TestDrainInRandomSchedules -schedules 1 -seed %d", seed, seed)
 				}
 			}()
 			synctest.Test(t, func(t *testing.T) {
