daemon: a planned stop answers a request that a plain listener has read

Plain listeners are now served and drained by lib/drain, as callers of ./entry are. Such a request reaches the handler, and gets at least the refusal as not run. While Shutdown is in progress, http.Server asks callers to close the connection; SetKeepAlivesEnabled(false) would do so, too, but closes idle connections in the same way. drain.Server therefore sets that header on answers to requests that begin during a drain. An answer to an earlier request is without it now; its connection closes.

The test's daemon has a clock now, and the test tells serveListener whether the listener is plain.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,7 +54,7 @@
 	usage         usage
 	work          *request.WorkCounter
 	fleet         *control.Fleet
-	servers       []*http.Server
+	stopServers   []func(context.Context) error
 	transports    []*http.Transport
 	ready         readiness
 	addresses     Addresses
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"quincewinch/lib/certificates"
+	"quincewinch/lib/drain"
 	"quincewinch/peer"
 	"quincewinch/peer/caller"
 	"quincewinch/peer/operator"
@@ -67,17 +68,22 @@
 	if !b.plain {
 		listener = tls.NewListener(tcp, certificates.Server(d.source, false))
 	}
-	d.serveListener(listener, b.handler)
+	d.serveListener(listener, b.plain, b.handler)
 	return nil
 }
 
 // serveListener serves a listener in the background until the servers are shut
 // down.
-func (d *Daemon) serveListener(listener net.Listener, handler http.Handler) {
+func (d *Daemon) serveListener(listener net.Listener, plain bool, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
-	d.servers = append(d.servers, server)
+	serve, stop := func() error { return server.Serve(listener) }, server.Shutdown
+	if plain {
+		drained := drain.NewServer(server, listener, d.clock)
+		serve, stop = drained.Serve, drained.Drain
+	}
+	d.stopServers = append(d.stopServers, stop)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error("HTTP server failed", zap.Error(err))
 		}
 	}()
@@ -86,8 +92,8 @@
 // shutDownServers stops listening and waits until requests are answered.
 func (d *Daemon) shutDownServers(ctx context.Context) error {
 	var failed error
-	for _, server := range d.servers {
-		if err := server.Shutdown(ctx); err != nil {
+	for _, stop := range d.stopServers {
+		if err := stop(ctx); err != nil {
 			failed = errors.Annotate(err, "connections were still open at the end of the drain")
 		}
 	}
--- a/daemon/listeners_test.go
+++ b/daemon/listeners_test.go
@@ -51,7 +51,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				d := &Daemon{settings: &config.Settings{}, logger: zap.NewNop()}
+				d := &Daemon{settings: &config.Settings{}, logger: zap.NewNop(), clock: system.NewClock()}
 				d.settings.Callers.HeaderTimeout = time.Second
 				memory := &memoryListener{dialed: make(chan net.Conn), closed: make(chan struct{})}
 				caller, server := net.Pipe()
@@ -65,7 +65,7 @@
 					config.ServerName = "localhost"
 					caller = tls.Client(caller, config)
 				}
-				d.serveListener(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+				d.serveListener(listener, plain, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
 				memory.dialed <- server
 				reader := bufio.NewReader(caller)
 				status := func() int {
--- a/lib/drain/drain_test.go
+++ b/lib/drain/drain_test.go
@@ -307,3 +307,30 @@
 		close(finish)
 	})
 }
+
+func TestAnswerDuringADrainAsksToClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStopFixture(t, http.NotFoundHandler(), nil)
+		conn := f.listener.dial(nil)
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		asksToClose := func() bool {
+			response, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			return response.Close
+		}
+		send(t, conn, request)
+		is.True(!asksToClose())
+		send(t, conn, request[:10])
+		synctest.Wait()
+		stopped := f.stop(t)
+		synctest.Wait()
+		send(t, conn, request[10:])
+		is.True(asksToClose())
+		is.NoErr(<-stopped)
+	})
+}
--- a/lib/drain/server.go
+++ b/lib/drain/server.go
@@ -25,14 +25,26 @@
 }
 
 // NewServer returns a server of a listener. It sets the ConnState of the
-// http.Server, which must be of no other use.
+// http.Server and wraps its Handler; the http.Server must be of no other use.
 func NewServer(server *http.Server, listener net.Listener, clock peer.Clock) *Server {
 	s := &Server{server: server, clock: clock, ended: make(chan struct{})}
 	s.listener = s.connections.listen(listener)
 	server.ConnState = s.connections.stateChanged
+	server.Handler = s.handler(server.Handler)
 	return s
 }
 
+// handler returns a handler whose answers during a drain ask callers to close their
+// connections, as those of http.Server do during its Shutdown.
+func (s *Server) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Serve accepts connections until the server is drained, or until accepting fails.
 // It is called once, and returns http.ErrServerClosed after a drain has begun.
 func (s *Server) Serve() error {
