lib/drain: a test waits until the connection is idle before it goes on

TestRequestReadBeforeShutdownIsAnswered failed once in a run of ./lib/drain beside ./daemon ('0 != 200'). The test was wrong: it drains once the server has read bytes that it has not answered, but until the server calls the connection idle, that still holds for the first request. The drain could then begin before a byte of the second one had been read, and close the connection rightly.

--- a/lib/drain/connections_test.go
+++ b/lib/drain/connections_test.go
@@ -84,10 +84,15 @@
 	is.Equal(exchange(t, conn, reader, whole, nil), http.StatusOK)
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
+	server := <-accepted
+	for server.idleCount() == 0 { // the first request is unanswered until then
+		is.NoErr(ctx.Err())
+		runtime.Gosched()
+	}
 	halves := []string{"GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"}
 	drained := make(chan error, 1)
 	status := exchange(t, conn, reader, halves, func() {
-		waitUntilRead(ctx, t, <-accepted)
+		waitUntilRead(ctx, t, server)
 		go func() { drained <- tracked.drain(ctx, system.NewClock()) }()
 	})
 	is.Equal(status, http.StatusOK)
