daemon: a planned stop answers a request that a TLS listener has read

net/http finds HTTP/2, which these listeners offer, by the type *tls.Conn, so a tracked connection cannot simply be put above it; below it, handshakes and frames would count as requests. drain.TLSServer completes the handshake after accepting, in a goroutine of its own and within the header timeout as before. Connections with HTTP/1.1 go to a drain.Server, above TLS. Those with HTTP/2 go to an http.Server that is stopped by Shutdown (GOAWAY), and so do failed handshakes, whose error net/http meets again: it logs it, and answers 400 to plain HTTP, as before. Nothing in this repository reads Request.TLS, but it is still set. A drain gives handshakes in progress a second, so that a caller that stalls in one does not use up the time for the rest.

Once a drain has begun, a read of an idle connection is now interrupted by its deadline instead of not made: TLS may hold a request that came with the end of the handshake, and such a read still gets it. A read of a plain connection past its deadline does not touch it.

TestDrainInRandomSchedules also runs over TLS.

Open: a request of which less than one TLS record has been read is dropped with an idle connection. Connections with HTTP/2 have what net/http offers.

--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -75,15 +75,21 @@
 // serveListener serves a listener in the background until the servers are shut
 // down.
 func (d *Daemon) serveListener(listener net.Listener, plain bool, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
-	serve, stop := func() error { return server.Serve(listener) }, server.Shutdown
+	newServer := func() *http.Server {
+		return &http.Server{Handler: handler, ReadHeaderTimeout: d.settings.Callers.HeaderTimeout}
+	}
+	var server interface {
+		Serve() error
+		Drain(ctx context.Context) error
+	}
 	if plain {
-		drained := drain.NewServer(server, listener, d.clock)
-		serve, stop = drained.Serve, drained.Drain
+		server = drain.NewServer(newServer(), listener, d.clock)
+	} else {
+		server = drain.NewTLSServer(newServer, listener, d.clock)
 	}
-	d.stopServers = append(d.stopServers, stop)
+	d.stopServers = append(d.stopServers, server.Drain)
 	go func() {
-		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error("HTTP server failed", zap.Error(err))
 		}
 	}()
--- a/lib/drain/connections.go
+++ b/lib/drain/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -58,7 +59,7 @@
 // stateChanged implements http.Server.ConnState for the server that accepts the
 // connections. A connection is idle again once an answer has been written.
 func (c *connections) stateChanged(conn net.Conn, state http.ConnState) {
-	if tracked, ok := conn.(*trackedConn); ok && state == http.StateIdle {
+	if tracked, ok := conn.(interface{ setAnswered() }); ok && state == http.StateIdle {
 		tracked.setAnswered()
 	}
 }
@@ -124,6 +125,9 @@
 	}
 	tracked := &trackedConn{Conn: conn, connections: l.connections}
 	l.connections.add(tracked)
+	if tlsConn, ok := conn.(*tls.Conn); ok {
+		return &trackedTLSConn{trackedConn: tracked, state: tlsConn.ConnectionState()}, nil
+	}
 	return tracked, nil
 }
 
@@ -151,17 +155,13 @@
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
-	ahead, ok := c.beginRead(len(b))
-	if !ok {
-		return 0, c.closedError()
-	}
+	ahead := c.beginRead(len(b))
 	n, err := c.Conn.Read(b)
 	return c.endRead(n, err, ahead)
 }
 
-// beginRead reports whether the connection may be read, and whether the server
-// reads ahead.
-func (c *trackedConn) beginRead(size int) (ahead, ok bool) {
+// beginRead reports whether the server reads ahead.
+func (c *trackedConn) beginRead(size int) (ahead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// While net/http serves a request, it sets a deadline and reads one byte ahead
@@ -173,12 +173,9 @@
 		c.begin()
 	}
 	c.deadlines = 0
-	if c.draining && !c.unanswered {
-		c.connections.counts.idle.Add(1)
-		return ahead, false
-	}
 	c.reading = true
-	return ahead, true
+	c.interruptIdle()
+	return ahead
 }
 
 // endRead returns the result of a read.
@@ -207,7 +204,7 @@
 	return n, err
 }
 
-// closedError is the error of a read that was not to begin a request. The server
+// closedError is the error of a read that the drain ended without a byte. The server
 // does not answer to an error of this type.
 func (c *trackedConn) closedError() error {
 	return &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
@@ -261,11 +258,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if c.reading && !c.unanswered && !c.interrupted {
+	c.interruptIdle()
+	return c.unanswered
+}
+
+// interruptIdle interrupts a read during a drain if there is no unanswered request.
+// A read that is about to begin still gets what TLS has read. The caller holds mu.
+func (c *trackedConn) interruptIdle() {
+	if c.draining && c.reading && !c.unanswered && !c.interrupted {
 		c.interrupted = true
 		_ = c.Conn.SetReadDeadline(longAgo) // the read fails if it is closed
 	}
-	return c.unanswered
 }
 
 // hasUnanswered reports whether there is an unanswered request.
--- a/lib/drain/memory_test.go
+++ b/lib/drain/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -114,6 +115,7 @@
 	*Server
 	listener *memoryListener
 	stopping atomic.Bool
+	drain    func(context.Context) error
 }
 
 // newStopFixture serves connections with a handler, answer if it is nil. The
@@ -133,6 +135,7 @@
 		listener = wrap(listener)
 	}
 	f.Server = NewServer(server, listener, system.NewClock())
+	f.drain = f.Drain
 	go func() { _ = f.Serve() }() // ends with the drain
 	return f
 }
@@ -141,7 +144,7 @@
 func (f *stopFixture) stop(t *testing.T) <-chan error {
 	f.stopping.Store(true)
 	stopped := make(chan error, 1)
-	go func() { stopped <- f.Drain(t.Context()) }()
+	go func() { stopped <- f.drain(t.Context()) }()
 	return stopped
 }
 
--- a/lib/drain/schedule_test.go
+++ b/lib/drain/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"flag"
 	"io"
 	"math/rand/v2"
@@ -64,6 +65,7 @@
 	t       *testing.T
 	clock   system.Clock
 	fixture *stopFixture
+	client  *tls.Config // of callers, nil without TLS
 	seed    uint64
 	sources uint64
 
@@ -146,6 +148,9 @@
 		return
 	}
 	defer conn.Close()
+	if c.client != nil {
+		conn = tls.Client(conn, c.client)
+	}
 	reader := bufio.NewReader(conn)
 	for i := range 1 + c.random.number(scheduleRequests) {
 		if err := conn.SetDeadline(c.clock.Now().Add(callerPatience)); err != nil {
@@ -182,11 +187,24 @@
 	c.sleep(c.random.duration(scheduleStop)) // idle
 }
 
-func (s *schedule) run() {
+// start starts the server, with TLS or without.
+func (s *schedule) start(withTLS bool) {
 	accepts := s.newSource()
-	s.fixture = newStopFixture(s.t, http.HandlerFunc(s.handle), func(listener net.Listener) net.Listener {
+	handler := http.HandlerFunc(s.handle)
+	wrap := func(listener net.Listener) net.Listener {
 		return hookListener{listener, func() { s.hold(accepts, longestAccept) }}
-	})
+	}
+	if !withTLS {
+		s.fixture = newStopFixture(s.t, handler, wrap)
+		return
+	}
+	f := newTLSFixture(s.t, handler, wrap)
+	s.client = f.client
+	s.fixture = &stopFixture{listener: f.listener, drain: f.Drain}
+}
+
+func (s *schedule) run(withTLS bool) {
+	s.start(withTLS)
 	var callers sync.WaitGroup
 	for i := range 1 + s.newSource().number(scheduleConns) {
 		c := &scheduleCaller{schedule: s, name: i, random: s.newSource(), reads: s.newSource(), closes: s.newSource()}
@@ -201,18 +219,24 @@
 }
 
 func TestDrainInRandomSchedules(t *testing.T) {
+	for name, withTLS := range map[string]bool{"plain": false, "TLS": true} {
+		t.Run(name, func(t *testing.T) { runSchedules(t, name, withTLS) })
+	}
+}
+
+func runSchedules(t *testing.T, name string, withTLS bool) {
 	var answered, refused atomic.Int64
 	for i := range *schedules {
 		seed := *firstSeed + uint64(i)
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			defer func() {
 				if t.Failed() {
-					t.Logf("seed %d: go test ./lib/drain -run TestDrainInRandomSchedules -schedules 1 -seed %d", seed, seed)
+					t.Logf("seed %d: go test ./lib/drain -run TestDrainInRandomSchedules/%s -schedules 1 -seed %d", seed, name, seed)
 				}
 			}()
 			synctest.Test(t, func(t *testing.T) {
 				s := &schedule{t: t, seed: seed}
-				s.run()
+				s.run(withTLS)
 				answered.Add(s.answered.Load())
 				refused.Add(s.refused.Load())
 			})
