balance, resume: streams hasten load shares only while versions differ

Since (origins of streams are recorded with their first event) the next load share went out after 20 ms instead of 50, times the number of receivers, whenever a stream had begun. Under load one always has, so each daemon encoded, sent and merged all its load up to 2.5 times as often.

An origin has to be known early only by a daemon that could not tell without it which software began the stream, see relay.Resume. So load shares are hastened by an origin that they would bring, if its service has or had several versions within a minute, by registrations or by the origins of others; if registrations were not read for 3 s; if the route is divided among services; or if the software is not certain. Origins recorded before the second version appeared and not sent yet become urgent when it does. Origins learned from others count at zone leaders only, which pass them on. Evidence and long prompts are as urgent as before.

Promises: no bound was loosened. The network of the tests in balance did not state versions; it has two now, as their bounds of 100, 400 and 800 ms are about these.

--- a/balance/share.go
+++ b/balance/share.go
@@ -26,8 +26,9 @@
 	fullMeshLimit = 12
 	// minShareInterval is the shortest time between two load shares to fewer
 	// than peersPerInterval daemons, urgentShareInterval the same after a long
-	// prompt was sent, a stream has begun that callers may resume or an engine was
-	// seen to crash. Each further peersPerInterval daemons add as much again.
+	// prompt was sent, a stream has begun that callers may resume while several
+	// versions serve, or an engine was seen to crash. Each further peersPerInterval
+	// daemons add as much again.
 	minShareInterval    = 50 * time.Millisecond
 	urgentShareInterval = 20 * time.Millisecond
 	peersPerInterval    = 6
@@ -59,6 +60,9 @@
 type OriginLog interface {
 	// Head returns the position of the last origin.
 	Head() uint64
+	// Urgent reports whether the other daemons need an origin soon that was learned
+	// in a scope after a position.
+	Urgent(position uint64, scope resume.Scope) bool
 	// Since returns up to limit origins that were learned in a scope after a
 	// position, and the position to continue from.
 	Since(position uint64, scope resume.Scope, limit int) (origins []models.StreamOrigin, next uint64)
@@ -133,15 +137,15 @@
 	}
 }
 
-// Step sends a load share if at least minInterval has passed since the last one
-// and the load or the evidence has changed, a stream has begun, a daemon lacks
-// urgent evidence or maxShareInterval has passed. A zone leader sends one even if
-// nothing has changed, and exchanges zone sums at the same time.
+// Step sends a load share if it is not too early after the last one and the load
+// or the evidence has changed, a stream has begun, a daemon lacks urgent evidence or
+// maxShareInterval has passed. A zone leader sends one even if nothing has changed,
+// and exchanges zone sums at the same time.
 func (s *Sharer) Step(ctx context.Context) {
 	now := s.clock.Now()
 	latest, own := s.evidence.Revision()
 	urgent := s.evidenceUrgent(own, now)
-	if now.Sub(s.sharedAt) < s.minInterval(urgent) {
+	if s.tooEarly(now.Sub(s.sharedAt), urgent) {
 		return
 	}
 	others := s.members.Others()
@@ -173,14 +177,30 @@
 	s.send(ctx, share, &evidence, peers)
 }
 
-// minInterval returns the shortest time between the last load share and the next
+// tooEarly reports whether the next load share must wait, some time after the last
 // one.
-func (s *Sharer) minInterval(evidenceUrgent bool) time.Duration {
-	interval := minShareInterval
-	if own, zone := s.balancer.Urgent(); own || zone && s.sentZoneSum || evidenceUrgent || s.origins.Head() != s.originHead {
-		interval = urgentShareInterval
+func (s *Sharer) tooEarly(sinceLast time.Duration, evidenceUrgent bool) bool {
+	if sinceLast >= s.interval(minShareInterval) {
+		return false
+	}
+	return sinceLast < s.interval(urgentShareInterval) || !evidenceUrgent && !s.urgent()
+}
+
+// interval returns the time between two load shares to the daemons that the last one
+// was sent to, given that to fewer than peersPerInterval.
+func (s *Sharer) interval(toFew time.Duration) time.Duration {
+	return toFew * time.Duration(1+len(s.lastPeers)/peersPerInterval)
+}
+
+// urgent reports whether the other daemons need the load or the origins of streams
+// soon.
+func (s *Sharer) urgent() bool {
+	scope := resume.ScopeOwn
+	if s.sentZoneSum {
+		scope = resume.ScopeAll
 	}
-	return interval * time.Duration(1+len(s.lastPeers)/peersPerInterval)
+	own, zone := s.balancer.Urgent()
+	return own || zone && s.sentZoneSum || s.origins.Urgent(s.originHead, scope)
 }
 
 // LeadsZone reports whether this daemon is the leader of its zone. It is true
--- a/balance/share_bench_test.go
+++ b/balance/share_bench_test.go
@@ -43,6 +43,11 @@
 
 func (e *benchmarkEvidence) Evidence() *models.CrashEvidence { return &models.CrashEvidence{} }
 
+// emptyHistory implements relay.VersionHistory.
+type emptyHistory struct{}
+
+func (emptyHistory) Seen(models.ServiceName, time.Duration) ([]string, bool) { return nil, true }
+
 // emptyFleet implements FleetView.
 type emptyFleet struct{}
 
@@ -75,7 +80,7 @@
 			}
 			evidence := &benchmarkEvidence{revision: test.known}
 			balancer := New(emptyFleet{}, clock, Settings{}, 1)
-			sharer := NewSharer(models.LoadShare{From: "self"}, balancer, peers, peers, resume.NewOrigins(clock), evidence, clock, zap.NewNop())
+			sharer := NewSharer(models.LoadShare{From: "self"}, balancer, peers, peers, resume.NewOrigins(emptyHistory{}, clock), evidence, clock, zap.NewNop())
 			b.ReportAllocs()
 			for b.Loop() {
 				evidence.revision += test.changes
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -37,6 +37,8 @@
 	down      map[netip.AddrPort]bool
 	messages  map[models.DaemonID]int // sent by each daemon
 	addresses []netip.AddrPort
+	versions  []string // that all daemons have seen
+	streams   int      // that have begun under load
 
 	evidenceSent int // shares with evidence that were sent
 }
@@ -90,6 +92,13 @@
 	return resume.ScopeRemote
 }
 
+// Seen implements relay.VersionHistory.
+func (n *network) Seen(models.ServiceName, time.Duration) (versions []string, complete bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.versions), true
+}
+
 // Drop implements balance.ShareClient.
 func (n *network) Drop(netip.AddrPort) {}
 
@@ -119,6 +128,7 @@
 		t: t, fleet: newFleet(engines(networkEngines, models.RoleDecode)...), daemons: map[netip.AddrPort]*balance.Balancer{},
 		origins: map[netip.AddrPort]*resume.Origins{}, evidence: map[netip.AddrPort]*evidenceLog{}, members: map[models.DaemonID]models.Peer{},
 		down: map[netip.AddrPort]bool{}, messages: map[models.DaemonID]int{}, stop: map[netip.AddrPort]context.CancelFunc{},
+		versions: []string{"v1", "v2"},
 	}
 	for i := range daemons {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 1)
@@ -144,7 +154,7 @@
 	clock := system.NewClock()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.origins[member.Address] = resume.NewOrigins(clock)
+	n.origins[member.Address] = resume.NewOrigins(n, clock)
 	n.evidence[member.Address] = newEvidenceLog()
 	n.daemons[member.Address] = balance.New(n.fleet, clock, balance.Settings{
 		Zone: member.Zone, Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
@@ -321,7 +331,7 @@
 
 // begin records at a daemon that the stream of a request begins.
 func (n *network) begin(i int, id models.RequestID, software models.Software, revision int) {
-	n.origins[n.addresses[i]].Record(id, software, revision, system.NewClock().Now().Add(10*time.Second))
+	n.origins[n.addresses[i]].Record(id, software, revision, false, system.NewClock().Now().Add(10*time.Second))
 }
 
 // expectOrigin checks that all daemons but some know the origin of a stream.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,7 @@
 	d.prepareSharing(store)
 	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.source), d.clock, d.logger, wait)
 	d.versions = routing.NewVersions(platform.NewRegistrations(d.sharing.source), d.clock)
-	d.origins = resume.NewOrigins(d.clock)
+	d.origins = resume.NewOrigins(d.versions, d.clock)
 	d.fleet = routing.NewFleet(d.versions, d.clock, d.logger, wait, settings.Store.RemovalTimeout)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Zone:    settings.Zone,
--- a/quarantine/schedule_daemons_test.go
+++ b/quarantine/schedule_daemons_test.go
@@ -54,7 +54,7 @@
 func (d *daemon) newProcess() process {
 	s := d.schedule
 	logger := zap.NewNop()
-	p := process{origins: resume.NewOrigins(s.clock)}
+	p := process{origins: resume.NewOrigins(noVersions{}, s.clock)}
 	p.ctx, p.cancel = context.WithCancel(s.t.Context())
 	retries := retry.Settings{Ratio: 0.2, Reserve: 50, Window: 10 * time.Second}
 	p.balancer = balance.New(d, s.clock, balance.Settings{Zone: d.zone(), Retries: retries}, s.seed+uint64(d.index))
@@ -172,9 +172,18 @@
 // Count implements relay.UsageMeter.
 func (d *daemon) Count(models.Workspace) {}
 
+// noVersions implements relay.VersionHistory. No version is asked for.
+type noVersions struct{}
+
+// Seen implements relay.VersionHistory.
+func (noVersions) Seen(models.ServiceName, time.Duration) ([]string, bool) { return nil, true }
+
 // noOrigins implements balance.OriginLog. No caller resumes a stream.
 type noOrigins struct{}
 
+// Urgent implements balance.OriginLog.
+func (noOrigins) Urgent(uint64, resume.Scope) bool { return false }
+
 // Head implements balance.OriginLog.
 func (noOrigins) Head() uint64 { return 0 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -278,7 +278,7 @@
 		return
 	}
 	d.originRevision++
-	d.sender.origins.Record(d.exchange.ID, software, d.originRevision, originExpiry(d.exchange))
+	d.sender.origins.Record(d.exchange.ID, software, d.originRevision, len(d.exchange.Route.Targets) > 1, originExpiry(d.exchange))
 }
 
 // writeHeader relays the status and the header of a response. A length below
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -266,7 +266,7 @@
 type fakeOrigins map[models.RequestID]models.StreamOrigin
 
 // Record implements relay.Origins.
-func (o fakeOrigins) Record(id models.RequestID, software models.Software, revision int, expires time.Time) {
+func (o fakeOrigins) Record(id models.RequestID, software models.Software, revision int, _ bool, expires time.Time) {
 	o[id] = models.StreamOrigin{Software: software, Revision: revision, TimeLeft: expires.Sub(system.NewClock().Now())}
 }
 
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -28,8 +28,9 @@
 type Origins interface {
 	// Record records the software that begins the stream of a request; a zero
 	// Software means that it cannot be told. A higher revision replaces a lower
-	// one. The origin is kept until expires, but no longer than MaxStreamAge.
-	Record(id models.RequestID, software models.Software, revision int, expires time.Time)
+	// one. Divided means that the route of the request leads to several services. The
+	// origin is kept until expires, but no longer than MaxStreamAge.
+	Record(id models.RequestID, software models.Software, revision int, divided bool, expires time.Time)
 	// Lookup returns the software that began the stream of a request. It reports
 	// false if that is not known.
 	Lookup(id models.RequestID) (models.Software, bool)
--- a/resume/origins.go
+++ b/resume/origins.go
@@ -35,6 +35,7 @@
 // Origins holds the origins of streams. It implements relay.Origins and
 // balance.OriginLog.
 type Origins struct {
+	history  relay.VersionHistory
 	clock    peer.Clock
 	instance uint64
 
@@ -43,6 +44,8 @@
 	log     []logged                // in order of position
 	head    uint64                  // position of the last entry
 	begun   map[models.Software]int // number of entries
+	latest  map[source]uint64       // position of the last origin
+	divided uint64                  // position of the last own origin of a divided route
 }
 
 // entry is the latest origin of a stream.
@@ -61,12 +64,14 @@
 }
 
 // NewOrigins returns a set without origins.
-func NewOrigins(clock peer.Clock) *Origins {
+func NewOrigins(history relay.VersionHistory, clock peer.Clock) *Origins {
 	return &Origins{
+		history:  history,
 		clock:    clock,
 		instance: uint64(clock.Now().UnixNano()),
 		entries:  map[models.StreamID]entry{},
 		begun:    map[models.Software]int{},
+		latest:   map[source]uint64{},
 	}
 }
 
@@ -76,7 +81,7 @@
 }
 
 // Record implements relay.Origins.
-func (o *Origins) Record(id models.RequestID, software models.Software, revision int, expires time.Time) {
+func (o *Origins) Record(id models.RequestID, software models.Software, revision int, divided bool, expires time.Time) {
 	if id == "" {
 		return
 	}
@@ -84,7 +89,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	origin := models.StreamOrigin{Stream: streamID(id), Software: software, Revision: revision, TimeLeft: expires.Sub(now)}
-	o.learn(origin, ScopeOwn, now)
+	if o.learn(origin, ScopeOwn, now) && divided {
+		o.divided = o.head
+	}
 }
 
 // Lookup implements relay.Origins.
@@ -122,11 +129,12 @@
 	}
 }
 
-// learn adds an origin unless it is known. The caller must hold o.mu.
-func (o *Origins) learn(origin models.StreamOrigin, from Scope, now time.Time) {
+// learn adds an origin and reports true, unless it is known. The caller must hold
+// o.mu.
+func (o *Origins) learn(origin models.StreamOrigin, from Scope, now time.Time) bool {
 	known, ok := o.entries[origin.Stream]
 	if origin.TimeLeft <= 0 || ok && origin.Revision <= known.revision {
-		return
+		return false
 	}
 	for len(o.entries) >= maxOrigins {
 		o.dropOldest()
@@ -140,7 +148,9 @@
 		expires:  now.Add(min(origin.TimeLeft, relay.MaxStreamAge)),
 		position: o.head,
 	}
+	o.latest[source{origin.Software.Service, from}] = o.head
 	o.log = append(o.log, logged{position: o.head, stream: origin.Stream, scope: from})
+	return true
 }
 
 // dropOldest removes the oldest step of the log, and its origin unless the stream
--- a/resume/origins_test.go
+++ b/resume/origins_test.go
@@ -24,18 +24,32 @@
 type fixture struct {
 	t       *testing.T
 	is      *is.I
+	history history
 	origins *resume.Origins
 }
 
+// history implements relay.VersionHistory.
+type history struct {
+	versions []string
+	lags     bool
+}
+
+// Seen implements relay.VersionHistory.
+func (h *history) Seen(models.ServiceName, time.Duration) (versions []string, complete bool) {
+	return slices.Clone(h.versions), !h.lags
+}
+
 func run(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		test(&fixture{t: t, is: is.New(t), origins: resume.NewOrigins(system.NewClock())})
+		f := &fixture{t: t, is: is.New(t), history: history{versions: []string{"v1"}}}
+		f.origins = resume.NewOrigins(&f.history, system.NewClock())
+		test(f)
 	})
 }
 
 // begin records an origin that is kept for some time.
 func (f *fixture) begin(id models.RequestID, software models.Software, revision int, keep time.Duration) {
-	f.origins.Record(id, software, revision, system.NewClock().Now().Add(keep))
+	f.origins.Record(id, software, revision, false, system.NewClock().Now().Add(keep))
 }
 
 func (f *fixture) advance(d time.Duration) {
--- a/resume/schedule_test.go
+++ b/resume/schedule_test.go
@@ -319,8 +319,8 @@
 	s := d.schedule
 	d.alive = true
 	d.ctx, d.cancel = context.WithCancel(s.t.Context())
-	d.origins = resume.NewOrigins(s.clock)
 	d.versions = routing.NewVersions(d, s.clock)
+	d.origins = resume.NewOrigins(d.versions, s.clock)
 	d.balancer = balance.New(d, s.clock, balance.Settings{Zone: d.zone(), Retries: retry.Settings{Ratio: 1, Reserve: 1000, Window: time.Second}}, s.seed)
 	d.snapshot = nil
 	self := models.LoadShare{From: models.DaemonID(strconv.Itoa(d.index)), Zone: d.zone(), Address: d.address()}
--- /dev/null
+++ b/resume/urgency.go
@@ -0,0 +1,58 @@
+package resume
+
+import (
+	"slices"
+
+	"quincewinch/models"
+	"quincewinch/relay"
+)
+
+// source is where origins of a service were learned.
+type source struct {
+	service models.ServiceName
+	scope   Scope
+}
+
+// Urgent implements balance.OriginLog. An origin is urgent if a daemon that does
+// not know it could not tell which software began the stream.
+func (o *Origins) Urgent(position uint64, scope Scope) bool {
+	return o.dividedSince(position) || slices.ContainsFunc(o.servicesSince(position, scope), o.contested)
+}
+
+// dividedSince reports whether a stream of a divided route has begun here after a
+// position.
+func (o *Origins) dividedSince(position uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.divided > position
+}
+
+// servicesSince returns the services of the origins that were learned in a scope
+// after a position.
+func (o *Origins) servicesSince(position uint64, scope Scope) []models.ServiceName {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var services []models.ServiceName
+	for s, latest := range o.latest {
+		if latest > position && s.scope&scope != 0 {
+			services = append(services, s.service)
+		}
+	}
+	return services
+}
+
+// contested reports whether a service has, or may have, more than one version.
+// Registrations that this daemon has not read for a while, or lags behind with, may
+// hold another one; the streams of other daemons tell of it too.
+func (o *Origins) contested(service models.ServiceName) bool {
+	if service == "" { // it is not known which software began the stream
+		return true
+	}
+	if _, current := o.history.Seen(service, 0); !current {
+		return true
+	}
+	versions, _ := o.history.Seen(service, relay.MaxStreamAge)
+	versions = append(versions, o.Versions(service)...)
+	slices.Sort(versions)
+	return len(slices.Compact(versions)) > 1
+}
