balance: streams of other daemons cause no load shares

A daemon whose load had not changed sent a load share after at most one regular interval, instead of 500 ms, whenever it had learned the origin of a stream from another one: the position of the last origin counts those as well, although only zone leaders pass them on. In a fleet with load at a few daemons all the others answered each share with one of their own.

Only origins that this daemon sends count now. TestStreamsOfOthersDoNotCauseShares fails without it.

--- a/balance/origins_test.go
+++ b/balance/origins_test.go
@@ -136,3 +136,24 @@
 		})
 	}
 }
+
+// Guards against idle daemons that send load shares because of the streams of others.
+func TestStreamsOfOthersDoNotCauseShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(t, 7, 4)
+		advance(t, time.Second)
+		before := n.sentBy(6)
+		for i := range 50 {
+			n.begin(0, models.RequestID(fmt.Sprintf("r%d", i)), streamOrigin, 1)
+			advance(t, 20*time.Millisecond)
+		}
+		is.New(t).True(n.sentBy(6)-before <= 6*3) // every 500 ms to 6 others
+	})
+}
+
+// sentBy returns the number of load shares that a daemon has sent so far.
+func (n *network) sentBy(i int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.messages[models.DaemonID(n.addresses[i].String())]
+}
--- a/balance/share.go
+++ b/balance/share.go
@@ -60,6 +60,8 @@
 type OriginLog interface {
 	// Head returns the position of the last origin.
 	Head() uint64
+	// Learned reports whether an origin was learned in a scope after a position.
+	Learned(position uint64, scope resume.Scope) bool
 	// Urgent reports whether the other daemons need an origin soon that was learned
 	// in a scope after a position.
 	Urgent(position uint64, scope resume.Scope) bool
@@ -157,7 +159,7 @@
 	s.mu.Unlock()
 	share, changed := s.balancer.NextShare()
 	head := s.origins.Head()
-	if !changed && head == s.originHead && latest == s.latestEvidence && !urgent && !leads && now.Sub(s.sharedAt) < maxShareInterval {
+	if !changed && !s.origins.Learned(s.originHead, s.originScope()) && latest == s.latestEvidence && !urgent && !leads && now.Sub(s.sharedAt) < maxShareInterval {
 		return
 	}
 	s.sharedAt = now
@@ -195,12 +197,16 @@
 // urgent reports whether the other daemons need the load or the origins of streams
 // soon.
 func (s *Sharer) urgent() bool {
-	scope := resume.ScopeOwn
+	own, zone := s.balancer.Urgent()
+	return own || zone && s.sentZoneSum || s.origins.Urgent(s.originHead, s.originScope())
+}
+
+// originScope returns the scope of the origins that this daemon sends to others.
+func (s *Sharer) originScope() resume.Scope {
 	if s.sentZoneSum {
-		scope = resume.ScopeAll
+		return resume.ScopeAll
 	}
-	own, zone := s.balancer.Urgent()
-	return own || zone && s.sentZoneSum || s.origins.Urgent(s.originHead, scope)
+	return resume.ScopeOwn
 }
 
 // LeadsZone reports whether this daemon is the leader of its zone. It is true
--- a/quarantine/schedule_daemons_test.go
+++ b/quarantine/schedule_daemons_test.go
@@ -181,6 +181,9 @@
 // noOrigins implements balance.OriginLog. No caller resumes a stream.
 type noOrigins struct{}
 
+// Learned implements balance.OriginLog.
+func (noOrigins) Learned(uint64, resume.Scope) bool { return false }
+
 // Urgent implements balance.OriginLog.
 func (noOrigins) Urgent(uint64, resume.Scope) bool { return false }
 
--- a/resume/urgency.go
+++ b/resume/urgency.go
@@ -13,6 +13,11 @@
 	scope   Scope
 }
 
+// Learned implements balance.OriginLog.
+func (o *Origins) Learned(position uint64, scope Scope) bool {
+	return len(o.servicesSince(position, scope)) > 0
+}
+
 // Urgent implements balance.OriginLog. An origin is urgent if a daemon that does
 // not know it could not tell which software began the stream.
 func (o *Origins) Urgent(position uint64, scope Scope) bool {
