control: usage counts that a restored table lacks are written again

Workspaces saw no usage of the last seconds of a window, if the platform's table returned from an older copy and a daemon counted nothing more there. The other way round, a late count after such a return moved all counts of a reported window into a later one, which reported them a second time.

Cause: a meter compared its counts only with what it had written itself, and read its row only after a conflict. The read then counted as the truth of all eras.

- The table tells its latest known era (RetryTable.Era, from the answers it gives anyway, so no further calls).
At the first step in a new era a meter reads the row of each window in memory and writes what is missing.
- A meter remembers which counts the table had, or may have had after a lost answer, in any era.
If a window may have been closed in an earlier era, only its other counts become adjustments.
If its grace time had not ended when the era was first seen, it can't have been reported, and all missing counts become adjustments.
- A closer that sees the era rise closes nothing for a grace period.

Not chosen: asking the platform for the accepted report. It holds sums over all daemons, from which a daemon can't tell whether its own counts are in it.

--- a/control/meter.go
+++ b/control/meter.go
@@ -42,7 +42,7 @@
 // belong to.
 type Meter struct {
 	daemon   models.DaemonID
-	table    peer.Table
+	table    UsageTable
 	clock    peer.Clock
 	platform *PlatformClock
 	timeline peer.Timeline
@@ -53,7 +53,8 @@
 	mu           sync.Mutex
 	pending      []requestCount // not yet assigned to a window
 	records      map[int64]*windowRecord
-	oldestWindow int64 // no record is created for an earlier window
+	oldestWindow int64  // no record is created for an earlier window
+	era          uint64 // of the table, as last known
 	totals       map[models.Workspace]models.Usage
 }
 
@@ -69,13 +70,16 @@
 	total         tally
 	flushed       tally // known to be in the table
 	maybeFlushed  tally // may be in the table instead, after a lost answer; else nil
+	stored        tally // was in the table, in this era or an earlier one
+	attempted     tally // may have been in the table in this era; else nil
+	maybeReported bool  // the window may have been reported in an earlier era
 	revision      models.Revision
 	uncertain     bool // the row must be read before the next write
 	writeAttempts int  // part of the transaction IDs
 }
 
 // NewMeter returns a meter without counts.
-func NewMeter(daemon models.DaemonID, table peer.Table, clock peer.Clock, platform *PlatformClock, timeline peer.Timeline, settings UsageSettings) *Meter {
+func NewMeter(daemon models.DaemonID, table UsageTable, clock peer.Clock, platform *PlatformClock, timeline peer.Timeline, settings UsageSettings) *Meter {
 	return &Meter{
 		daemon:   daemon,
 		table:    table,
@@ -127,6 +131,7 @@
 	if !known {
 		return notDoneError("the platform's time is not known yet")
 	}
+	m.observeEra(m.table.Era())
 	current := windowStart(now, m.settings.Window)
 	m.assignWindows(current, func(c requestCount) bool { return deferred(c, local) })
 	var firstErr error
@@ -191,13 +196,14 @@
 	return record
 }
 
-// dirty returns the windows that have counts to be flushed, oldest first.
+// dirty returns the windows that have counts to be flushed or whose row must be
+// read, oldest first.
 func (m *Meter) dirty() []int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var windows []int64
 	for window, record := range m.records {
-		if len(record.total.minus(record.flushed)) > 0 {
+		if record.uncertain || len(record.total.minus(record.flushed)) > 0 {
 			windows = append(windows, window)
 		}
 	}
@@ -205,21 +211,25 @@
 	return windows
 }
 
-// flushWindow writes the row of one window. If the window is closed, it moves the
-// counts missing from the row to the current window.
+// flushWindow writes the row of one window, after reading it if that is needed.
+// If the window is closed, it moves the counts missing from the row to the
+// current window.
 func (m *Meter) flushWindow(ctx context.Context, window, current int64) error {
-	m.mu.Lock()
-	record := *m.records[window]
-	record.total = maps.Clone(record.total)
-	m.records[window].writeAttempts++
-	m.mu.Unlock()
+	record := m.snapshot(window)
 	if record.uncertain {
-		return m.reconcile(ctx, window, record, current)
+		if err := m.reconcile(ctx, window, record, current); err != nil {
+			return err
+		}
+		record = m.snapshot(window)
+	}
+	if len(record.total.minus(record.flushed)) == 0 {
+		return nil
 	}
 	value, err := encodeTally(record.total)
 	if err != nil {
 		return err
 	}
+	m.markAttempted(window, record.total)
 	key := countKey(window, m.daemon)
 	revision, err := m.table.Transact(ctx, models.Transaction{
 		ID:         key.Name + "/" + strconv.Itoa(record.writeAttempts),
@@ -228,7 +238,7 @@
 	})
 	switch {
 	case err == nil:
-		m.markFlushed(window, record.total, revision)
+		m.markWritten(window, record.total, revision)
 		return nil
 	case peer.OutcomeOf(err) == peer.OutcomeConflict, peer.OutcomeOf(err) == peer.OutcomeRestored:
 		return m.reconcile(ctx, window, record, current)
@@ -238,15 +248,20 @@
 	return err
 }
 
+// snapshot returns a copy of a window's record, for one more attempt to write it.
+func (m *Meter) snapshot(window int64) windowRecord {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records[window].writeAttempts++
+	record := *m.records[window]
+	record.total = maps.Clone(record.total)
+	return record
+}
+
 // reconcile reads which counts of a window the table holds. It reads the closed
 // row first: once that exists, the counts no longer change.
 func (m *Meter) reconcile(ctx context.Context, window int64, record windowRecord, current int64) error {
-	closed, err := m.table.Read(ctx, usageKey(closedPrefix, window, ""))
-	if err != nil {
-		m.markUncertain(window, record.maybeFlushed)
-		return err
-	}
-	rows, err := m.table.Read(ctx, countKey(window, m.daemon))
+	closed, rows, err := m.readWindow(ctx, window)
 	if err != nil {
 		m.markUncertain(window, record.maybeFlushed)
 		return err
@@ -255,18 +270,36 @@
 	if err != nil {
 		return err
 	}
-	m.markFlushed(window, flushed, revision)
 	if len(closed) == 0 {
+		m.markFlushed(window, flushed, revision)
 		return nil
 	}
 	if err := m.confirmReads(ctx, closed[0], models.Condition{Key: countKey(window, m.daemon), Revision: revision}); err != nil {
 		m.markUncertain(window, record.maybeFlushed)
 		return err
 	}
+	m.markFlushed(window, flushed, revision)
 	m.moveLateCounts(window, max(current, window+int64(m.settings.Window/time.Second)))
 	return nil
 }
 
+// readWindow reads the closed row and the count row of a window. It fails if they
+// are not of the era that was last observed.
+func (m *Meter) readWindow(ctx context.Context, window int64) (closed, counts []models.Row, err error) {
+	if closed, err = m.table.Read(ctx, usageKey(closedPrefix, window, "")); err != nil {
+		return nil, nil, err
+	}
+	if counts, err = m.table.Read(ctx, countKey(window, m.daemon)); err != nil {
+		return nil, nil, err
+	}
+	for _, row := range slices.Concat(closed, counts) {
+		if row.Revision.Era() != m.era {
+			return nil, nil, notDoneError("a usage row is of another era of the table")
+		}
+	}
+	return closed, counts, nil
+}
+
 // confirmReads verifies that the reads of a closed window and its counts were
 // not stale, with a transaction that only succeeds if neither row has changed.
 // Since the window is closed, the counts are then final.
@@ -301,6 +334,24 @@
 	record.revision = revision
 	record.uncertain = false
 	record.maybeFlushed = nil
+	record.stored = merge(record.stored, flushed)
+}
+
+// markAttempted records that counts may be in the table from now on. A write
+// without effect in this era may have had one in the era before: the table also
+// loses the marker by which it would be found.
+func (m *Meter) markAttempted(window int64, total tally) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records[window].attempted = merge(m.records[window].attempted, total)
+}
+
+// markWritten records that this daemon has written the row of a window.
+func (m *Meter) markWritten(window int64, total tally, revision models.Revision) {
+	m.markFlushed(window, total, revision)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records[window].attempted = nil
 }
 
 func (m *Meter) markUncertain(window int64, maybeFlushed tally) {
@@ -311,24 +362,40 @@
 }
 
 // moveLateCounts moves the counts missing from a closed window into a later one
-// as an adjustment.
+// as an adjustment. Counts that an earlier era of the table had are left out if
+// they may have been reported then.
 func (m *Meter) moveLateCounts(window, target int64) {
 	m.mu.Lock()
 	record := m.records[window]
-	late := record.total.minus(record.flushed)
+	missing := record.total.minus(record.flushed)
+	late := missing
+	if record.maybeReported {
+		late = record.total.minus(merge(record.flushed, record.stored))
+	}
 	record.total = maps.Clone(record.flushed)
-	m.record(target).total.add(late)
+	record.stored = record.flushed
+	record.attempted = nil
+	if len(late) > 0 {
+		m.record(target).total.add(late)
+	}
 	m.mu.Unlock()
 	for _, entry := range late.entries() {
-		m.timeline.Record(models.Event{
-			Kind:      models.EventUsage,
-			Workspace: entry.workspace,
-			What:      "use of window " + formatWindow(entry.window) + " goes to window " + formatWindow(target) + " as an adjustment",
-			Why:       "it came in after its window was closed",
-		})
+		m.recordEvent(entry, "goes to window "+formatWindow(target)+" as an adjustment", "it came in after its window was closed")
+	}
+	for _, entry := range missing.minus(late).entries() {
+		m.recordEvent(entry, "is not reported again", "the table lost it, and it may have been reported before")
 	}
 }
 
+func (m *Meter) recordEvent(entry usageEntry, what, why string) {
+	m.timeline.Record(models.Event{
+		Kind:      models.EventUsage,
+		Workspace: entry.workspace,
+		What:      "use of window " + formatWindow(entry.window) + " " + what,
+		Why:       why,
+	})
+}
+
 // evictRecords drops fully flushed records of windows that started more than two
 // window lengths before the current one.
 func (m *Meter) evictRecords(current int64) {
--- a/control/usage_close.go
+++ b/control/usage_close.go
@@ -27,7 +27,7 @@
 //     sums;
 //   - reported: the platform has accepted the frozen sums.
 type WindowCloser struct {
-	table    peer.Table
+	table    UsageTable
 	reports  peer.UsageReports
 	leases   peer.Leases
 	clock    peer.Clock
@@ -38,6 +38,10 @@
 	stepMu  sync.Mutex
 	stopped bool
 
+	stepped    bool
+	era        uint64    // of the table, as last known
+	restoredAt time.Time // when era was last seen to rise
+
 	fence         uint64 // of the authority under which rows were read
 	through       models.Revision
 	rows          map[models.RowKey]models.Row
@@ -47,7 +51,7 @@
 }
 
 // NewWindowCloser returns a closer that has read no rows yet.
-func NewWindowCloser(table peer.Table, reports peer.UsageReports, leases peer.Leases, clock peer.Clock, platform *PlatformClock, timeline peer.Timeline, settings UsageSettings) *WindowCloser {
+func NewWindowCloser(table UsageTable, reports peer.UsageReports, leases peer.Leases, clock peer.Clock, platform *PlatformClock, timeline peer.Timeline, settings UsageSettings) *WindowCloser {
 	return &WindowCloser{
 		table:    table,
 		reports:  reports,
@@ -83,6 +87,7 @@
 	defer c.stepMu.Unlock()
 	c.lag = 0
 	authority := c.leases.Authority(models.LeaseUsage)
+	c.observeEra() // after the authority was read, so that its era is known
 	if authority.Fence == 0 || c.stopped {
 		return
 	}
@@ -95,18 +100,31 @@
 	// latestStart is the latest start of a window whose grace period has passed
 	// for every value of the platform's time within the error bound.
 	latestStart := now.Add(-bound - c.settings.Grace - c.settings.Window)
+	waiting := c.clock.Now().Before(c.restoredAt.Add(c.settings.Grace))
 	for _, window := range c.unreportedWindows() {
 		start := time.Unix(window, 0)
 		if start.After(latestStart) {
 			continue
 		}
-		if err := c.advance(ctx, authority, window); err != nil {
+		if waiting || c.advance(ctx, authority, window) != nil {
 			c.lag = max(c.lag, latestStart.Sub(start))
 		}
 	}
 	c.deleteOldCounts(ctx, authority, latestStart.Add(-c.settings.Retention))
 }
 
+// observeEra records when the table returned from an older copy. Meters then write
+// the counts again that the copy lacks, so windows are closed only after the grace
+// period.
+func (c *WindowCloser) observeEra() {
+	era := c.table.Era()
+	if c.stepped && era > c.era {
+		c.restoredAt = c.clock.Now()
+	}
+	c.stepped = true
+	c.era = era
+}
+
 // readChanges applies the rows that changed since the last read. Under a new
 // authority it reads the partition from the start.
 func (c *WindowCloser) readChanges(ctx context.Context, authority models.Authority) error {
--- a/daemon/store.go
+++ b/daemon/store.go
@@ -11,7 +11,7 @@
 
 // platformServices holds the clients of the platform's services.
 type platformServices struct {
-	table   peer.Table
+	table   *platform.RetryTable
 	objects peer.Objects
 	vms     peer.VMs
 	servers peer.Servers
--- a/peer/platform/retry.go
+++ b/peer/platform/retry.go
@@ -112,6 +112,11 @@
 	return t.seen
 }
 
+// Era returns the latest era in any answer, 0 before the first.
+func (t *RetryTable) Era() uint64 {
+	return t.latestSeen().Era()
+}
+
 // retryRead repeats a read until it succeeds, fails for good or may not be
 // retried any more.
 func (t *RetryTable) retryRead(ctx context.Context, read func(ctx context.Context) error) error {
