request: claims that a restored table lacks are written again

A caller that sent a request again with its Idempotency-Key had it run a second time, if the platform's table had returned from an older copy without the first claim.

Cause: the only copy of a claim and its outcome was the row in the table. Daemons kept nothing of an answered request, and the condition that a row was never written holds in every era.

- A daemon keeps the claims with a key that it wrote within the reach of a restore, and writes them again in the new era.
They replace the row of a later attempt only if that was released, so did not run.
- Claims with a key are tied to the era (Basis) in which the daemon knows that the claims are back.
One that is rejected for that is refused at once.
- A daemon that learns of an era refuses keys for 10 s, with store-unreachable and Retry-After.
As before, such a request is not reported as not run, since an earlier attempt may have run.
The first daemon that has waited writes a row, so that daemons that start later don't wait.
Requests without a key on such routes don't wait: no retry can ask for them.

Ruled out: the wait alone (daemons with no memory have nothing to bring back); the memory alone (a retry comes before the claims); waiting for a confirmation of each registered daemon (a silent one has to be given up too). Sending each claim to another daemon before it runs would also cover a daemon that ends; not done, a round trip for each such request.

With one of these taken out, at least one test fails: writing again, the wait, the tie to the era, the refusal at once, the settled row, replacing a released row, writing again a claim that was acknowledged after the era was learnt of. Not tested: replacing a tombstone, and dropping the oldest of more than 4096 claims.

Changes to tests: the subtests of TestRestoredClaims now run the Step of the claims, as the daemon does. In "outcome lost, claim in the copy" only the other daemon runs it, since with both the retry gets its answer; that is a subtest of its own.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 const (
 	timelineCapacity     = 4096
 	claimCleanupInterval = 5 * time.Minute
+	claimEraInterval     = time.Second
 	// connectionCloseTimeout bounds the shutdown after requests have drained:
 	// closing connections, and flushing usage counts and claim outcomes.
 	connectionCloseTimeout = 5 * time.Second
@@ -103,6 +104,7 @@
 	d.spawnExchange(editor)
 	d.system.Spawn(d.configuration, d.settings.Platform.Poll)
 	d.system.Spawn(d.engines, d.settings.Engines.Poll)
+	d.system.Spawn(d.claims, claimEraInterval)
 	d.system.Spawn(request.NewClaimCleaner(d.platform.table, d.platform.objects, d.clock), claimCleanupInterval)
 	d.startLeases()
 	d.startOrders(engines)
--- a/request/claim.go
+++ b/request/claim.go
@@ -38,12 +38,15 @@
 // backend server. The claim's row later holds the answer for the caller's
 // retries.
 type Claims struct {
-	table    peer.Table
+	table    ClaimTable
 	objects  peer.Objects
 	clock    peer.Clock
 	timeline peer.Timeline
 	daemon   models.DaemonID
 	commits  *committer
+	memory   *claimMemory
+
+	announcedEra uint64 // in the table's settled row; used by Step only
 
 	mu      sync.Mutex
 	local   map[models.RowKey]*localClaim
@@ -60,7 +63,7 @@
 
 // NewClaims returns the claims of a daemon. timeout bounds one call to the
 // table. The transaction rate is shared with the daemons in reports.
-func NewClaims(table peer.Table, objects peer.Objects, clock peer.Clock, timeline peer.Timeline, daemon models.DaemonID, timeout time.Duration, reports peer.Reports) *Claims {
+func NewClaims(table ClaimTable, objects peer.Objects, clock peer.Clock, timeline peer.Timeline, daemon models.DaemonID, timeout time.Duration, reports peer.Reports) *Claims {
 	return &Claims{
 		table:    table,
 		objects:  objects,
@@ -68,6 +71,7 @@
 		timeline: timeline,
 		daemon:   daemon,
 		commits:  newCommitter(table, clock, timeout, reports),
+		memory:   newClaimMemory(clock),
 		local:    map[models.RowKey]*localClaim{},
 	}
 }
@@ -173,8 +177,17 @@
 	var revision models.Revision
 	for {
 		write := &commit{key: key, revision: revision, claim: c.newClaim(e)}
+		if e.IdempotencyKey != "" {
+			c.observeEra()
+			era, settled := c.memory.settledEra()
+			if !settled {
+				return nil, claimRow{}, storeUnreachable(e)
+			}
+			write.basis = eraBasis(era)
+		}
 		result := c.write(ctx, write)
 		if result == commitWritten {
+			c.remember(write, write.claim)
 			c.record(e, "claimed", "the request may not be repeated")
 			return write, claimRow{}, nil
 		}
@@ -286,10 +299,12 @@
 // is first written to the object store.
 func (c *Claims) storeOutcome(held *commit, outcome claimRow) {
 	c.storing.Go(func() {
+		outcome := c.offloadAnswer(outcome)
+		c.remember(held, outcome)
 		c.commits.submit(&commit{
 			key:        held.key,
 			revision:   held.row.Revision,
-			claim:      c.offloadAnswer(outcome),
+			claim:      outcome,
 			persistent: true,
 		})
 	})
--- a/request/claim_test.go
+++ b/request/claim_test.go
@@ -120,13 +120,28 @@
 type storeLink struct {
 	*platform.Store
 	unreachable atomic.Bool
+	hidesEra    atomic.Bool   // the daemon has seen no answer of a later era
+	seen        atomic.Uint64 // latest era that the daemon has seen
+	committed   func()        // called before the answer to a transaction, if set
+}
+
+func (l *storeLink) Era() uint64 {
+	if l.unreachable.Load() || l.hidesEra.Load() {
+		return l.seen.Load()
+	}
+	l.seen.Store(l.Store.Era())
+	return l.seen.Load()
 }
 
 func (l *storeLink) Transact(ctx context.Context, transaction models.Transaction) (models.Revision, error) {
 	if l.unreachable.Load() {
 		return 0, peer.NewFailure(peer.OutcomeNotDone, "cut off", nil)
 	}
-	return l.Store.Transact(ctx, transaction)
+	revision, err := l.Store.Transact(ctx, transaction)
+	if l.committed != nil {
+		l.committed()
+	}
+	return revision, err
 }
 
 func (l *storeLink) Read(ctx context.Context, keys ...models.RowKey) ([]models.Row, error) {
--- a/request/clean.go
+++ b/request/clean.go
@@ -44,6 +44,9 @@
 	var batch []models.Row
 	onlyDeleted := true
 	for _, row := range rows {
+		if row.Key == settledKey {
+			continue
+		}
 		claim, err := decodeClaim(row.Value)
 		due := !row.Deleted && err == nil && now.After(claim.expires)
 		if due && len(batch) < cleanBatchSize {
--- a/request/commit.go
+++ b/request/commit.go
@@ -46,8 +46,10 @@
 type commit struct {
 	key          models.RowKey
 	revision     models.Revision // expected revision of the row
+	basis        models.Revision // of the era that it may be written in; 0: of any
 	claim        claimRow
 	persistent   bool // retried until the store takes it or it is too old
+	again        bool // written before the table returned from an older copy
 	submittedAt  time.Time
 	maybeWritten bool // an earlier transaction may have written it
 	inFlight     bool // part of the current transaction
@@ -250,12 +252,20 @@
 	}
 	// After a conflict or an unknown outcome the rows show which writes took
 	// effect.
+	restored := peer.OutcomeOf(err) == peer.OutcomeRestored
+	if restored {
+		batch = c.failTied(batch)
+	}
+	if len(batch) == 0 {
+		return true
+	}
+	maybeWritten := !restored && peer.OutcomeOf(err) != peer.OutcomeConflict
 	rows, readErr := c.read(batch)
 	if readErr != nil {
-		c.requeue(batch, peer.OutcomeOf(err) != peer.OutcomeConflict)
+		c.requeue(batch, maybeWritten)
 		return false
 	}
-	c.reconcile(batch, rows, peer.OutcomeOf(err) != peer.OutcomeConflict)
+	c.reconcile(batch, rows, maybeWritten)
 	return true
 }
 
@@ -274,6 +284,7 @@
 			continue
 		}
 		included = append(included, w)
+		transaction.Basis = max(transaction.Basis, w.basis)
 		transaction.Conditions = append(transaction.Conditions, models.Condition{Key: w.key, Revision: w.revision})
 		transaction.Writes = append(transaction.Writes, models.Write{Key: w.key, Value: value})
 	}
@@ -329,6 +340,22 @@
 	}
 }
 
+// failTied fails the writes of a batch that are tied to an era, after the table has
+// returned from an older copy, and returns the others.
+func (c *committer) failTied(batch []*commit) []*commit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var others []*commit
+	for _, w := range batch {
+		if w.basis == 0 || w.maybeWritten {
+			others = append(others, w)
+			continue
+		}
+		c.finish(w, commitFailed, models.Row{})
+	}
+	return others
+}
+
 // reconcile compares the writes of a batch with the current rows. Writes that
 // took effect or were superseded are settled; the others stay pending.
 func (c *committer) reconcile(batch []*commit, rows map[models.RowKey]models.Row, maybeWritten bool) {
@@ -350,12 +377,23 @@
 			w.revision = row.Revision
 		case row.Revision == 0 && w.persistent:
 			w.revision = 0 // the table has lost the claim, but the outcome still counts
+		case w.replaces(row, current):
+			w.revision = row.Revision
 		default:
 			c.finish(w, commitSuperseded, row)
 		}
 	}
 }
 
+// replaces reports whether a write that the table has lost counts more than the
+// row of an attempt that has not run.
+func (w *commit) replaces(row models.Row, current claimRow) bool {
+	if !w.persistent || w.claim.state == claimReleased {
+		return false
+	}
+	return row.Deleted && w.again || !row.Deleted && current.state == claimReleased
+}
+
 // finish settles a write. A claim that was written after its request gave up is
 // released instead. c.mu must be held.
 func (c *committer) finish(w *commit, result commitResult, row models.Row) {
@@ -374,6 +412,7 @@
 	if w.abandoned && w.claim.state == claimClaimed {
 		w.claim.state = claimReleased
 		w.persistent = true
+		w.basis = 0
 	}
 }
 
--- a/request/fleet_test.go
+++ b/request/fleet_test.go
@@ -34,6 +34,7 @@
 	service   *bookingService
 	gates     []*request.Gate
 	links     []*storeLink
+	claims    []*request.Claims
 	handlers  []request.Handler
 
 	mu      sync.Mutex
@@ -85,6 +86,7 @@
 	claims := request.NewClaims(storeLink, f.store, f.clock, noop{}, id, time.Second, noop{})
 	sender := request.NewSender(f, f, f, request.NewRoundRobinPlacer(f, f), f, noop{}, f.clock, request.SenderSettings{Zone: "near", StallTimeout: stallTimeout})
 	f.links = append(f.links, storeLink)
+	f.claims = append(f.claims, claims)
 	f.gates = append(f.gates, gate)
 	f.handlers = append(f.handlers, request.Chain(sender, gate.Filter(), request.Authenticate(f, f.clock), request.Metered(f, f.clock), claims.Filter()))
 }
