quarantine: a probe has time to end before the next

Each interval of 5 s admitted a probe, whether or not the one before had ended: one that waited for its placement, its prefill or in an engine's queue was followed by others, and each crashed an engine (found in review). Probes are 10 s apart now, sent in the first 4 of them. That one is under way is not told to the other daemons: a probe that takes over 6 s may still be followed by another.

TestNoSecondProbeWhileOneIsUnderWay failed, passes now. With 15 s TestProbeThatALiveEngineResetsDoesNotRenewTheBlock failed: a sound part is to be probed again within 10 s.

--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -20,8 +20,8 @@
 	// probeInterval is the time between two probes, which are sent in the first
 	// probeWindow of it. A probe has ended, and the other daemons know how, within the
 	// rest.
-	probeInterval = 5 * time.Second
-	probeWindow   = 2500 * time.Millisecond
+	probeInterval = 10 * time.Second
+	probeWindow   = 4 * time.Second
 	// probePeriod is how long probes are allowed. A block that has had none by then
 	// is forgotten.
 	probePeriod = 10 * time.Minute
