--- a/entry/reset_test.go
+++ b/entry/reset_test.go
@@ -25,7 +25,7 @@
 			is := is.New(t)
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
-			defer listener.Close()
+			defer func() { is.NoErr(listener.Close()) }()
 			ctx, giveUp := context.WithCancel(t.Context())
 			ended := make(chan error, 1)
 			go func() {
