entry, relay: tests of evidence from other daemons and of callers that leave

Two mechanisms that the review could take out without a test failing: what a daemon does with the evidence in a load share, and that a run whose caller has left is not reported as broken off by its engine.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -33,7 +33,9 @@
 	plain         *emulator.Server
 	callerAddress string
 	storeAddress  string
-	daemon        *entry.Daemon
+	// daemonsAddress is where the daemon that started last listens for others.
+	daemonsAddress string
+	daemon         *entry.Daemon
 }
 
 // givenAddresses holds the results of freeAddress.
@@ -84,9 +86,10 @@
 func (d *deployment) startDaemon(name, callerAddress string) *entry.Daemon {
 	d.t.Helper()
 	t := d.t
+	d.daemonsAddress = freeAddress(t)
 	settings := fmt.Sprintf(`{"name": %q, "zone": "z", "callers": {"address": %q, "grace": "200ms"},
 		"readiness": {"address": %q}, "daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "notice": "1ms"}}`,
-		name, callerAddress, freeAddress(t), freeAddress(t), freeAddress(t), d.storeAddress)
+		name, callerAddress, freeAddress(t), d.daemonsAddress, freeAddress(t), d.storeAddress)
 	parsed, err := config.ParseEntry([]byte(settings))
 	d.is.NoErr(err)
 	daemon := entry.New(parsed, zap.NewNop(), system.NewClock(), system.NewWallClock(), func() int64 { return 0 })
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"sync"
@@ -132,3 +133,12 @@
 		f.expectSends(1)
 	})
 }
+
+// A caller that leaves closes the connection to the engine, too.
+func TestRunOfACallerThatLeavesIsNotBrokenOff(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	f := newFixture(t, models.PathRoute{Stream: true, Attempts: 1}, scriptedAnswer{err: peer.NewFailure(peer.OutcomeUnknown, "reset", errors.New("reset"))})
+	leave()
+	_ = f.handle(ctx)
+	is.New(t).Equal(len(f.guard.brokenOff), 0)
+}
