quarantine: the cost of evidence on live engines that reset connections is bounded

Each reset is a change that is sent to all daemons with all that is known; crashes that have been refuted went along with all their requests. They are shared with one request, by which they are known, and 32 crashes are kept instead of 64. The parts that are blocked in one evaluation are bounded as well: a block may make others unfounded, which may be found again. That this could go on for ever was not seen; without the bound TestOneOfPartsThatCrashInPairsIsBlocked passes, too.

TestRefutedCrashIsSharedWithoutItsRequests: 3 requests before, 1 now.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -26,7 +26,7 @@
 	registrationLag = 8 * time.Second
 	// maxCrashes, maxRuns and maxParts bound the crashes, the requests of each and
 	// the parts of each request that are remembered.
-	maxCrashes = 64
+	maxCrashes = 32
 	maxRuns    = 64
 	maxParts   = 16
 )
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,6 +24,9 @@
 	settleTime = 200 * time.Millisecond
 	// evidenceRetention is how long crashes and answers are remembered.
 	evidenceRetention = 10 * time.Minute
+	// maxFindings bounds the parts that are blocked at once. A block may make others
+	// unfounded, and these may be found again.
+	maxFindings = 8
 	// maxServedParts bounds each of the two generations of parts that are known to
 	// have been served.
 	maxServedParts = 4096
@@ -126,7 +129,7 @@
 	if !next.IsZero() {
 		q.evaluateNoLaterThan(next)
 	}
-	for {
+	for range maxFindings {
 		finding, ok := blame.Find(settled, q.sound, q.blocked)
 		if !ok {
 			return
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -36,7 +36,11 @@
 
 func (c *crash) share(now time.Time) models.Crash {
 	shared := models.Crash{Engine: c.engine, Started: c.started, Age: now.Sub(c.At), Refuted: c.refuted}
-	for _, run := range c.Runs {
+	runs := c.Runs
+	if c.refuted {
+		runs = runs[:min(len(runs), 1)] // by which the crash is known
+	}
+	for _, run := range runs {
 		// The receiver may mark parts as served while this daemon does too.
 		parts := append([]models.SuspectPart(nil), run.Parts...)
 		shared.Runs = append(shared.Runs, models.CrashedRun{Request: run.Request, SentAge: now.Sub(run.SentAt), Parts: parts})
