--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -13,8 +13,8 @@
 
 const (
 	// crashSpan is the time within which the requests that a process breaks off
-	// belong to one crash. It is no longer than signDelay: what a process that has
-	// answered since breaks off is another one.
+	// belong to one crash. It is not longer than signDelay, so that what a process
+	// breaks off after it has answered is not taken for a part of that crash.
 	crashSpan = signDelay
 	// signDelay is the time after a crash from which a response shows that there was
 	// none: an earlier one may have been sent before.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,13 +18,12 @@
 )
 
 const (
-	// settleTime is how long after a crash it counts: the other daemons report the
-	// requests that it broke off at them, and an engine that has only closed a
-	// connection answers other requests.
+	// settleTime is the time after which a crash counts. By then the other daemons have
+	// reported which of their requests it broke off.
 	settleTime = 200 * time.Millisecond
 	// evidenceRetention is how long crashes and answers are remembered.
 	evidenceRetention = 10 * time.Minute
-	// maxFindings bounds the parts that are blocked at once. A block may make others
+	// maxFindings bounds the parts that one evaluation blocks. A block may make others
 	// unfounded, and these may be found again.
 	maxFindings = 8
 	// maxServedParts bounds each of the two generations of parts that are known to
