policy/blame: what one process breaks off again and again is not several crashes

No process crashes twice, so each counts once against a part. And a part that was served before needs a request that was sent in between each time, as before minSeparation: while no engine can be reached, connections to all of them break off one after the other.

TestFind has both cases, which blamed the part before. The schedules of quarantine pass, those of a part whose crashes come late among them.

--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -24,10 +24,17 @@
 	minRequests = 2
 )
 
-// Crash is the moment at which an engine broke off its requests.
+// Crash is the moment at which a process of an engine broke off its requests.
 type Crash struct {
-	At   time.Time
-	Runs []Run
+	Process Process
+	At      time.Time
+	Runs    []Run
+}
+
+// Process is a process of an engine.
+type Process struct {
+	Engine  models.EngineID
+	Started int64 // in nanoseconds since the Unix epoch
 }
 
 // Run is a request that was broken off by a crash.
@@ -55,6 +62,9 @@
 	position int // of the part in the prompts, the highest
 	last     time.Time
 	requests map[models.RequestHash]bool
+	// processes are those whose crash has been counted: none crashes twice, but one may
+	// reset connections again and again.
+	processes map[Process]bool
 }
 
 func (s *suspect) guilty() bool {
@@ -65,6 +75,13 @@
 	return s.crashes >= needed && len(s.requests) >= minRequests
 }
 
+// separate reports whether a crash is separate from the one that was counted last. For
+// a part that was served before, a request must have been sent in between: while no
+// engine can be reached, connections to all of them break off, one after the other.
+func (s *suspect) separate(crash Crash, run Run) bool {
+	return !run.SentAt.Before(s.last) || !s.served && crash.At.Sub(s.last) >= minSeparation
+}
+
 // Find returns the part that explains the crashes best, if there is one that has
 // to be blamed. Crashes are in order of time; those with a blocked part are
 // explained by it. Sound has, for parts with which a request was answered to its
@@ -121,7 +138,7 @@
 			}
 			s := suspects[part.ID]
 			if s == nil {
-				s = &suspect{part: part.ID, requests: map[models.RequestHash]bool{}}
+				s = &suspect{part: part.ID, requests: map[models.RequestHash]bool{}, processes: map[Process]bool{}}
 				suspects[part.ID] = s
 			}
 			s.served = s.served || part.Served
@@ -134,8 +151,9 @@
 				involved[part.ID] = true
 				s.involved++
 			}
-			if !counted[part.ID] && (!run.SentAt.Before(s.last) || crash.At.Sub(s.last) >= minSeparation) {
+			if !counted[part.ID] && !s.processes[crash.Process] && s.separate(crash, run) {
 				counted[part.ID] = true
+				s.processes[crash.Process] = true
 				s.crashes++
 			}
 		}
--- a/policy/blame/blame_test.go
+++ b/policy/blame/blame_test.go
@@ -1,6 +1,7 @@
 package blame_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -24,8 +25,13 @@
 	return r
 }
 
+// crash returns a crash of an engine of its own.
 func crash(ms int, runs ...blame.Run) blame.Crash {
-	return blame.Crash{At: at(ms), Runs: runs}
+	return crashOf(fmt.Sprint(ms, runs), ms, runs...)
+}
+
+func crashOf(engine string, ms int, runs ...blame.Run) blame.Crash {
+	return blame.Crash{Process: blame.Process{Engine: models.EngineID(engine)}, At: at(ms), Runs: runs}
 }
 
 func TestFind(t *testing.T) {
@@ -50,6 +56,9 @@
 		{"engines that crash together count once", []blame.Crash{crash(10, run(1, 0, bad)), crash(10, run(2, 0, bad)), crash(11, run(3, 5, bad)), crash(12, run(4, 6, bad))}, nil, 0, 0},
 		{"a part that was answered after the last crash", []blame.Crash{crash(10, run(1, 0, bad)), crash(30, run(2, 20, bad)), crash(50, run(3, 40, bad))}, map[models.PartID]time.Time{bad: at(51)}, 0, 0},
 		{"a part that was answered between the crashes", []blame.Crash{crash(10, run(1, 0, bad)), crash(30, run(2, 20, bad)), crash(50, run(3, 40, bad))}, map[models.PartID]time.Time{bad: at(11)}, 0, 0},
+		{"one process that resets connections again and again", []blame.Crash{crashOf("e", 10, run(1, 0, bad)), crashOf("e", 1030, run(2, 1020, bad)), crashOf("e", 2050, run(3, 2040, bad))}, nil, 0, 0},
+		{"crashes half a second apart", []blame.Crash{crash(10, run(1, 0, bad)), crash(600, run(2, 0, bad)), crash(1200, run(3, 0, bad))}, nil, 0, bad},
+		{"the same, of a part that was served before", []blame.Crash{crash(10, run(1, 0, -bad)), crash(600, run(2, 0, -bad)), crash(1200, run(3, 0, -bad)), crash(1800, run(4, 0, -bad))}, nil, 0, 0},
 		{
 			"the rarest of the parts that all crashes share",
 			[]blame.Crash{
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -183,7 +183,8 @@
 			return c, true
 		}
 	}
-	c = &crash{Crash: blame.Crash{At: at}, engine: engine, started: started}
+	process := blame.Process{Engine: engine, Started: started.UnixNano()}
+	c = &crash{Crash: blame.Crash{Process: process, At: at}, engine: engine, started: started}
 	q.crashes = append(q.crashes, c)
 	slices.SortStableFunc(q.crashes, func(a, b *crash) int { return a.At.Compare(b.At) })
 	if r, ok := q.responses[engine]; ok {
