--- a/lib/drain/tls.go
+++ b/lib/drain/tls.go
@@ -114,7 +114,7 @@
 		to = s.queue1
 	}
 	if !to.put(conn, nil) {
-		conn.Close()
+		conn.Close() // nothing of a request has been read
 	}
 }
 
--- a/request/claim_era.go
+++ b/request/claim_era.go
@@ -142,7 +142,7 @@
 	defer cancel()
 	rows, err := c.table.Read(ctx, settledKey)
 	if err != nil {
-		return
+		return // the next step tries again
 	}
 	var revision models.Revision
 	if len(rows) > 0 {
@@ -156,6 +156,7 @@
 	if !settled {
 		return
 	}
+	// If this fails, the next step finds the row of another daemon or tries again.
 	_, _ = c.table.Transact(ctx, models.Transaction{
 		Basis:      eraBasis(era),
 		Conditions: []models.Condition{{Key: settledKey, Revision: revision}},
