soak: a backend server that has left registers as a new process

Cause, by the logs of 30136: the soak's operator drains a backend server, removes its registration and writes it again as ready, without the start of a process. A daemon that was cut off from the store and missed the removal sees a process that drained become ready, and keeps it out of use: a process that has drained never accepts work again, and on the platform each start of a backend server states its time. The check stays as it is; what registers again states a later start.

--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	server  *emulator.Server
 	proxy   *proxy
 	clock   interface{ Now() time.Time }
+	started atomic.Int64 // of the process that it registers as, in Unix milliseconds
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -54,6 +56,7 @@
 func newBackend(t *testing.T, id, service string, events int, random *rand.Rand) *backend {
 	t.Helper()
 	b := &backend{id: id, service: service, server: &emulator.Server{ID: id, Events: events}, clock: system.NewClock(), random: random}
+	b.started.Store(b.clock.Now().UnixMilli())
 	server := httptest.NewServer(b)
 	t.Cleanup(server.CloseClientConnections)
 	b.proxy = newProxy(t, server.Listener.Addr().String())
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -158,7 +158,7 @@
 }
 
 // runOperation does the work of an operator: it replaces the key, and drains,
-// removes and re-registers a backend server.
+// removes a backend server, which registers as a new process.
 func (in *injector) runOperation(b *backend, step int, d time.Duration) {
 	w := in.world
 	w.countInjected("operation")
@@ -167,6 +167,7 @@
 	in.wait(d / 2)
 	w.store.Remove("servers", b.id)
 	in.wait(d / 2)
+	b.started.Store(w.clock.Now().UnixMilli())
 	w.register(b, "ready")
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -99,7 +99,7 @@
 
 // register writes the registration row of a backend server.
 func (w *world) register(b *backend, state string) {
-	row := map[string]any{"service": b.service, "address": b.proxy.address(), "zone": "a", "slots": 32, "state": state}
+	row := map[string]any{"service": b.service, "address": b.proxy.address(), "zone": "a", "slots": 32, "state": state, "born": b.started.Load()}
 	if b.service == "llm" {
 		row["stage"] = "decode"
 	}
