entry: a slow step does not prolong a planned stop beyond its grace time

Cause, by the logs: the store did not answer, and giving up the lease took 0.5 s. The phases of the stop counted from the end of that: drained 3.80 s after the signal, 0.32 s more for the last calls to the store, of 4 s. Each phase now has what is left since the signal, and giving up leases no more than the first one.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// left returns how much time the phases have if the stop has taken some time: what
+// one phase takes longer, the next ones have less.
+func (t stopTimes) left(elapsed time.Duration) stopTimes {
+	finished := t.accept + t.finish
+	return stopTimes{
+		accept:  max(t.accept-elapsed, 0),
+		finish:  max(finished-elapsed, 0),
+		closing: min(max(finished+t.closing-elapsed, 0), t.closing),
+	}
+}
+
 // fractionOf returns a fraction of a duration.
 func fractionOf(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(float64(d) * fraction)
@@ -52,11 +63,15 @@
 func (d *Daemon) Stop(ctx context.Context) {
 	d.stopping.Store(true)
 	d.logger.Info("daemon stops", zap.String("why", "it was told to"))
-	d.duties.leases.Release(ctx)
+	begun := d.clock.Now()
 	times := newStopTimes(d.settings.Load().Callers.Grace)
+	left := func() stopTimes { return times.left(d.clock.Now().Sub(begun)) }
+	releasing, cancel := context.WithTimeout(ctx, times.accept)
+	defer cancel()
+	d.duties.leases.Release(releasing)
 	// Sleep fails only when ctx ends.
-	_ = d.clock.Sleep(ctx, times.accept)
-	finishing, cancel := context.WithTimeout(ctx, times.finish)
+	_ = d.clock.Sleep(ctx, left().accept)
+	finishing, cancel := context.WithTimeout(ctx, left().finish)
 	defer cancel()
 	if err := d.stopCallers(finishing); err != nil {
 		d.logger.Warn("connections still active at the end of the grace time", zap.Error(err))
@@ -66,7 +81,7 @@
 			d.logger.Warn("internal server not shut down", zap.Error(err))
 		}
 	}
-	closing, cancel := context.WithTimeout(ctx, times.closing)
+	closing, cancel := context.WithTimeout(ctx, left().closing)
 	defer cancel()
 	d.duties.counter.Flush(closing)
 	d.system.Stop()
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -111,3 +111,22 @@
 		})
 	})
 }
+
+// Guards against a stop that outlasts the grace time because one of its steps was slow.
+func TestSlowStepsDoNotProlongAStop(t *testing.T) {
+	const grace = 4 * time.Second
+	times := newStopTimes(grace)
+	for _, elapsed := range []time.Duration{0, 500 * time.Millisecond, times.accept, 3 * time.Second, grace, 2 * grace} {
+		t.Run(elapsed.String(), func(t *testing.T) {
+			is := is.New(t)
+			left := times.left(elapsed)
+			is.True(left.accept >= 0 && left.finish >= left.accept && left.closing >= 0)
+			if elapsed < grace {
+				is.True(elapsed+left.accept < grace)
+				is.True(elapsed+left.finish < grace)
+				is.True(elapsed+left.closing < grace)
+			}
+			is.True(left.closing <= times.closing)
+		})
+	}
+}
