entry, control: two comments read again

Of ten files drawn at random two left a question: what the time left of a phase counts from, and when an attempted count is in the table. Comments only.

--- a/control/meter.go
+++ b/control/meter.go
@@ -70,8 +70,8 @@
 	total         tally
 	flushed       tally // known to be in the table
 	maybeFlushed  tally // may be in the table instead, after a lost answer; else nil
-	stored        tally // was in the table, in this era or an earlier one
-	attempted     tally // may have been in the table in this era; else nil
+	stored        tally // has been in the table, in this era or an earlier one
+	attempted     tally // may be in the table of this era, after a lost answer; else nil
 	maybeReported bool  // the window may have been reported in an earlier era
 	revision      models.Revision
 	uncertain     bool // the row must be read before the next write
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -41,8 +41,9 @@
 	}
 }
 
-// left returns how much time the phases have if the stop has taken some time: what
-// one phase takes longer, the next ones have less.
+// left returns the time until the end of each phase when the stop has taken some time
+// already; for the last phase no more than was planned. What one step takes longer,
+// the later ones have less.
 func (t stopTimes) left(elapsed time.Duration) stopTimes {
 	finished := t.accept + t.finish
 	return stopTimes{
