--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -35,6 +35,7 @@
 	NotRun        bool
 	WrongInstance bool                 // another backend server has the address
 	Load          *models.UpstreamLoad // nil if not reported
+	Limit         models.StatedLimit
 }
 
 // ChangeSource watches the rows of a store.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -59,9 +59,11 @@
 	PrefillDuration    time.Duration   // of the call to Prefiller, 0 if there was none
 	Status             int
 	Events             int
-	FirstResponseAfter time.Duration // from arrival to the response or its first event
-	Predicted          time.Duration // FirstResponseAfter as predicted at placement
-	LastFailure        string        // error of the last failed attempt
+	FirstResponseAfter time.Duration      // from arrival to the response or its first event
+	Predicted          time.Duration      // FirstResponseAfter as predicted at placement
+	LastFailure        string             // error of the last failed attempt
+	Limit              models.StatedLimit // of Engine, in its last answer
+	PrefillerLimit     models.StatedLimit // of Prefiller
 }
 
 // Reply writes the response to the caller.
--- a/relay/record.go
+++ b/relay/record.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"quincewinch/models"
 	"quincewinch/peer"
 )
 
@@ -122,10 +124,24 @@
 		milliseconds("target-ms", e.Route.LatencyTarget),
 		milliseconds("took-ms", r.clock.Now().Sub(e.Received)),
 		milliseconds("patience-ms", e.CallerTimeout),
+		zap.String("limit", limitText(e.Trace.Limit)),
+		zap.String("prefiller-limit", limitText(e.Trace.PrefillerLimit)),
 		zap.String("last-failure", e.Trace.LastFailure),
 	}
 }
 
+// limitText returns the requests a second that a backend server takes, an empty text
+// if it states no limit.
+func limitText(limit models.StatedLimit) string {
+	switch {
+	case limit.Unreadable:
+		return "unreadable"
+	case limit.Named:
+		return strconv.FormatFloat(limit.PerSecond, 'g', -1, 64)
+	}
+	return ""
+}
+
 func milliseconds(key string, d time.Duration) zap.Field {
 	return zap.Int64(key, d.Milliseconds())
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -269,6 +269,7 @@
 	trace.Predicted = placement.Predicted()
 	trace.PrefillTokens = placement.PrefillTokens()
 	trace.Prefiller = ""
+	trace.Limit, trace.PrefillerLimit = models.StatedLimit{}, models.StatedLimit{}
 	source, _ := placement.CopyFrom()
 	trace.CopiedFrom = source.ID
 }
@@ -276,6 +277,7 @@
 // handleResponse handles a response whose header has arrived.
 func (d *delivery) handleResponse(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
 	if !answer.WrongInstance {
+		d.exchange.Trace.Limit = answer.Limit
 		d.sender.guard.Responded(placement.Target(), d.current.SentAt)
 	}
 	if answer.NotRun {
@@ -319,6 +321,7 @@
 	source, answer, err := d.sender.upstreams.Prefill(ctx, prefiller, call)
 	d.exchange.Trace.PrefillDuration = d.sender.clock.Now().Sub(started)
 	result := prefillResult(ctx, source, answer, err)
+	d.exchange.Trace.PrefillerLimit = answer.Limit
 	placement.PrefillEnded(result)
 	if result == ResultServed {
 		d.prefillRequested = true
