--- a/quarantine/schedule_callers_test.go
+++ b/quarantine/schedule_callers_test.go
@@ -15,6 +15,8 @@
 const (
 	subjects      = 30
 	callerTimeout = 8 * time.Second
+	// popular is the number of sound requests of a kind that come again and again.
+	popular = 4
 	// returnShare is the share of its remaining time within which a refused caller
 	// comes back.
 	returnShare = 3
@@ -23,6 +25,9 @@
 // service is the service of all engines of a schedule.
 var service = models.RoutedService{Name: "llm", Engine: &models.EngineLimits{Slots: 16, Capacity: 500000, TokenBytes: 10000, LinkMbps: 100000}}
 
+// deskService is the plain service.
+var deskService = models.RoutedService{Name: "desk"}
+
 // position is where the deadly part is in a prompt.
 type position int
 
@@ -37,13 +42,14 @@
 // kind is a kind of requests: those of one route, one workspace and one first part
 // of their prompts.
 type kind struct {
-	name  string
-	route models.PathRoute
-	rate  float64 // requests per second
+	name    string
+	service models.RoutedService
+	route   models.PathRoute
+	rate    float64 // requests per second
 }
 
 // newKinds returns one kind of each route.
-func newKinds(r *rand.Rand, rate float64) []*kind {
+func newKinds(r *rand.Rand, rate float64, desk bool) []*kind {
 	base := models.PathRoute{
 		Generation: true, Attempts: 2, Repeatable: true, Timeout: callerTimeout, LatencyTarget: time.Second,
 		Targets: []models.WeightedService{{Service: service.Name, Weight: 1}},
@@ -51,7 +57,12 @@
 	once, resumable, whole := base, base, base
 	once.Stream, once.Attempts, once.Repeatable = true, 1, false
 	resumable.Stream, resumable.Resumable = true, true
-	kinds := []*kind{{name: "once", route: once}, {name: "resumable", route: resumable}, {name: "whole", route: whole}}
+	kinds := []*kind{{name: "once", service: service, route: once}, {name: "resumable", service: service, route: resumable}, {name: "whole", service: service, route: whole}}
+	if desk {
+		plain := base
+		plain.Generation, plain.Targets = false, []models.WeightedService{{Service: deskService.Name, Weight: 1}}
+		kinds = append(kinds, &kind{name: "plain", service: deskService, route: plain})
+	}
 	total := 0.0
 	for _, k := range kinds {
 		k.rate = 0.4 + r.Float64()
@@ -71,6 +82,8 @@
 type request struct {
 	id      models.RequestID
 	kind    *kind
+	body    string
+	deadly  bool // as a whole
 	parts   []models.PromptPart
 	events  int        // of its answer
 	draws   *rand.Rand // of its caller
@@ -103,6 +116,16 @@
 	k := s.kinds[index]
 	r := s.draw("request of "+k.name, n)
 	q = &request{id: models.RequestID(fmt.Sprintf("%s-%d", k.name, n)), kind: k, draws: r, events: minEvents + r.IntN(maxEvents-minEvents+1)}
+	q.body = string(q.id)
+	repeat := s.draw("repeat of "+k.name, n)
+	if repeat.Float64() < s.repeats {
+		q.body = fmt.Sprintf("popular %d", repeat.IntN(popular))
+		q.parts = k.prompt(0, q.body)
+		return q, true
+	}
+	if k.service.Engine == nil {
+		return q, true
+	}
 	first := models.PromptPart{ID: k.name + " first", Tokens: 3000}
 	subject := zipf(r)
 	about := models.PromptPart{ID: k.subjectID(subject), Tokens: 1000 + 100*subject}
@@ -115,6 +138,44 @@
 	return q, s.coming || len(s.crashTimes) == 0 || !s.carries(q)
 }
 
+// prompt returns the parts of the prompt of a request on a subject, nil for a plain
+// service.
+func (k *kind) prompt(subject int, own string) []models.PromptPart {
+	if k.service.Engine == nil {
+		return nil
+	}
+	return []models.PromptPart{{ID: k.name + " first", Tokens: 3000}, {ID: k.subjectID(subject), Tokens: 1000}, {ID: own, Tokens: 500}}
+}
+
+// repeatDeadly makes one deadly request again and again until the schedule ends.
+func (s *schedule) repeatDeadly() {
+	defer s.callers.Done()
+	k := s.kinds[s.deadly.kind]
+	gaps := s.draw("gaps of the deadly request", 0)
+	copies := 1
+	if s.deadly.repeated.everywhere {
+		copies = s.settings.daemons
+	}
+	for n := 0; ; n++ {
+		s.sleep(time.Duration((0.5 + gaps.Float64()) / s.deadly.repeated.rate * float64(time.Second)))
+		s.mu.Lock()
+		ended, coming := s.ended, s.coming
+		s.mu.Unlock()
+		if ended {
+			return
+		}
+		for i := range copies {
+			q := &request{
+				id: models.RequestID(fmt.Sprintf("deadly-%d-%d", n, i)), kind: k, body: "deadly", deadly: true, events: minEvents,
+				parts: k.prompt(0, "deadly"), draws: s.draw("deadly request", n*copies+i),
+			}
+			if coming {
+				s.callers.Go(func() { s.call(q) })
+			}
+		}
+	}
+}
+
 // zipf draws a subject; the nth is drawn in proportion to 1/n.
 func zipf(r *rand.Rand) int {
 	total := 0.0
@@ -144,9 +205,9 @@
 	return []models.PromptPart{first, deadly, subject, deadly, last}
 }
 
-// carries reports whether the prompt of a request has the deadly part.
+// carries reports whether a request is deadly, as a whole or for a part of its prompt.
 func (s *schedule) carries(q *request) bool {
-	return slices.ContainsFunc(q.parts[:len(q.parts)-1], func(p models.PromptPart) bool { return p.ID == s.deadlyPart })
+	return q.deadly || len(q.parts) > 0 && slices.ContainsFunc(q.parts[:len(q.parts)-1], func(p models.PromptPart) bool { return p.ID == s.deadlyPart })
 }
 
 // caller is an attempt of a caller. It implements relay.Reply.
@@ -202,10 +263,13 @@
 	c := &caller{daemon: p.ctx}
 	err := p.handler.Handle(p.ctx, &relay.Exchange{
 		ID: q.id, Received: now, CallerTimeout: deadline.Sub(now), Deadline: deadline, Reply: c,
-		Call:      models.UpstreamCall{ID: q.id, Method: http.MethodPost, Header: http.Header{}, Workspace: models.Workspace(q.kind.name)},
-		Routing:   &models.Routing{Services: map[models.ServiceName]models.RoutedService{service.Name: service}},
+		Call: models.UpstreamCall{
+			ID: q.id, Method: http.MethodPost, Host: "h.example", Target: "/" + q.kind.name, Header: http.Header{}, Body: []byte(q.body),
+			Workspace: models.Workspace(q.kind.name),
+		},
+		Routing:   &models.Routing{Services: map[models.ServiceName]models.RoutedService{q.kind.service.Name: q.kind.service}},
 		Route:     q.kind.route,
-		Service:   service,
+		Service:   q.kind.service,
 		Workspace: models.Workspace(q.kind.name),
 		Prompt:    models.Prompt{Model: "m", MaxOutput: maxEvents, Parts: q.parts},
 	})
--- a/quarantine/schedule_checks_test.go
+++ b/quarantine/schedule_checks_test.go
@@ -19,9 +19,10 @@
 
 const (
 	// Deadly requests that may reach engines later than contact after so many
-	// crashes.
-	crashesUntilBlock = 5
-	maxLateArrivals   = 3
+	// crashes, by a part or by the same request.
+	crashesUntilBlock       = 5
+	repeatCrashesUntilBlock = 3
+	maxLateArrivals         = 3
 	// minJudged is the smallest number of requests whose share that began is judged.
 	minJudged = 20
 	// codeQuarantined is the code of refusals for a part of the prompt.
@@ -67,13 +68,22 @@
 	return q, q.arrived - 1
 }
 
+// untilBlock returns the number of crashes after which deadly requests are to be kept
+// from engines.
+func (s *schedule) untilBlock() int {
+	if s.deadly.repeated.rate > 0 {
+		return repeatCrashesUntilBlock
+	}
+	return crashesUntilBlock
+}
+
 // lateArrivals returns how many deadly requests reached engines later than contact
-// after crashesUntilBlock crashes: from daemons in touch, and from all.
-func (r *record) lateArrivals() (inTouch, all int) {
-	if len(r.crashTimes) < crashesUntilBlock {
+// after some crashes: from daemons in touch, and from all.
+func (r *record) lateArrivals(crashes int) (inTouch, all int) {
+	if len(r.crashTimes) < crashes {
 		return 0, 0
 	}
-	from := r.crashTimes[crashesUntilBlock-1] + contact
+	from := r.crashTimes[crashes-1] + contact
 	for _, a := range r.arrivals {
 		if a.at <= from {
 			continue
@@ -115,18 +125,18 @@
 // checkContained checks that the deadly part is kept from engines, and that sound
 // requests are served.
 func (s *schedule) checkContained() {
-	late, all := s.lateArrivals()
+	late, all := s.lateArrivals(s.untilBlock())
 	s.t.Logf("seed %d: %+v: %d crashes by the part, %d in all, %d deadly requests at engines, %d of them late (%d from daemons in touch), %d sound ones blamed",
 		s.seed, s.settings, len(s.crashTimes), s.crashed, len(s.arrivals), all, late, s.blamed(0))
 	if late > maxLateArrivals {
-		s.fault("BUDGET: %d requests with the deadly part reached engines later than %v after the fifth crash", late, contact)
+		s.fault("BUDGET: %d deadly requests reached engines later than %v after %d crashes", late, contact, s.untilBlock())
 	}
 	if len(s.crashTimes) == 0 {
 		return
 	}
 	k := s.kinds[s.deadly.kind]
 	begunBefore, before := s.began(k, 0, s.crashTimes[0])
-	from := s.crashTimes[min(len(s.crashTimes), crashesUntilBlock)-1] + 2*contact
+	from := s.crashTimes[min(len(s.crashTimes), s.untilBlock())-1] + 2*contact
 	begunAfter, after := s.began(k, from, s.start+s.duration)
 	if before >= minJudged && after >= minJudged && 2*share(begunAfter, after) < share(begunBefore, before) {
 		s.fault("LOST: %d of %d sound requests began, %d of %d before the first crash", begunAfter, after, begunBefore, before)
@@ -219,6 +229,57 @@
 	})
 }
 
+// drawRepeated draws how one deadly request comes again and again.
+func drawRepeated(s *schedule) deadlySettings {
+	r := s.draw("deadly", 0)
+	rates := []float64{0.3, 1, 3}
+	repeated := repeatSettings{rate: rates[r.IntN(len(rates))], everywhere: r.IntN(3) == 0}
+	if r.IntN(2) == 0 {
+		repeated.age = between(r, time.Millisecond, 200*time.Millisecond)
+	}
+	return deadlySettings{kind: r.IntN(4), subject: -1, repeated: repeated}
+}
+
+// Guards against one request that comes again at any daemon and crashes engine after
+// engine, and against sound requests refused because of it.
+func TestRepeatedRequestThatCrashesEnginesIsContained(t *testing.T) {
+	play(t, func(t *testing.T, seed uint64) *schedule {
+		drawn := drawSettings(&schedule{seed: seed})
+		drawn.desks = 4
+		drawn.repeats = 0.3 * float64(seed%3)
+		drawn.deadly = drawRepeated(&schedule{seed: seed})
+		if seed%4 == 0 {
+			drawn.spares = 3
+			drawn.disturbances = append(drawn.disturbances, additions)
+		}
+		s := newSchedule(t, seed, drawn)
+		s.run()
+		s.checkContained()
+		return s
+	})
+}
+
+// Guards against sound requests that come again unchanged and are blamed for engines
+// that fail for other reasons.
+func TestSoundRepeatsAreServedBesideOtherCrashes(t *testing.T) {
+	play(t, func(t *testing.T, seed uint64) *schedule {
+		drawn := drawSettings(&schedule{seed: seed})
+		drawn.desks = 4
+		drawn.repeats = 0.3 + 0.6*float64(seed%2)
+		drawn.disturbances = disturbances
+		if n := int(seed) % (2 * len(disturbances)); n < len(disturbances) {
+			drawn.disturbances = disturbances[n : n+1]
+		}
+		s := newSchedule(t, seed, drawn)
+		s.run()
+		t.Logf("seed %d: %+v: %d crashes, %d requests", seed, drawn, s.crashed, len(s.outcomes))
+		if blamed := s.blamed(0); blamed > 0 {
+			s.fault("%d sound requests were refused for what they have in common with others", blamed)
+		}
+		return s
+	})
+}
+
 // Guards against prompt parts blamed for engines that fail for other reasons.
 func TestSoundPartsAreServedBesideOtherCrashes(t *testing.T) {
 	play(t, func(t *testing.T, seed uint64) *schedule {
--- a/quarantine/schedule_engines_test.go
+++ b/quarantine/schedule_engines_test.go
@@ -58,8 +58,12 @@
 	if id == "" {
 		id = models.EngineID(fmt.Sprintf("e%04d", s.started))
 	}
+	of := service.Name
+	if place >= decodeEngines+prefillEngines {
+		of = deskService.Name
+	}
 	s.engines[id] = &engine{place: place, alive: true, down: make(chan struct{}), upstream: models.Upstream{
-		ID: id, Service: service.Name, Version: "v1", Zone: models.Zone("z" + strconv.Itoa(place%s.zones)), Slots: service.Engine.Slots,
+		ID: id, Service: of, Version: "v1", Zone: models.Zone("z" + strconv.Itoa(place%s.zones)), Slots: service.Engine.Slots,
 		Role: role, Started: s.clock.Now(), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(place+1)),
 	}}
 	s.register()
@@ -75,7 +79,9 @@
 		list = append(list, e.upstream)
 	}
 	slices.SortFunc(list, func(a, b models.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	snapshot.ByService[service.Name] = list
+	for _, upstream := range list {
+		snapshot.ByService[upstream.Service] = append(snapshot.ByService[upstream.Service], upstream)
+	}
 	s.snapshot = snapshot
 }
 
@@ -142,6 +148,9 @@
 		ctx: ctx, schedule: s, engine: e, request: q, draws: r, next: 1, events: q.events,
 		wait: between(r, 50*time.Millisecond, 700*time.Millisecond),
 	}
+	if age := s.deadly.repeated.age; age > 0 && q.deadly {
+		a.wait = age
+	}
 	if call.ResumeAfter != "" {
 		last, err := strconv.Atoi(call.ResumeAfter)
 		s.is.NoErr(err)
--- a/quarantine/schedule_test.go
+++ b/quarantine/schedule_test.go
@@ -38,6 +38,7 @@
 	lostShares    disturbance = "lost shares"    // between all daemons
 	groupCrashes  disturbance = "group crashes"  // of engines, for reasons of their own
 	greyEngines   disturbance = "grey engines"   // alive, but reset some requests
+	additions     disturbance = "additions"      // of daemons
 	garbledAnswer disturbance = "garbled answer" // answers that end early
 	massRestart   disturbance = "mass restart"   // of half of the daemons at once
 )
@@ -47,8 +48,11 @@
 // settings are the parameters of a schedule.
 type settings struct {
 	daemons      int
+	spares       int // daemons that start only when they are added
+	desks        int // servers of a plain service
 	zones        int
 	rate         float64 // requests per second
+	repeats      float64 // share of the sound requests that come again unchanged
 	disturbances []disturbance
 	start        time.Duration // of the deadly part and the disturbances
 	duration     time.Duration // of both
@@ -61,6 +65,14 @@
 	share    float64 // of the requests of that kind
 	position position
 	subject  int // the deadly part is this subject of the kind; -1: a part of its own
+	repeated repeatSettings
+}
+
+// repeatSettings are how one deadly request comes again and again; zero: none does.
+type repeatSettings struct {
+	rate       float64       // per second
+	everywhere bool          // at all daemons at once
+	age        time.Duration // at which it crashes its engine; 0: at any
 }
 
 // schedule is a run of daemons, engines and callers. What happens in it beside
@@ -98,7 +110,7 @@
 		cut: map[[2]int]int{}, engines: map[models.EngineID]*engine{}, requests: map[models.RequestID]*request{},
 	}
 	s.origin = s.clock.Now()
-	s.kinds = newKinds(s.draw("kinds", 0), settings.rate)
+	s.kinds = newKinds(s.draw("kinds", 0), settings.rate, settings.desks > 0)
 	s.deadlyPart = "deadly"
 	if settings.deadly.subject >= 0 {
 		s.deadlyPart = s.kinds[settings.deadly.kind].subjectID(settings.deadly.subject)
@@ -110,10 +122,13 @@
 		}
 		s.startEngine(i, role, "")
 	}
-	for i := range settings.daemons {
+	for i := range settings.desks {
+		s.startEngine(decodeEngines+prefillEngines+i, "", "")
+	}
+	for i := range settings.daemons + settings.spares {
 		s.daemons = append(s.daemons, &daemon{schedule: s, index: i})
 	}
-	for _, d := range s.daemons {
+	for _, d := range s.daemons[:settings.daemons] {
 		d.start()
 	}
 	return s
@@ -137,9 +152,10 @@
 		s.disturb(d, s.start+s.duration)
 	}
 	s.sleep(s.start)
-	s.setDeadly(s.deadly.share > 0, true)
+	crashing := s.deadly.share > 0 || s.deadly.repeated.rate > 0
+	s.setDeadly(crashing, true)
 	s.sleep(s.duration)
-	s.setDeadly(s.deadly.share > 0, false)
+	s.setDeadly(crashing, false)
 	s.sleep(settleTime + calmTime)
 	s.end()
 }
@@ -150,6 +166,10 @@
 		s.callers.Add(1)
 		go s.ask(i)
 	}
+	if s.deadly.repeated.rate > 0 {
+		s.callers.Add(1)
+		go s.repeatDeadly()
+	}
 }
 
 // end ends the schedule once all requests have ended.
@@ -223,6 +243,10 @@
 				e.garbledUntil = s.clock.Now().Add(between(r, 3*time.Second, 9*time.Second))
 			}
 		})
+	case additions:
+		for _, d := range s.daemons[s.settings.daemons:] {
+			s.after(between(r, 0, until), d.startLocked)
+		}
 	case massRestart:
 		s.after(between(r, 0, until), func() { s.restart(r, s.settings.daemons/2) })
 	}
