--- a/balance/limit_vms_test.go
+++ b/balance/limit_vms_test.go
@@ -210,7 +210,9 @@
 func (vm *limitVM) Count(models.Workspace) {}
 
 // Admit implements relay.Guard.
-func (vm *limitVM) Admit(models.RequestID, models.Prompt) *models.Refusal { return nil }
+func (vm *limitVM) Admit(models.RequestID, models.Prompt, *relay.Identity) *models.Refusal {
+	return nil
+}
 
 // Responded implements relay.Guard.
 func (vm *limitVM) Responded(models.Upstream, time.Time) {}
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -85,7 +85,14 @@
 	s.server = peerdaemon.NewEntryServer(shareReceiver{d}, s.reader, insecure.NewCredentials(), &s.traffic)
 	sender := models.LoadShare{From: self.ID, Zone: self.Zone, Address: self.Address}
 	d.quarantine = quarantine.New(self.ID, s.members, d.clock, d.logger)
-	d.gauge("prompt_parts_blocked", "Prompt parts that are blocked because engines crash on them.", func() float64 { return float64(d.quarantine.Blocked()) })
+	d.gauge("prompt_parts_blocked", "Prompt parts that are blocked because engines crash on them.", func() float64 {
+		parts, _ := d.quarantine.Blocked()
+		return float64(parts)
+	})
+	d.gauge("requests_blocked", "Requests that are blocked because backend servers crash each time that they come.", func() float64 {
+		_, requests := d.quarantine.Blocked()
+		return float64(requests)
+	})
 	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.origins, d.quarantine, d.clock, d.logger)
 	go func() {
 		if err := s.server.Serve(listener); err != nil {
--- a/models/evidence.go
+++ b/models/evidence.go
@@ -26,12 +26,14 @@
 type CrashedRun struct {
 	Request RequestHash
 	SentAge time.Duration // since it was sent to the engine
-	Parts   []SuspectPart // all but the last of its prompt, in order
+	Parts   []SuspectPart // all but the last of its prompt, in order, and the whole
 }
 
-// SuspectPart is a prompt part of a request that was broken off.
+// SuspectPart is a prompt part of a request that was broken off, or the request as a
+// whole.
 type SuspectPart struct {
-	ID PartID
+	ID    PartID
+	Whole bool
 	// Served reports that a request with the part had been answered before.
 	Served bool
 }
@@ -42,9 +44,10 @@
 	Age time.Duration // since the answer began
 }
 
-// PartBlock keeps requests with a part from engines.
+// PartBlock keeps requests with a part, or one request as a whole, from engines.
 type PartBlock struct {
 	ID       PartID
+	Whole    bool
 	Age      time.Duration // since it was decided
 	CrashAge time.Duration // since the last crash that it rests on
 	Duration time.Duration
--- a/peer/daemon/evidence.go
+++ b/peer/daemon/evidence.go
@@ -35,6 +35,7 @@
 			CrashAge: int64(block.CrashAge),
 			Duration: int64(block.Duration),
 			Count:    int64(block.Count),
+			Whole:    block.Whole,
 		})
 	}
 	return form
@@ -50,7 +51,7 @@
 	for _, run := range crash.Runs {
 		formRun := &proto.CrashedRun{Request: uint64(run.Request), SentAge: int64(run.SentAge)}
 		for _, part := range run.Parts {
-			formRun.Parts = append(formRun.Parts, &proto.SuspectPart{Id: uint64(part.ID), Served: part.Served})
+			formRun.Parts = append(formRun.Parts, &proto.SuspectPart{Id: uint64(part.ID), Served: part.Served, Whole: part.Whole})
 		}
 		form.Runs = append(form.Runs, formRun)
 	}
@@ -81,6 +82,7 @@
 			CrashAge: time.Duration(block.GetCrashAge()),
 			Duration: time.Duration(block.GetDuration()),
 			Count:    int(block.GetCount()),
+			Whole:    block.GetWhole(),
 		})
 	}
 	return evidence
@@ -129,7 +131,7 @@
 	for _, formRun := range form.GetRuns() {
 		run := models.CrashedRun{Request: models.RequestHash(formRun.GetRequest()), SentAge: time.Duration(formRun.GetSentAge())}
 		for _, part := range formRun.GetParts() {
-			run.Parts = append(run.Parts, models.SuspectPart{ID: models.PartID(part.GetId()), Served: part.GetServed()})
+			run.Parts = append(run.Parts, models.SuspectPart{ID: models.PartID(part.GetId()), Served: part.GetServed(), Whole: part.GetWhole()})
 		}
 		crash.Runs = append(crash.Runs, run)
 	}
--- a/peer/daemon/evidence_test.go
+++ b/peer/daemon/evidence_test.go
@@ -22,14 +22,14 @@
 			{
 				Engine: "e1", Started: time.Date(2026, 1, 1, 0, 0, 0, 7, time.UTC), Age: 2 * time.Second, Refuted: true,
 				Runs: []models.CrashedRun{
-					{Request: math.MaxUint64, SentAge: 3 * time.Second, Parts: []models.SuspectPart{{ID: math.MaxUint64, Served: true}, {ID: 2}}},
+					{Request: math.MaxUint64, SentAge: 3 * time.Second, Parts: []models.SuspectPart{{ID: math.MaxUint64, Served: true}, {ID: 2, Whole: true}}},
 					{Request: 5, SentAge: time.Second},
 				},
 			},
 			{Engine: "e2"},
 		},
 		Sound:  []models.SoundPart{{ID: 3, Age: 4 * time.Second}},
-		Blocks: []models.PartBlock{{ID: 4, Age: time.Second, CrashAge: 2 * time.Second, Duration: time.Minute, Count: 2}},
+		Blocks: []models.PartBlock{{ID: 4, Age: time.Second, CrashAge: 2 * time.Second, Duration: time.Minute, Count: 2, Whole: true}},
 	}
 }
 
--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -1,6 +1,7 @@
-// Package blame finds the prompt parts that crash engines. A part that does so
-// crashes each engine that begins to answer on it, so it is in a request of each
-// of these crashes, and no request with it is answered to its end.
+// Package blame finds the prompt parts that crash engines, and the requests that do so
+// as a whole, which count as one more part. A part that does so crashes each engine that
+// begins to answer on it, so it is in a request of each of these crashes, and no request
+// with it is answered to its end.
 package blame
 
 import (
@@ -20,6 +21,10 @@
 	// minSeparation is the time after which a crash is separate from the one before,
 	// whenever its request was sent. Engines that crash together do so at once.
 	minSeparation = 500 * time.Millisecond
+	// jointTime is the time within which engines crash for one reason of their own. A
+	// request that comes again crashes several engines at other times, or at the same
+	// age.
+	jointTime = 10 * time.Millisecond
 	// minRequests is the number of different requests with the part in them.
 	minRequests = 2
 )
@@ -47,7 +52,8 @@
 // Finding is a part that crashes engines.
 type Finding struct {
 	Part      models.PartID
-	Crashes   int // separate ones
+	Whole     bool // it is a request as a whole
+	Crashes   int  // separate ones
 	Requests  int
 	LastCrash time.Time
 }
@@ -55,12 +61,14 @@
 // suspect is what the crashes that nothing explains tell of a part.
 type suspect struct {
 	part     models.PartID
+	whole    bool
 	served   bool
 	crashes  int // separate ones: later, or by a request that was sent after the one before
 	involved int // all crashes with a request that had the part
 	runs     int
 	position int // of the part in the prompts, the highest
 	last     time.Time
+	age      time.Duration // of the run at the crash that was counted last
 	requests map[models.RequestHash]bool
 	// processes are those whose crash has been counted: none crashes twice, but one may
 	// reset connections again and again.
@@ -78,7 +86,11 @@
 // separate reports whether a crash is separate from the one that was counted last. For
 // a part that was served before, a request must have been sent in between: while no
 // engine can be reached, connections to all of them break off, one after the other.
+// A request that comes again at once may crash several engines together.
 func (s *suspect) separate(crash Crash, run Run) bool {
+	if s.whole && !s.served && s.crashes > 0 {
+		return crash.At.Sub(s.last) >= jointTime || (crash.At.Sub(run.SentAt)-s.age).Abs() < jointTime
+	}
 	return !run.SentAt.Before(s.last) || !s.served && crash.At.Sub(s.last) >= minSeparation
 }
 
@@ -102,7 +114,7 @@
 	if best == nil {
 		return Finding{}, false
 	}
-	return Finding{Part: best.part, Crashes: best.crashes, Requests: len(best.requests), LastCrash: best.last}, true
+	return Finding{Part: best.part, Whole: best.whole, Crashes: best.crashes, Requests: len(best.requests), LastCrash: best.last}, true
 }
 
 // Supports reports whether the crashes that no other blocked part explains suffice to
@@ -138,7 +150,7 @@
 			}
 			s := suspects[part.ID]
 			if s == nil {
-				s = &suspect{part: part.ID, requests: map[models.RequestHash]bool{}, processes: map[Process]bool{}}
+				s = &suspect{part: part.ID, whole: part.Whole, requests: map[models.RequestHash]bool{}, processes: map[Process]bool{}}
 				suspects[part.ID] = s
 			}
 			s.served = s.served || part.Served
@@ -155,6 +167,7 @@
 				counted[part.ID] = true
 				s.processes[crash.Process] = true
 				s.crashes++
+				s.age = crash.At.Sub(run.SentAt)
 			}
 		}
 	}
--- a/policy/blame/blame_test.go
+++ b/policy/blame/blame_test.go
@@ -25,6 +25,14 @@
 	return r
 }
 
+// whole marks all parts of a run as requests as a whole.
+func whole(r blame.Run) blame.Run {
+	for i := range r.Parts {
+		r.Parts[i].Whole = true
+	}
+	return r
+}
+
 // crash returns a crash of an engine of its own.
 func crash(ms int, runs ...blame.Run) blame.Crash {
 	return crashOf(fmt.Sprint(ms, runs), ms, runs...)
@@ -92,6 +100,10 @@
 			}, nil, bad, 0,
 		},
 		{"the later of two parts that are always together", []blame.Crash{crash(10, run(1, 0, shared, bad)), crash(30, run(2, 20, shared, bad)), crash(50, run(3, 40, shared, bad))}, nil, 0, bad},
+		{"a request as a whole that crashes engines at once", []blame.Crash{crash(10, whole(run(1, 0, bad))), crash(11, whole(run(2, 0, bad))), crash(12, whole(run(3, 1, bad)))}, nil, 0, bad},
+		{"the same at different ages", []blame.Crash{crash(100, whole(run(1, 0, bad))), crash(101, whole(run(2, 30, bad))), crash(102, whole(run(3, 60, bad)))}, nil, 0, 0},
+		{"the same a little apart", []blame.Crash{crash(100, whole(run(1, 0, bad))), crash(120, whole(run(2, 30, bad))), crash(140, whole(run(3, 60, bad)))}, nil, 0, bad},
+		{"the same, served before", []blame.Crash{crash(100, whole(run(1, 0, -bad))), crash(120, whole(run(2, 30, -bad))), crash(140, whole(run(3, 60, -bad))), crash(160, whole(run(4, 60, -bad)))}, nil, 0, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -13,10 +13,17 @@
 )
 
 const (
-	// firstBlockDuration is how long a part is blocked at first; each crash of a
-	// probe doubles it up to maxBlockDuration.
+	// firstBlockDuration is how long a part is blocked at first; each crash of a probe
+	// multiplies it by blockGrowth up to maxBlockDuration.
 	firstBlockDuration = time.Minute
+	blockGrowth        = 2
 	maxBlockDuration   = time.Hour
+	// firstRequestBlock is how long a request is blocked at first, and requestBlockGrowth
+	// the growth from firstBlockDuration on. A sound one that was on all engines that
+	// crashed together is soon served again; one that crashes engines reaches three in
+	// five minutes, and the next after twenty.
+	firstRequestBlock  = 10 * time.Second
+	requestBlockGrowth = 4
 	// probeInterval is the time between two probes, which are sent in the first
 	// probeWindow of it. A probe has ended, and the other daemons know how, within the
 	// rest.
@@ -33,6 +40,7 @@
 // afterwards.
 type block struct {
 	part      models.PartID
+	whole     bool // it is a request
 	since     time.Time
 	lastCrash time.Time
 	duration  time.Duration
@@ -46,6 +54,26 @@
 	return b.since.Add(b.duration)
 }
 
+// subject describes what is blocked.
+func (b *block) subject() string {
+	if b.whole {
+		return "the request"
+	}
+	return "a part of the prompt"
+}
+
+// prolong blocks for longer than before, from a time on.
+func (b *block) prolong(since time.Time) {
+	b.since = since
+	next := blockGrowth * b.duration
+	if b.whole {
+		next = requestBlockGrowth * b.duration
+	}
+	b.duration = min(max(next, firstBlockDuration), maxBlockDuration)
+	b.count++
+	b.probes = 0
+}
+
 // endEarly makes the next probe due now, if it is not already.
 func (b *block) endEarly(now time.Time) {
 	b.duration = min(b.duration, now.Sub(b.since))
@@ -57,11 +85,14 @@
 
 // block blocks a part. The caller must hold q.mu.
 func (q *Quarantine) block(finding blame.Finding, now time.Time) {
-	b := &block{part: finding.Part, since: now, lastCrash: finding.LastCrash, duration: firstBlockDuration, count: 1}
+	b := &block{part: finding.Part, whole: finding.Whole, since: now, lastCrash: finding.LastCrash, duration: firstBlockDuration, count: 1}
+	if b.whole {
+		b.duration = firstRequestBlock
+	}
 	q.blocks[finding.Part] = b
 	q.changed(true)
-	q.logger.Warn("prompt part blocked",
-		partField(b.part),
+	q.logger.Warn("requests blocked: backend servers crashed on what they have in common",
+		b.field(),
 		zap.Int("crashes", finding.Crashes),
 		zap.Int("requests", finding.Requests),
 		zap.Duration("for", b.duration),
@@ -74,7 +105,7 @@
 	for part, b := range q.blocks {
 		if b.count == 1 && q.unfounded(part, now) {
 			delete(q.blocks, part)
-			q.logger.Info("prompt part no longer blocked: the crashes have another reason", partField(part))
+			q.logger.Info("requests no longer blocked: the crashes have another reason", b.field())
 		}
 	}
 }
@@ -90,16 +121,21 @@
 	return otherReason && !blame.Supports(settled, q.sound, q.blocked, part)
 }
 
+// field is the log field of what is blocked.
+func (b *block) field() zap.Field {
+	if b.whole {
+		return zap.String("identity", b.part.String())
+	}
+	return zap.String("part", b.part.String())
+}
+
 // renew blocks a part again after a probe has crashed its engine. The caller must
 // hold q.mu.
 func (q *Quarantine) renew(b *block, crashedAt, now time.Time) {
-	b.since = now
 	b.lastCrash = crashedAt
-	b.duration = min(2*b.duration, maxBlockDuration)
-	b.count++
-	b.probes = 0
+	b.prolong(now)
 	q.changed(true)
-	q.logger.Warn("prompt part blocked again: its probe was broken off", partField(b.part), zap.Int("times", b.count), zap.Duration("for", b.duration))
+	q.logger.Warn("requests blocked again: the probe was broken off", b.field(), zap.Int("times", b.count), zap.Duration("for", b.duration))
 }
 
 // lift removes the block of a part if an answer began after the last crash that it
@@ -110,7 +146,7 @@
 		return
 	}
 	delete(q.blocks, part)
-	q.logger.Info("prompt part no longer blocked: a request with it was answered", partField(part), zap.Int("times", b.count))
+	q.logger.Info("requests no longer blocked: one was answered", b.field(), zap.Int("times", b.count))
 }
 
 // admits reports whether a request with a blocked part may be sent: as the probe
@@ -133,7 +169,7 @@
 	}
 	b.probes = interval
 	b.probe = request
-	q.logger.Info("request sent to probe a blocked prompt part", partField(b.part), zap.Int("interval", interval))
+	q.logger.Info("request sent as a probe of blocked ones", b.field(), zap.Int("interval", interval))
 	return true
 }
 
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -112,18 +112,35 @@
 
 // Completed implements relay.Guard.
 func (q *Quarantine) Completed(run relay.Run) {
-	parts := run.Prompt.SharedParts()
 	q.Responded(run.Server, run.SentAt)
+	identity := run.Identity
+	if identity != nil && !identity.Cheap() && !q.hasEvidence() {
+		identity = nil
+	}
+	parts := suspects(run.Prompt, identity)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, part := range parts {
-		q.served.add(part, run.BegunAt)
-		if _, ok := q.suspected[part]; ok && q.noteSound(part, run.BegunAt) {
+		if part.Whole {
+			q.servedRequests.add(part.ID, run.BegunAt)
+		} else {
+			q.served.add(part.ID, run.BegunAt)
+		}
+		if _, ok := q.suspected[part.ID]; ok && q.noteSound(part.ID, run.BegunAt) {
 			q.changed(true)
 		}
 	}
 }
 
+// lastServed returns when the last answer to a request with a part, or to a request as
+// a whole, began. The caller must hold q.mu.
+func (q *Quarantine) lastServed(part models.PartID) (time.Time, bool) {
+	if at, ok := q.served.last(part); ok {
+		return at, true
+	}
+	return q.servedRequests.last(part)
+}
+
 // noteSound notes that the answer to a request with a part began at a time. It
 // reports whether that is news: whether it clears the part of a crash. The caller must
 // hold q.mu.
@@ -143,7 +160,7 @@
 
 // BrokenOff implements relay.Guard.
 func (q *Quarantine) BrokenOff(run relay.Run) {
-	parts := run.Prompt.SharedParts()
+	parts := suspects(run.Prompt, run.Identity)
 	if len(parts) == 0 {
 		return
 	}
@@ -153,7 +170,7 @@
 	q.prune(now)
 	request := requestHash(run.Request)
 	for _, part := range parts {
-		if b, ok := q.blocks[part]; ok && !run.SentAt.Before(b.until()) {
+		if b, ok := q.blocks[part.ID]; ok && !run.SentAt.Before(b.until()) {
 			q.renew(b, now, now)
 		}
 	}
@@ -165,9 +182,12 @@
 		q.logger.Info("engine broke off requests", zap.String("engine", string(run.Server.ID)), zap.String("address", run.Server.Address.String()))
 	}
 	broken := blame.Run{Request: request, SentAt: run.SentAt}
-	for _, part := range parts[:min(len(parts), maxParts)] {
-		_, served := q.served.last(part)
-		broken.Parts = append(broken.Parts, models.SuspectPart{ID: part, Served: served})
+	if whole := len(parts) - 1; whole >= maxParts {
+		parts = append(parts[:maxParts-1], parts[whole])
+	}
+	for _, part := range parts {
+		_, part.Served = q.lastServed(part.ID)
+		broken.Parts = append(broken.Parts, part)
 	}
 	if c.addRun(broken) {
 		q.suspect(c, broken.Parts)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,7 +1,9 @@
-// Package quarantine keeps requests from engines that would crash them. A prompt
-// part that is found to crash engines is blocked at all daemons, for a while and
-// then until a single request with it, a probe, has been answered. What the
-// daemons have seen travels with their load shares and is kept in memory only.
+// Package quarantine keeps requests from backend servers that would crash them. A prompt
+// part that is found to crash engines, or a request that crashes backend servers each
+// time that it comes, is blocked at all daemons, for a while and then until a single
+// request with it, a probe, has been answered. A request as a whole counts as one more
+// part of its own. What the daemons have seen travels with their load shares and is kept
+// in memory only.
 package quarantine
 
 import (
@@ -27,8 +29,9 @@
 	// unfounded, and these may be found again.
 	maxFindings = 8
 	// maxServedParts bounds each of the two generations of parts that are known to
-	// have been served.
-	maxServedParts = 4096
+	// have been served, maxServedRequests likewise those of requests.
+	maxServedParts    = 4096
+	maxServedRequests = 1024
 )
 
 // Peers lists the other daemons, live or not.
@@ -44,16 +47,17 @@
 	clock  peer.Clock
 	logger *zap.Logger
 
-	mu         sync.Mutex
-	served     servedParts
-	responses  map[models.EngineID]response // the last of each engine
-	crashes    []*crash                     // in order of time
-	suspected  map[models.PartID]time.Time  // last crash with each part
-	sound      map[models.PartID]time.Time  // begin of the last answer to a suspected part
-	blocks     map[models.PartID]*block
-	evaluateAt time.Time // when a crash begins to count; zero: none will
-	latest     uint64    // revision of the last change
-	own        uint64    // revision of the last change that this daemon observed
+	mu             sync.Mutex
+	served         servedParts
+	servedRequests servedParts
+	responses      map[models.EngineID]response // the last of each engine
+	crashes        []*crash                     // in order of time
+	suspected      map[models.PartID]time.Time  // last crash with each part
+	sound          map[models.PartID]time.Time  // begin of the last answer to a suspected part
+	blocks         map[models.PartID]*block
+	evaluateAt     time.Time // when a crash begins to count; zero: none will
+	latest         uint64    // revision of the last change
+	own            uint64    // revision of the last change that this daemon observed
 }
 
 // response is a sign of life of a process of an engine.
@@ -66,36 +70,37 @@
 // New returns a quarantine that knows of no crash.
 func New(self models.DaemonID, peers Peers, clock peer.Clock, logger *zap.Logger) *Quarantine {
 	return &Quarantine{
-		self:      self,
-		peers:     peers,
-		clock:     clock,
-		logger:    logger,
-		served:    newServedParts(maxServedParts),
-		responses: map[models.EngineID]response{},
-		suspected: map[models.PartID]time.Time{},
-		sound:     map[models.PartID]time.Time{},
-		blocks:    map[models.PartID]*block{},
+		self:           self,
+		peers:          peers,
+		clock:          clock,
+		logger:         logger,
+		served:         newServedParts(maxServedParts),
+		servedRequests: newServedParts(maxServedRequests),
+		responses:      map[models.EngineID]response{},
+		suspected:      map[models.PartID]time.Time{},
+		sound:          map[models.PartID]time.Time{},
+		blocks:         map[models.PartID]*block{},
 	}
 }
 
 // Admit implements relay.Guard.
-func (q *Quarantine) Admit(request models.RequestID, prompt models.Prompt) *models.Refusal {
-	parts := prompt.SharedParts()
-	if len(parts) == 0 {
+func (q *Quarantine) Admit(request models.RequestID, prompt models.Prompt, identity *relay.Identity) *models.Refusal {
+	if !q.hasEvidence() {
 		return nil
 	}
+	parts := suspects(prompt, identity)
 	now := q.clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.evaluate(now)
 	for _, part := range parts {
-		b, ok := q.blocks[part]
+		b, ok := q.blocks[part.ID]
 		if !ok || q.admits(b, requestHash(request), now) {
 			continue
 		}
 		return &models.Refusal{
 			Code:       models.RefusalQuarantined,
-			Message:    "engines have crashed on a part of the prompt",
+			Message:    "backend servers have crashed on " + b.subject(),
 			NotRun:     true,
 			RetryAfter: max(b.until().Sub(now), probeInterval),
 		}
@@ -103,11 +108,38 @@
 	return nil
 }
 
-// Blocked returns the number of blocked parts.
-func (q *Quarantine) Blocked() int {
+// hasEvidence reports whether anything has crashed or is blocked. Without that, requests
+// need not be identified.
+func (q *Quarantine) hasEvidence() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.blocks)
+	return len(q.crashes) > 0 || len(q.blocks) > 0
+}
+
+// suspects returns what a request may be blocked for: the parts of its prompt that
+// others may share, and the whole.
+func suspects(prompt models.Prompt, identity *relay.Identity) []models.SuspectPart {
+	shared := prompt.SharedParts()
+	parts := make([]models.SuspectPart, 0, len(shared)+1)
+	for _, part := range shared {
+		parts = append(parts, models.SuspectPart{ID: part})
+	}
+	if identity != nil {
+		parts = append(parts, models.SuspectPart{ID: identity.ID(), Whole: true})
+	}
+	return parts
+}
+
+// Blocked returns the numbers of blocked prompt parts and of blocked requests.
+func (q *Quarantine) Blocked() (parts, requests int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, b := range q.blocks {
+		if b.whole {
+			requests++
+		}
+	}
+	return len(q.blocks) - requests, requests
 }
 
 // Revision implements balance.EvidenceLog.
@@ -178,9 +210,4 @@
 	return models.RequestHash(xxhash.Sum64String(string(id)))
 }
 
-// partField is the log field of a part.
-func partField(part models.PartID) zap.Field {
-	return zap.String("part", part.String())
-}
-
 var _ relay.Guard = (*Quarantine)(nil)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -115,7 +115,7 @@
 // admits reports whether a daemon sends a request with some parts.
 func (d *group) admits(daemon int, parts ...string) bool {
 	prompt := d.prompt(parts...)
-	refusal := d.list[daemon].Admit(models.RequestID(fmt.Sprintf("r%d", d.sent)), prompt)
+	refusal := d.list[daemon].Admit(models.RequestID(fmt.Sprintf("r%d", d.sent)), prompt, nil)
 	if refusal != nil {
 		d.is.Equal(refusal.Code, models.RefusalQuarantined)
 		d.is.True(refusal.NotRun)
@@ -124,6 +124,12 @@
 	return refusal == nil
 }
 
+// blocked returns how many parts and requests a daemon blocks.
+func (d *group) blocked(daemon int) int {
+	parts, requests := d.list[daemon].Blocked()
+	return parts + requests
+}
+
 // block makes all daemons block the part "bad", with three crashes at the first.
 func (d *group) block() {
 	d.t.Helper()
@@ -154,7 +160,7 @@
 		d.is.True(!d.admits(0, "bad", "shared"))
 		d.is.True(d.admits(0, "shared", "x"))
 		d.is.True(d.admits(0, "shared", "y"))
-		d.is.Equal(d.list[0].Blocked(), 1)
+		d.is.Equal(d.blocked(0), 1)
 	})
 	run("is blocked where each daemon saw one of its crashes", func(d *group) {
 		for i := range 3 {
@@ -172,7 +178,7 @@
 		}
 		d.sleep(300 * time.Millisecond)
 		d.is.True(d.admits(0))
-		refusal := d.list[0].Admit("r", models.Prompt{Parts: []models.PromptPart{{ID: "a"}, {ID: "bad"}}})
+		refusal := d.list[0].Admit("r", models.Prompt{Parts: []models.PromptPart{{ID: "a"}, {ID: "bad"}}}, nil)
 		d.is.True(refusal == nil)
 	})
 	run("is found although it was sound before", func(d *group) {
@@ -308,7 +314,7 @@
 		d.sleep(12 * time.Minute)
 		for i := range d.list {
 			d.is.True(d.admits(i, "bad"))
-			d.is.Equal(d.list[i].Blocked(), 0)
+			d.is.Equal(d.blocked(i), 0)
 		}
 		d.is.True(d.list[0].Evidence() == nil)
 	})
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -28,7 +28,7 @@
 	}
 	for part, b := range q.blocks {
 		evidence.Blocks = append(evidence.Blocks, models.PartBlock{
-			ID: part, Age: now.Sub(b.since), CrashAge: now.Sub(b.lastCrash), Duration: b.duration, Count: b.count,
+			ID: part, Whole: b.whole, Age: now.Sub(b.since), CrashAge: now.Sub(b.lastCrash), Duration: b.duration, Count: b.count,
 		})
 	}
 	return evidence
@@ -87,8 +87,8 @@
 	for _, run := range shared.Runs {
 		merged := blame.Run{Request: run.Request, SentAt: c.At.Add(shared.Age - run.SentAge)}
 		for _, part := range run.Parts[:min(len(run.Parts), maxParts)] {
-			_, served := q.served.last(part.ID)
-			merged.Parts = append(merged.Parts, models.SuspectPart{ID: part.ID, Served: part.Served || served})
+			_, served := q.lastServed(part.ID)
+			merged.Parts = append(merged.Parts, models.SuspectPart{ID: part.ID, Whole: part.Whole, Served: part.Served || served})
 		}
 		if c.addRun(merged) {
 			q.suspect(c, merged.Parts)
@@ -121,7 +121,7 @@
 // must hold q.mu.
 func (q *Quarantine) defend(c *crash, parts []models.SuspectPart) {
 	for _, part := range parts {
-		if begun, ok := q.served.last(part.ID); ok && begun.After(c.At) && q.noteSound(part.ID, begun) {
+		if begun, ok := q.lastServed(part.ID); ok && begun.After(c.At) && q.noteSound(part.ID, begun) {
 			q.changed(true)
 		}
 	}
@@ -132,12 +132,13 @@
 func (q *Quarantine) learnBlock(shared models.PartBlock, now time.Time) {
 	b := &block{
 		part:      shared.ID,
+		whole:     shared.Whole,
 		since:     now.Add(-shared.Age),
 		lastCrash: now.Add(-shared.CrashAge),
 		duration:  min(shared.Duration, maxBlockDuration),
 		count:     shared.Count,
 	}
-	if begun, ok := q.served.last(shared.ID); ok && begun.After(b.lastCrash) && !q.sound[shared.ID].After(b.lastCrash) {
+	if begun, ok := q.lastServed(shared.ID); ok && begun.After(b.lastCrash) && !q.sound[shared.ID].After(b.lastCrash) {
 		q.sound[shared.ID] = begun
 		q.changed(true)
 	}
@@ -151,7 +152,7 @@
 	q.blocks[shared.ID] = b
 	q.dropUnfounded(now)
 	q.changed(false)
-	q.logger.Warn("prompt part blocked, as another daemon found", partField(b.part), zap.Int("times", b.count), zap.Duration("for", b.until().Sub(now)))
+	q.logger.Warn("requests blocked, as another daemon found", b.field(), zap.Int("times", b.count), zap.Duration("for", b.until().Sub(now)))
 }
 
 func (c *crash) has(part models.PartID) bool {
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -6,12 +6,13 @@
 	"quincewinch/models"
 )
 
-// Guard keeps requests from engines that would crash on their prompts. It is safe
-// for concurrent use.
+// Guard keeps requests from backend servers that would crash on them. It is safe for
+// concurrent use.
 type Guard interface {
-	// Admit returns a refusal if engines crash on a part of a prompt, nil otherwise.
-	// It is asked each time that a request is about to be sent.
-	Admit(request models.RequestID, prompt models.Prompt) *models.Refusal
+	// Admit returns a refusal if backend servers crash on a part of a prompt, or on the
+	// request as a whole, nil otherwise. It is asked each time that a request is about
+	// to be sent.
+	Admit(request models.RequestID, prompt models.Prompt, identity *Identity) *models.Refusal
 	// Responded reports that a backend server has sent the header of a response to a
 	// request that was sent to it at a time.
 	Responded(server models.Upstream, sentAt time.Time)
@@ -24,9 +25,10 @@
 
 // Run is the run of a request at one backend server.
 type Run struct {
-	Server  models.Upstream
-	Request models.RequestID
-	Prompt  models.Prompt
-	SentAt  time.Time
-	BegunAt time.Time // when the first part of the answer arrived; zero if none did
+	Server   models.Upstream
+	Request  models.RequestID
+	Prompt   models.Prompt
+	Identity *Identity
+	SentAt   time.Time
+	BegunAt  time.Time // when the first part of the answer arrived; zero if none did
 }
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -26,7 +26,7 @@
 }
 
 // Admit implements relay.Guard.
-func (g *fakeGuard) Admit(models.RequestID, models.Prompt) *models.Refusal {
+func (g *fakeGuard) Admit(models.RequestID, models.Prompt, *relay.Identity) *models.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.asked++
--- a/relay/run.go
+++ b/relay/run.go
@@ -18,9 +18,9 @@
 	return ctx.Err() == nil
 }
 
-// admit returns a refusal if the prompt of the request crashes engines.
+// admit returns a refusal if the request crashes backend servers.
 func (d *delivery) admit() error {
-	if refusal := d.sender.guard.Admit(d.exchange.ID, d.exchange.Prompt); refusal != nil {
+	if refusal := d.sender.guard.Admit(d.exchange.ID, d.exchange.Prompt, d.identity); refusal != nil {
 		return refusal
 	}
 	return nil
@@ -29,7 +29,10 @@
 // beginRun records that the request is sent to a backend server.
 func (d *delivery) beginRun(placement Placement) {
 	d.placed = placement
-	d.current = Run{Server: placement.Target(), Request: d.exchange.ID, Prompt: d.exchange.Prompt, SentAt: d.sender.clock.Now()}
+	d.current = Run{
+		Server: placement.Target(), Request: d.exchange.ID, Prompt: d.exchange.Prompt, Identity: d.identity,
+		SentAt: d.sender.clock.Now(),
+	}
 }
 
 // answerBegun records that the first part of the answer has arrived.
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -136,7 +136,7 @@
 
 // Handle implements Handler.
 func (s *Sender) Handle(ctx context.Context, e *Exchange) error {
-	d := &delivery{sender: s, exchange: e, tried: map[models.EngineID]bool{}}
+	d := &delivery{sender: s, exchange: e, tried: map[models.EngineID]bool{}, identity: NewIdentity(&e.Call)}
 	d.events.lastID = e.Call.ResumeAfter
 	ctx, cancel := context.WithTimeout(ctx, e.Deadline.Sub(s.clock.Now()))
 	defer cancel()
@@ -148,6 +148,7 @@
 type delivery struct {
 	sender                *Sender
 	exchange              *Exchange
+	identity              *Identity
 	tried                 map[models.EngineID]bool
 	executions            int // attempts that may have run the request
 	rejections            int
@@ -217,6 +218,7 @@
 		zap.Bool("repeatable", e.Route.Repeatable),
 		zap.String("last-event", d.events.lastID),
 		zap.String("parts", partList(e.Prompt)),
+		zap.String("identity", d.identity.ID().String()),
 		milliseconds("left-ms", d.timeLeft()),
 		zap.Error(err),
 	)
