--- a/balance/busy.go
+++ b/balance/busy.go
@@ -6,8 +6,13 @@
 	"quincewinch/models"
 )
 
-// busyBacklog is the backlog from which an engine counts as fully busy.
-const busyBacklog = 100 * time.Millisecond
+const (
+	// busyBacklog is the backlog from which an engine counts as fully busy.
+	busyBacklog = 100 * time.Millisecond
+	// limitedBusy is the smallest busy share of a backend server that states a limit.
+	// Package supply keeps two for one that is busy, and so one more in its place.
+	limitedBusy = 0.5
+)
 
 // Busy returns how many backend servers of a service are busy with requests of
 // all daemons. Each counts with its share of slots in use or, where that is
@@ -37,6 +42,9 @@
 		share = float64(s.running+others.Running) / float64(s.upstream.Slots)
 	}
 	share = max(share, b.backlog(s).Seconds()/busyBacklog.Seconds())
+	if s.limited() {
+		share = max(share, limitedBusy)
+	}
 	return min(share, 1)
 }
 
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -38,6 +38,11 @@
 	ranked uint64 // zoneVersion of the rank; 0: none
 }
 
+// limited reports whether the server states a limit, as far as is known.
+func (s *serverState) limited() bool {
+	return s.limit != nil && !s.limit.lifted()
+}
+
 func (l *serverLimit) lifted() bool {
 	return math.IsInf(l.Statement().Rate, 1)
 }
@@ -75,7 +80,7 @@
 // nextRoom returns when a server has room for a request of this daemon: zero if it
 // has no limit. The caller must hold b.mu.
 func (b *Balancer) nextRoom(s *serverState, now time.Time) time.Time {
-	if s.limit == nil || s.limit.lifted() {
+	if !s.limited() {
 		return time.Time{}
 	}
 	if s.limit.ranked != b.zoneVersion {
@@ -156,7 +161,7 @@
 	defer b.mu.Unlock()
 	limited := 0
 	for _, s := range b.states {
-		if s.limit != nil && !s.limit.lifted() {
+		if s.limited() {
 			limited++
 		}
 	}
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -80,6 +80,15 @@
 		b.Answered(server, models.StatedLimit{Named: true, Unreadable: true}, system.NewClock().Now())
 		is.Equal(b.Limited(), 1)
 	})
+	limitTest(t, "counts as busy, so that others are ordered", func(t *testing.T, is *is.I, b *balance.Balancer, server models.Upstream) {
+		place(t, b, callExchange()).End(relay.ResultServed)
+		is.Equal(b.Busy(server.Service), 0.0)
+		state(b, server, 0.5)
+		is.Equal(b.Busy(server.Service), 0.5)
+		advance(t, time.Second)
+		b.Answered(server, models.StatedLimit{}, system.NewClock().Now())
+		is.Equal(b.Busy(server.Service), 0.0)
+	})
 	limitTest(t, "is replaced", func(t *testing.T, is *is.I, b *balance.Balancer, server models.Upstream) {
 		place(t, b, callExchange())
 		next := server
