--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -18,6 +18,7 @@
 	replies     []reply
 	limited     *limitedBackend
 	withinLimit []time.Time         // arrivals at limited that count
+	crashes     int                 // by the deadly request
 	runs        map[string][]string // by request: IDs of the backend servers that ran it
 	violations  []string
 }
@@ -56,6 +57,7 @@
 	ck.checkRetryBudget("llm", kindDraft)
 	ck.checkRetryBudget("desk", kindReserve, kindLookup)
 	ck.checkLimits()
+	ck.checkDeadly()
 	ck.checkLeaseHolders()
 	ck.checkUsageReports()
 	for _, daemon := range ck.world.daemons {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -79,6 +79,10 @@
 			id, service, events = fmt.Sprintf("plain-%d", i), "desk", 0
 		}
 		b := newBackend(t, id, service, events, rand.New(rand.NewPCG(seed, uint64(i+1))))
+		b.restart = func() {
+			b.started.Store(w.clock.Now().UnixMilli())
+			w.register(b, "ready")
+		}
 		w.backends = append(w.backends, b)
 		w.register(b, "ready")
 	}
