--- a/policy/blame/blame_test.go
+++ b/policy/blame/blame_test.go
@@ -33,6 +33,12 @@
 	return r
 }
 
+// as adds a request as a whole to its parts.
+func as(request int, r blame.Run) blame.Run {
+	r.Parts = append(r.Parts, models.SuspectPart{ID: models.PartID(request), Whole: true})
+	return r
+}
+
 // crash returns a crash of an engine of its own.
 func crash(ms int, runs ...blame.Run) blame.Crash {
 	return crashOf(fmt.Sprint(ms, runs), ms, runs...)
@@ -103,6 +109,24 @@
 		{"a request as a whole that crashes engines at once", []blame.Crash{crash(10, whole(run(1, 0, bad))), crash(11, whole(run(2, 0, bad))), crash(12, whole(run(3, 1, bad)))}, nil, 0, bad},
 		{"the same at different ages", []blame.Crash{crash(100, whole(run(1, 0, bad))), crash(101, whole(run(2, 30, bad))), crash(102, whole(run(3, 60, bad)))}, nil, 0, 0},
 		{"the same a little apart", []blame.Crash{crash(100, whole(run(1, 0, bad))), crash(120, whole(run(2, 30, bad))), crash(140, whole(run(3, 60, bad)))}, nil, 0, bad},
+		{
+			"a part rather than the request that came most often with it",
+			[]blame.Crash{
+				crash(10, as(other, run(1, 0, bad))), crash(30, as(other, run(2, 20, bad))), crash(50, as(other, run(3, 40, bad))),
+				crash(70, as(other+1, run(4, 60, bad))),
+			}, nil, other, bad,
+		},
+		{
+			"no part of the only request with it",
+			[]blame.Crash{crash(10, as(other, run(1, 0, bad))), crash(30, as(other, run(2, 20, bad))), crash(50, as(other, run(3, 40, bad)))}, nil, 0, other,
+		},
+		{
+			"no sound part of a blocked request",
+			[]blame.Crash{
+				crash(10, as(other, run(1, 0, -bad))), crash(30, as(other, run(2, 20, -bad))), crash(50, as(other, run(3, 40, -bad))),
+				crash(70, as(other, run(4, 60, -bad))), crash(90, as(other, run(5, 80, -bad))),
+			}, nil, other, 0,
+		},
 		{"the same, served before", []blame.Crash{crash(100, whole(run(1, 0, -bad))), crash(120, whole(run(2, 30, -bad))), crash(140, whole(run(3, 60, -bad))), crash(160, whole(run(4, 60, -bad)))}, nil, 0, 0},
 	}
 	for _, test := range tests {
--- a/quarantine/schedule_callers_test.go
+++ b/quarantine/schedule_callers_test.go
@@ -133,6 +133,9 @@
 	q.parts = []models.PromptPart{first, about, last}
 	drawn := r.Float64() < s.deadly.share
 	if s.coming && index == s.deadly.kind && drawn {
+		if bodies := s.deadly.bodies; bodies > 0 {
+			q.body = fmt.Sprintf("deadly %d", repeat.IntN(bodies))
+		}
 		q.parts = withDeadly(models.PromptPart{ID: s.deadlyPart, Tokens: 1500}, first, about, last, s.deadly.position)
 	}
 	return q, s.coming || len(s.crashTimes) == 0 || !s.carries(q)
--- a/quarantine/schedule_checks_test.go
+++ b/quarantine/schedule_checks_test.go
@@ -229,6 +229,20 @@
 	})
 }
 
+// Guards against a request with a deadly part that is blamed in place of the part, so
+// that the others with it go on crashing engines.
+func TestCrashingPartIsContainedIfItsRequestsComeAgain(t *testing.T) {
+	play(t, func(t *testing.T, seed uint64) *schedule {
+		drawn := drawSettings(&schedule{seed: seed})
+		drawn.deadly = drawDeadly(&schedule{seed: seed})
+		drawn.deadly.bodies = 1 + int(seed%5)
+		s := newSchedule(t, seed, drawn)
+		s.run()
+		s.checkContained()
+		return s
+	})
+}
+
 // drawRepeated draws how one deadly request comes again and again.
 func drawRepeated(s *schedule) deadlySettings {
 	r := s.draw("deadly", 0)
--- a/quarantine/schedule_test.go
+++ b/quarantine/schedule_test.go
@@ -66,6 +66,7 @@
 	position position
 	subject  int // the deadly part is this subject of the kind; -1: a part of its own
 	repeated repeatSettings
+	bodies   int // with the part; 0: each of its requests has its own
 }
 
 // repeatSettings are how one deadly request comes again and again; zero: none does.
