--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -25,7 +25,8 @@
 	// request that comes again crashes several engines at other times, or at the same
 	// age.
 	jointTime = 10 * time.Millisecond
-	// minRequests is the number of different requests with the part in them.
+	// minRequests is the number of different requests with the part in them, for a
+	// request as a whole how often it must have come.
 	minRequests = 2
 )
 
@@ -49,6 +50,23 @@
 	Parts   []models.SuspectPart
 }
 
+// whole returns the request as a whole; 0 if it is not known.
+func (r Run) whole() models.PartID {
+	if n := len(r.Parts); n > 0 && r.Parts[n-1].Whole {
+		return r.Parts[n-1].ID
+	}
+	return 0
+}
+
+// key tells the requests apart that count for a part: by what they are or, for a request
+// as a whole and where that is not known, by their IDs.
+func (r Run) key(of models.SuspectPart) uint64 {
+	if id := r.whole(); !of.Whole && id != 0 {
+		return uint64(id)
+	}
+	return uint64(r.Request)
+}
+
 // Finding is a part that crashes engines.
 type Finding struct {
 	Part      models.PartID
@@ -68,8 +86,8 @@
 	runs     int
 	position int // of the part in the prompts, the highest
 	last     time.Time
-	age      time.Duration // of the run at the crash that was counted last
-	requests map[models.RequestHash]bool
+	age      time.Duration   // of the run at the crash that was counted last
+	requests map[uint64]bool // those that are the same count once for a part
 	// processes are those whose crash has been counted: none crashes twice, but one may
 	// reset connections again and again.
 	processes map[Process]bool
@@ -101,13 +119,11 @@
 func Find(crashes []Crash, sound map[models.PartID]time.Time, blocked func(models.PartID) bool) (Finding, bool) {
 	suspects := map[models.PartID]*suspect{}
 	for _, crash := range crashes {
-		if !explained(crash, blocked) {
-			accuse(suspects, crash, sound)
-		}
+		accuse(suspects, unexplained(crash, blocked), sound)
 	}
 	var best *suspect
 	for _, s := range suspects {
-		if s.guilty() && (best == nil || compare(s, best) < 0) {
+		if s.guilty() && !blocked(s.part) && (best == nil || compare(s, best) < 0) {
 			best = s
 		}
 	}
@@ -123,19 +139,32 @@
 	others := func(other models.PartID) bool { return other != part && blocked(other) }
 	suspects := map[models.PartID]*suspect{}
 	for _, crash := range crashes {
-		if !explained(crash, others) {
-			accuse(suspects, crash, sound)
-		}
+		accuse(suspects, unexplained(crash, others), sound)
 	}
 	s := suspects[part]
 	return s != nil && s.guilty()
 }
 
-// explained reports whether a request with a blocked part was broken off.
-func explained(crash Crash, blocked func(models.PartID) bool) bool {
-	return slices.ContainsFunc(crash.Runs, func(run Run) bool {
-		return slices.ContainsFunc(run.Parts, func(part models.SuspectPart) bool { return blocked(part.ID) })
-	})
+// unexplained returns what of a crash nothing that is blocked explains. A blocked part
+// explains all of it. A blocked request explains the others that were broken off, but
+// not its own parts: it may be one of these that crashes engines.
+func unexplained(crash Crash, blocked func(models.PartID) bool) Crash {
+	var runs []Run
+	for _, run := range crash.Runs {
+		for _, part := range run.Parts {
+			switch {
+			case !blocked(part.ID):
+			case part.Whole:
+				runs = append(runs, run)
+			default:
+				return Crash{Process: crash.Process, At: crash.At}
+			}
+		}
+	}
+	if len(runs) > 0 {
+		crash.Runs = runs
+	}
+	return crash
 }
 
 // accuse counts a crash against the parts of the requests that it broke off.
@@ -150,12 +179,12 @@
 			}
 			s := suspects[part.ID]
 			if s == nil {
-				s = &suspect{part: part.ID, whole: part.Whole, requests: map[models.RequestHash]bool{}, processes: map[Process]bool{}}
+				s = &suspect{part: part.ID, whole: part.Whole, requests: map[uint64]bool{}, processes: map[Process]bool{}}
 				suspects[part.ID] = s
 			}
 			s.served = s.served || part.Served
 			s.position = max(s.position, position)
-			s.requests[run.Request] = true
+			s.requests[run.key(part)] = true
 			if !slices.ContainsFunc(run.Parts[:position], func(former models.SuspectPart) bool { return former.ID == part.ID }) {
 				s.runs++
 			}
--- a/policy/blame/blame_test.go
+++ b/policy/blame/blame_test.go
@@ -120,6 +120,10 @@
 			"no part of the only request with it",
 			[]blame.Crash{crash(10, as(other, run(1, 0, bad))), crash(30, as(other, run(2, 20, bad))), crash(50, as(other, run(3, 40, bad)))}, nil, 0, other,
 		},
+		{
+			"no part of the only request with it once that is blocked",
+			[]blame.Crash{crash(10, as(other, run(1, 0, bad))), crash(30, as(other, run(2, 20, bad))), crash(50, as(other, run(3, 40, bad)))}, nil, other, 0,
+		},
 		{
 			"no sound part of a blocked request",
 			[]blame.Crash{
