--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -35,6 +35,7 @@
 	Process Process
 	At      time.Time
 	Runs    []Run
+	byRuns  bool // a request that is blocked was broken off: the engine crashed on it
 }
 
 // Process is a process of an engine.
@@ -163,6 +164,7 @@
 	}
 	if len(runs) > 0 {
 		crash.Runs = runs
+		crash.byRuns = true
 	}
 	return crash
 }
@@ -192,7 +194,7 @@
 				involved[part.ID] = true
 				s.involved++
 			}
-			if !counted[part.ID] && !s.processes[crash.Process] && s.separate(crash, run) {
+			if !counted[part.ID] && !s.processes[crash.Process] && (crash.byRuns || s.separate(crash, run)) {
 				counted[part.ID] = true
 				s.processes[crash.Process] = true
 				s.crashes++
--- a/policy/blame/blame_test.go
+++ b/policy/blame/blame_test.go
@@ -120,6 +120,13 @@
 			"no part of the only request with it",
 			[]blame.Crash{crash(10, as(other, run(1, 0, bad))), crash(30, as(other, run(2, 20, bad))), crash(50, as(other, run(3, 40, bad)))}, nil, 0, other,
 		},
+		{
+			"a part that was served, at the first crash of another request than the blocked one",
+			[]blame.Crash{
+				crash(10, as(other, run(1, 0, -bad))), crash(11, as(other, run(2, 1, -bad))), crash(12, as(other, run(3, 2, -bad))),
+				crash(70, as(other+1, run(4, 60, -bad))),
+			}, nil, other, bad,
+		},
 		{
 			"no part of the only request with it once that is blocked",
 			[]blame.Crash{crash(10, as(other, run(1, 0, bad))), crash(30, as(other, run(2, 20, bad))), crash(50, as(other, run(3, 40, bad)))}, nil, other, 0,
