--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -203,6 +203,8 @@
 
 // Answered implements relay.Placer.
 func (p *fakePlacer) Answered(_ models.Upstream, limit models.StatedLimit, _ time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.stated = append(p.stated, limit)
 }
 
