--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -22,8 +22,8 @@
 	// whenever its request was sent. Engines that crash together do so at once.
 	minSeparation = 500 * time.Millisecond
 	// jointTime is the time within which engines crash for one reason of their own. A
-	// request that comes again crashes several engines at other times, or at the same
-	// age.
+	// request that comes again crashes them at different times, or the same time after
+	// it was sent to each.
 	jointTime = 10 * time.Millisecond
 	// minRequests is the number of different requests with the part in them, for a
 	// request as a whole how often it must have come.
@@ -35,7 +35,7 @@
 	Process Process
 	At      time.Time
 	Runs    []Run
-	byRuns  bool // a request that is blocked was broken off: the engine crashed on it
+	byRuns  bool // the engine crashed on one of the runs: its request is blocked
 }
 
 // Process is a process of an engine.
--- a/policy/serverlimit/serverlimit.go
+++ b/policy/serverlimit/serverlimit.go
@@ -91,9 +91,9 @@
 	return l.statement
 }
 
-// Observe takes over a statement unless a better one is known, and reports whether it
-// has. Whoever sends after a limit was named, or confirmed again after a long time,
-// waits as if another daemon had sent just before.
+// Observe takes over a statement unless it is outdated, and reports whether it has. A
+// daemon does not send at once after a limit was named, or confirmed after a long time:
+// another may have sent just before.
 func (l *Limiter) Observe(s Statement) bool {
 	known := l.statement
 	if !s.Supersedes(known) {
@@ -118,8 +118,8 @@
 		l.sends = false
 		return l.nextTurn(now.Add(-unconfirmed), unconfirmed, rate, group)
 	}
-	// With one more daemon than the rate, each sends at least one request in two
-	// seconds if the rate is one or more, and a burst of one each is within the limit.
+	// If all of them send at once, that is one request for each whole request of the rate
+	// and one more.
 	senders := min(group.Daemons, 1+int(rate))
 	if group.Rank >= senders {
 		l.sends = false
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -18,10 +18,9 @@
 	firstBlockDuration = time.Minute
 	blockGrowth        = 2
 	maxBlockDuration   = time.Hour
-	// firstRequestBlock is how long a request is blocked at first, and requestBlockGrowth
-	// the growth from firstBlockDuration on. A sound one that was on all engines that
-	// crashed together is soon served again; one that crashes engines reaches three in
-	// five minutes, and the next after twenty.
+	// firstRequestBlock is how long a request as a whole is blocked at first: short, as a
+	// sound one may have been on all engines that crashed together. Each crash of a probe
+	// multiplies it by requestBlockGrowth, to at least firstBlockDuration.
 	firstRequestBlock  = 10 * time.Second
 	requestBlockGrowth = 4
 	// probeInterval is the time between two probes, which are sent in the first
