--- a/balance/limit_schedule_test.go
+++ b/balance/limit_schedule_test.go
@@ -28,7 +28,7 @@
 const (
 	// contact is the time from the first statement of a limit until it must be kept,
 	// and for which a VM must have been undisturbed.
-	contact = 4 * time.Second
+	contact = 3 * time.Second
 	// toldFor is how long a VM must have known of a limit for its sends to count.
 	toldFor = 500 * time.Millisecond
 	// limitSpan is the span in which requests to an engine are counted. It may get
