relay, balance, platform: logs show rejected prefills, retry budgets and leaving servers

The hypotheses on retries beyond the budget and on requests to leaving servers could not be told apart by the log: it showed neither rejected prefill calls nor how much of a budget was left, nor what an answer says of its server.

A request's line has the result of the prefill call, whether the engine or the prefiller said that it leaves, and how long a rejection asks to be left alone. A line says when a retry budget is used up, and when it allows retries again, with its figures and the number of daemons. No decision changes: AllowRetry computes what it did, in Usage.

Tests of policy/retry, balance, entry, relay and platform pass.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -26,9 +26,6 @@
 	// stateRetention is how long the state of a backend server is kept after
 	// its registration disappears.
 	stateRetention = 30 * time.Second
-	// retryBudgetFactor is the fraction of the retry budget that is used: the
-	// platform sees requests later than they are counted here.
-	retryBudgetFactor = 0.8
 	// maxUrgency is the highest urgency value, the least urgent, that engines
 	// accept.
 	maxUrgency = 9
@@ -55,7 +52,7 @@
 
 	mu      sync.Mutex
 	states  map[models.EngineID]*serverState
-	budgets map[models.ServiceName]*retry.Budget
+	budgets map[models.ServiceName]*retryBudget
 	timings timings
 	daemons int // sharing the retry budget and the limits of servers, this one included
 	// zonePeers is the number of other daemons of this zone whose load shares arrive;
@@ -96,7 +93,7 @@
 		settings:     settings,
 		random:       rand.New(rand.NewPCG(seed, 0)),
 		states:       map[models.EngineID]*serverState{},
-		budgets:      map[models.ServiceName]*retry.Budget{},
+		budgets:      map[models.ServiceName]*retryBudget{},
 		timings:      newTimings(),
 		daemons:      1,
 		zoneVersion:  1,
@@ -113,48 +110,6 @@
 	}
 }
 
-// SetDaemons sets how many daemons share the retry budget.
-func (b *Balancer) SetDaemons(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.daemons = max(n, 1)
-}
-
-// SetRetries replaces the retry budget settings of all services.
-func (b *Balancer) SetRetries(settings retry.Settings) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.settings.Retries = settings
-}
-
-// TakeRetry implements relay.Placer.
-func (b *Balancer) TakeRetry(service models.ServiceName) bool {
-	now := b.clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.retryBudget(service).AllowRetry(now)
-}
-
-// ChargeRetry implements relay.Placer.
-func (b *Balancer) ChargeRetry(service models.ServiceName) {
-	now := b.clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.retryBudget(service).RecordRetry(now)
-}
-
-// retryBudget returns this daemon's part of a service's retry budget. The
-// caller must hold b.mu.
-func (b *Balancer) retryBudget(service models.ServiceName) *retry.Budget {
-	budget, ok := b.budgets[service]
-	if !ok {
-		budget = retry.NewBudget(retry.Settings{Window: b.settings.Retries.Window})
-		b.budgets[service] = budget
-	}
-	budget.SetLimits(b.settings.Retries.Ratio*retryBudgetFactor, b.settings.Retries.Reserve*retryBudgetFactor/float64(b.daemons))
-	return budget
-}
-
 // Place implements relay.Placer.
 func (b *Balancer) Place(e *relay.Exchange, tried map[models.EngineID]bool) (relay.Placement, error) {
 	now := b.clock.Now()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,6 +92,7 @@
 	}
 	d.system.Spawn(d.balancer, pruneInterval)
 	d.system.Spawn(slowWatch{d.balancer, d.logger}, slowInterval)
+	d.system.Spawn(retriesWatch{d.balancer, d.logger}, retriesInterval)
 	d.system.Spawn(d.origins, originInterval)
 	d.system.Spawn(d.configuration, followInterval)
 	d.system.Spawn(d.fleet, followInterval)
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -36,6 +36,10 @@
 	WrongInstance bool                 // another backend server has the address
 	Load          *models.UpstreamLoad // nil if not reported
 	Limit         models.StatedLimit
+	Leaving       bool // the backend server is about to stop
+	// How long the backend server, which has rejected the request, wants no other
+	// from this daemon; 0: it does not say.
+	RetryAfter time.Duration
 }
 
 // ChangeSource watches the rows of a store.
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -48,14 +48,33 @@
 
 // AllowRetry reports whether the budget allows a retry, and counts it if so.
 func (b *Budget) AllowRetry(now time.Time) bool {
-	requests, retries := b.totals(now)
-	if retries+1 > b.settings.Ratio*requests+b.settings.Reserve {
+	if b.Usage(now).UsedUp() {
 		return false
 	}
 	b.current(now).retries++
 	return true
 }
 
+// Usage is how much of a budget has been used in the window.
+type Usage struct {
+	Requests float64
+	Retries  float64
+	Allowed  float64 // retries, the reserve included
+	Reserve  float64
+}
+
+// UsedUp reports whether no retry is allowed.
+func (u Usage) UsedUp() bool {
+	return u.Retries+1 > u.Allowed
+}
+
+// Usage returns how much of the budget has been used.
+func (b *Budget) Usage(now time.Time) Usage {
+	requests, retries := b.totals(now)
+	reserve := b.settings.Reserve
+	return Usage{Requests: requests, Retries: retries, Allowed: b.settings.Ratio*requests + reserve, Reserve: reserve}
+}
+
 // RecordRetry counts a retry that is made regardless of the budget.
 func (b *Budget) RecordRetry(now time.Time) {
 	b.current(now).retries++
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -64,6 +64,10 @@
 	LastFailure        string             // error of the last failed attempt
 	Limit              models.StatedLimit // of Engine, in its last answer
 	PrefillerLimit     models.StatedLimit // of Prefiller
+	PrefillResult      Result             // empty if no prefiller was asked
+	Leaving            bool               // Engine said in its last answer that it leaves
+	PrefillerLeaving   bool
+	RestAsked          time.Duration // for which the last rejection asked to send nothing more
 }
 
 // Reply writes the response to the caller.
--- a/relay/record.go
+++ b/relay/record.go
@@ -126,6 +126,10 @@
 		milliseconds("patience-ms", e.CallerTimeout),
 		zap.String("limit", limitText(e.Trace.Limit)),
 		zap.String("prefiller-limit", limitText(e.Trace.PrefillerLimit)),
+		zap.String("prefill-result", string(e.Trace.PrefillResult)),
+		zap.Bool("leaving", e.Trace.Leaving),
+		zap.Bool("prefiller-leaving", e.Trace.PrefillerLeaving),
+		milliseconds("rest-ms", e.Trace.RestAsked),
 		zap.String("last-failure", e.Trace.LastFailure),
 	}
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -282,14 +282,24 @@
 	trace.PrefillTokens = placement.PrefillTokens()
 	trace.Prefiller = ""
 	trace.Limit, trace.PrefillerLimit = models.StatedLimit{}, models.StatedLimit{}
+	trace.Leaving, trace.PrefillerLeaving = false, false
 	source, _ := placement.CopyFrom()
 	trace.CopiedFrom = source.ID
 }
 
+// traceAnswer keeps what an answer says of its backend server for the request's log
+// line.
+func (d *delivery) traceAnswer(answer peer.UpstreamResponse) {
+	trace := &d.exchange.Trace
+	trace.Limit = answer.Limit
+	trace.Leaving = answer.Leaving
+	trace.RestAsked = max(trace.RestAsked, answer.RetryAfter)
+}
+
 // handleResponse handles a response whose header has arrived.
 func (d *delivery) handleResponse(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
 	if !answer.WrongInstance {
-		d.exchange.Trace.Limit = answer.Limit
+		d.traceAnswer(answer)
 		d.sender.placer.Answered(placement.Target(), answer.Limit, d.current.SentAt)
 		d.sender.guard.Responded(placement.Target(), d.current.SentAt)
 	}
@@ -334,6 +344,9 @@
 	source, answer, err := d.sender.upstreams.Prefill(ctx, prefiller, call)
 	d.exchange.Trace.PrefillDuration = d.sender.clock.Now().Sub(started)
 	result := prefillResult(ctx, source, answer, err)
+	d.exchange.Trace.PrefillResult = result
+	d.exchange.Trace.PrefillerLeaving = answer.Leaving
+	d.exchange.Trace.RestAsked = max(d.exchange.Trace.RestAsked, answer.RetryAfter)
 	if result == ResultServed || result == ResultRejected {
 		d.exchange.Trace.PrefillerLimit = answer.Limit
 		d.sender.placer.Answered(prefiller, answer.Limit, started)
