balance: schedules of rejecting engines and killed VMs, which break the retry budget

Schedules of VMs, their balancers and senders in virtual time count what the users' rule counts: arrivals at engines beyond the first of each request, in any 10 s, against 0.2 for each request and 50 more. Engines reject nine of ten requests for some time; VMs run on, or all are killed up to three times, or know no others for 2 to 20 s after their start.

--- a/balance/limit_engines_test.go
+++ b/balance/limit_engines_test.go
@@ -20,8 +20,8 @@
 const (
 	// noLimit is the limit of an engine that states none.
 	noLimit = -1.0
-	// rejectedShare is the share of the requests that engines reject.
-	rejectedShare = 0.05
+	// usuallyRejected is the share of the requests that engines reject at most times.
+	usuallyRejected = 0.05
 	// maxAnswerDelay bounds the time until an engine answers: some answers overtake
 	// others.
 	maxAnswerDelay = 700 * time.Millisecond
@@ -218,12 +218,14 @@
 	if !ok {
 		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeNotDone, "connection refused", nil)
 	}
+	arrival := w.arrivals.add(call.ID, to.Service, w.since())
 	if w.clock.Sleep(ctx, between(r, 10*time.Millisecond, maxAnswerDelay)) != nil {
 		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeUnknown, "cancelled", ctx.Err())
 	}
 	answer := peer.UpstreamResponse{Status: http.StatusOK, Header: http.Header{}, Limit: e.answer(vm)}
 	body := "answer"
-	if r.Float64() < rejectedShare {
+	if r.Float64() < w.rejectedShare() {
+		arrival.rejected = true
 		answer.Status, answer.NotRun = http.StatusServiceUnavailable, true
 	} else if to.Role != "" {
 		body = "id: 1\ndata: x\n\n"
@@ -234,7 +236,7 @@
 
 // Prefill implements peer.Upstreams.
 func (vm *limitVM) Prefill(ctx context.Context, to models.Upstream, call models.UpstreamCall) (models.KVSource, peer.UpstreamResponse, error) {
-	call.ID += "-prefill"
+	call.ID += prefillSuffix
 	r := vm.world.draw("prefill "+string(call.ID), 0)
 	if r.Float64() < longPrefillShare && vm.world.clock.Sleep(ctx, between(r, 0, maxPrefillDelay)) != nil {
 		return models.KVSource{}, peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeUnknown, "cancelled", ctx.Err())
--- a/balance/limit_schedule_test.go
+++ b/balance/limit_schedule_test.go
@@ -61,10 +61,12 @@
 	vms, zones           int
 	decoders, prefillers int
 	desks                int
-	rate                 float64 // requests a second at all VMs
-	limited              float64 // share of the engines that state a limit
-	cuts, restarts       bool    // of VMs
-	replaced             bool    // limited engines are replaced by others
+	rate                 float64       // requests a second at all VMs
+	limited              float64       // share of the engines that state a limit
+	cuts, restarts       bool          // of VMs
+	replaced             bool          // limited engines are replaced by others
+	rejecting            period        // engines reject most requests
+	ignorance            time.Duration // for which a VM that starts knows no others
 }
 
 // limitWorld is a run of VMs, engines and callers with engines that state limits.
@@ -88,6 +90,7 @@
 	served   int
 	faults   []string
 	callers  sync.WaitGroup
+	arrivals arrivalLog
 }
 
 func newLimitWorld(t *testing.T, seed uint64, settings limitSettings) *limitWorld {
--- a/balance/limit_vms_test.go
+++ b/balance/limit_vms_test.go
@@ -35,6 +35,7 @@
 	world       *limitWorld
 	index       int
 	alive       bool
+	startedAt   time.Time
 	disturbedAt time.Time
 
 	// Of its latest process.
@@ -54,6 +55,7 @@
 func (vm *limitVM) startLocked() {
 	w := vm.world
 	vm.alive = true
+	vm.startedAt = w.clock.Now()
 	vm.disturbedAt = w.clock.Now()
 	vm.ctx, vm.cancel = context.WithCancel(w.t.Context())
 	vm.balancer = balance.New(vm, w.clock, balance.Settings{Self: vm.id(), Zone: vm.zone(), Retries: retry.Settings{Ratio: 0.2, Reserve: 50, Window: 10 * time.Second}}, w.seed+uint64(vm.index))
@@ -122,7 +124,9 @@
 		if !alive {
 			continue
 		}
-		e := vm.exchange(models.RequestID(fmt.Sprintf("%s-%d", vm.id(), n)), gaps.Float64() < promptShare, gaps.IntN(limitSubjects), 500+gaps.IntN(3000))
+		prompt := gaps.Float64() < promptShare
+		e := vm.exchange(models.RequestID(fmt.Sprintf("%s-%d", vm.id(), n)), prompt, gaps.IntN(limitSubjects), 500+gaps.IntN(3000))
+		w.arrivals.ask(e.Service.Name, w.since())
 		w.callers.Go(func() { vm.handle(ctx, handler, e) })
 	}
 }
@@ -175,6 +179,9 @@
 // Others implements balance.Members.
 func (vm *limitVM) Others() map[models.DaemonID]models.Peer {
 	others := map[models.DaemonID]models.Peer{}
+	if vm.ignorant() {
+		return others
+	}
 	for _, other := range vm.world.vms {
 		if other != vm {
 			others[other.id()] = models.Peer{Address: other.address(), Zone: other.zone()}
