policy/retry: a retry counts for a whole window

The sliding window had ten buckets, of which the oldest expired as a whole: a retry counted for nine to ten seconds.

Retries now count for at least a window, requests for at most one, and buckets are half as long. TestBudget failed first: three retries of none allowed 9.99 s after the first burst.

--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// bucketCount is the number of buckets in the sliding window. The oldest bucket
-// expires as a whole.
-const bucketCount = 10
+// bucketCount is the number of buckets that a window is divided into. Buckets expire as
+// a whole: requests count for at most a window, retries for at least one.
+const bucketCount = 20
 
 // Settings bound the retries in any window.
 type Settings struct {
@@ -21,7 +21,7 @@
 // concurrent use.
 type Budget struct {
 	settings Settings
-	buckets  [bucketCount]bucket
+	buckets  [bucketCount + 1]bucket
 }
 
 type bucket struct {
@@ -83,9 +83,12 @@
 func (b *Budget) totals(now time.Time) (requests, retries float64) {
 	latest := b.number(now)
 	for _, slot := range b.buckets {
-		if latest-slot.number < bucketCount {
+		switch age := latest - slot.number; {
+		case age < bucketCount:
 			requests += slot.requests
 			retries += slot.retries
+		case age == bucketCount:
+			retries += slot.retries
 		}
 	}
 	return requests, retries
@@ -93,7 +96,7 @@
 
 func (b *Budget) current(now time.Time) *bucket {
 	number := b.number(now)
-	slot := &b.buckets[number%bucketCount]
+	slot := &b.buckets[number%int64(len(b.buckets))]
 	if slot.number != number {
 		*slot = bucket{number: number}
 	}
--- a/policy/retry/budget_test.go
+++ b/policy/retry/budget_test.go
@@ -37,6 +37,26 @@
 		is.Equal(countAllowed(b, 100, start), 3)
 		is.Equal(countAllowed(b, 100, start.Add(9*time.Second)), 0)
 	})
+	t.Run("allows no more within a window that begins between two buckets", func(t *testing.T) {
+		is := is.New(t)
+		for offset := time.Duration(0); offset < settings.Window; offset += 10 * time.Millisecond {
+			b := retry.NewBudget(settings)
+			first := start.Add(offset)
+			is.Equal(countAllowed(b, 100, first), 3)
+			is.Equal(countAllowed(b, 100, first.Add(settings.Window-10*time.Millisecond)), 0)
+		}
+	})
+	t.Run("allows nothing for requests before the window", func(t *testing.T) {
+		is := is.New(t)
+		for offset := time.Duration(0); offset < settings.Window; offset += 10 * time.Millisecond {
+			b := retry.NewBudget(settings)
+			first := start.Add(offset)
+			for range 50 {
+				b.RecordRequest(first)
+			}
+			is.Equal(countAllowed(b, 100, first.Add(settings.Window+10*time.Millisecond)), 3)
+		}
+	})
 	t.Run("allows more after the window has passed", func(t *testing.T) {
 		is := is.New(t)
 		b := retry.NewBudget(settings)
