relay, policy/retry: rejected prefill calls stay within the retry budget

A prefill call that an engine rejects is an arrival more for its request.

The budget is asked before the call and keeps room for it until it ends; without room the target prefills the prompt itself. While nothing has been rejected in the window no room is needed, so that prompts are prefilled elsewhere right after a start. Ruled out: to charge only and to refuse later retries, which is what was done before and does not bound the calls.

--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -61,8 +61,11 @@
 	return false
 }
 
-// ChargeRetry implements relay.Placer.
-func (p *Placer) ChargeRetry(models.ServiceName) {}
+// BeginPrefill implements relay.Placer.
+func (p *Placer) BeginPrefill(models.ServiceName) bool { return false }
+
+// EndPrefill implements relay.Placer.
+func (p *Placer) EndPrefill(models.ServiceName, bool) {}
 
 // Answered implements relay.Placer.
 func (p *Placer) Answered(models.Upstream, models.StatedLimit, time.Time) {}
--- a/balance/retries.go
+++ b/balance/retries.go
@@ -44,12 +44,20 @@
 	return b.retryBudget(service).AllowRetry(now)
 }
 
-// ChargeRetry implements relay.Placer.
-func (b *Balancer) ChargeRetry(service models.ServiceName) {
+// BeginPrefill implements relay.Placer.
+func (b *Balancer) BeginPrefill(service models.ServiceName) bool {
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retryBudget(service).RecordRetry(now)
+	return b.retryBudget(service).Begin(now)
+}
+
+// EndPrefill implements relay.Placer.
+func (b *Balancer) EndPrefill(service models.ServiceName, rejected bool) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retryBudget(service).End(now, rejected)
 }
 
 // retryBudget returns this daemon's part of a service's retry budget. The
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -21,6 +21,7 @@
 // concurrent use.
 type Budget struct {
 	settings Settings
+	pending  float64 // calls that become retries if they are rejected
 	buckets  [bucketCount + 1]bucket
 }
 
@@ -55,10 +56,31 @@
 	return true
 }
 
+// Begin reports whether a call may be made that becomes a retry if it is rejected, and
+// keeps room for that until End. Where no retry has been made in the window, nothing
+// suggests that it will be, and it needs no room.
+func (b *Budget) Begin(now time.Time) bool {
+	usage := b.Usage(now)
+	if usage.UsedUp() && usage.Retries > usage.Pending {
+		return false
+	}
+	b.pending++
+	return true
+}
+
+// End ends a call that Begin has allowed.
+func (b *Budget) End(now time.Time, rejected bool) {
+	b.pending--
+	if rejected {
+		b.current(now).retries++
+	}
+}
+
 // Usage is how much of a budget has been used in the window.
 type Usage struct {
 	Requests float64
-	Retries  float64
+	Retries  float64 // Pending included
+	Pending  float64 // calls that become retries if they are rejected
 	Allowed  float64 // retries, the reserve included
 	Reserve  float64
 }
@@ -72,12 +94,7 @@
 func (b *Budget) Usage(now time.Time) Usage {
 	requests, retries := b.totals(now)
 	reserve := b.settings.Reserve
-	return Usage{Requests: requests, Retries: retries, Allowed: b.settings.Ratio*requests + reserve, Reserve: reserve}
-}
-
-// RecordRetry counts a retry that is made regardless of the budget.
-func (b *Budget) RecordRetry(now time.Time) {
-	b.current(now).retries++
+	return Usage{Requests: requests, Retries: retries + b.pending, Pending: b.pending, Allowed: b.settings.Ratio*requests + reserve, Reserve: reserve}
 }
 
 func (b *Budget) totals(now time.Time) (requests, retries float64) {
--- a/policy/retry/budget_test.go
+++ b/policy/retry/budget_test.go
@@ -63,6 +63,23 @@
 		is.Equal(countAllowed(b, 100, start), 3)
 		is.Equal(countAllowed(b, 100, start.Add(11*time.Second)), 3)
 	})
+	t.Run("calls that may be rejected need room once one has been", func(t *testing.T) {
+		is := is.New(t)
+		b := retry.NewBudget(settings)
+		for range 7 {
+			is.True(b.Begin(start))
+		}
+		is.Equal(countAllowed(b, 100, start), 0) // all room is kept for them
+		for range 6 {
+			b.End(start, false)
+		}
+		b.End(start, true)
+		is.True(b.Begin(start))
+		is.True(b.Begin(start))
+		is.True(!b.Begin(start))
+		b.End(start, false)
+		is.Equal(countAllowed(b, 100, start), 1)
+	})
 	t.Run("changed limits include earlier retries", func(t *testing.T) {
 		is := is.New(t)
 		b := retry.NewBudget(settings)
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -167,7 +167,9 @@
 	prefillResults []relay.Result
 	placed         int
 	retryBudget    int // retries that TakeRetry allows
-	chargedRetries int // calls of ChargeRetry
+	chargedRetries int // prefill calls that ended as retries
+	prefillsBegun  int // calls of BeginPrefill without EndPrefill
+	prefillBudget  int // prefill calls that BeginPrefill allows; below 0: any number
 	results        []relay.Result
 	refusal        error
 	leaving        models.EngineID // accepts no work if placements have a prefiller
@@ -198,8 +200,23 @@
 	return p.retryBudget >= 0
 }
 
-// ChargeRetry implements relay.Placer.
-func (p *fakePlacer) ChargeRetry(models.ServiceName) { p.chargedRetries++ }
+// BeginPrefill implements relay.Placer.
+func (p *fakePlacer) BeginPrefill(models.ServiceName) bool {
+	if p.prefillBudget == 0 {
+		return false
+	}
+	p.prefillBudget--
+	p.prefillsBegun++
+	return true
+}
+
+// EndPrefill implements relay.Placer.
+func (p *fakePlacer) EndPrefill(_ models.ServiceName, rejected bool) {
+	p.prefillsBegun--
+	if rejected {
+		p.chargedRetries++
+	}
+}
 
 // Answered implements relay.Placer.
 func (p *fakePlacer) Answered(_ models.Upstream, limit models.StatedLimit, _ time.Time) {
@@ -317,7 +334,7 @@
 
 func newFixture(t *testing.T, route models.PathRoute, script ...scriptedAnswer) *fixture {
 	t.Helper()
-	f := &fixture{t: t, is: is.New(t), upstreams: fakeUpstreams{script: script}, placer: fakePlacer{retryBudget: 10}, origins: fakeOrigins{}}
+	f := &fixture{t: t, is: is.New(t), upstreams: fakeUpstreams{script: script}, placer: fakePlacer{retryBudget: 10, prefillBudget: -1}, origins: fakeOrigins{}}
 	f.exchange = relay.Exchange{
 		ID:        "r",
 		Call:      models.UpstreamCall{ID: "r", Method: http.MethodPost, Target: "/p/x", Header: http.Header{}},
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -43,8 +43,11 @@
 	// TakeRetry takes one retry from the retry budget of a service. It reports
 	// whether the budget allows the retry.
 	TakeRetry(service models.ServiceName) bool
-	// ChargeRetry charges the budget for a retry that has already been sent.
-	ChargeRetry(service models.ServiceName)
+	// BeginPrefill reports whether the retry budget of a service allows a call to a
+	// prefiller, which is a retry if it is rejected. EndPrefill must follow.
+	BeginPrefill(service models.ServiceName) bool
+	// EndPrefill ends a call to a prefiller that BeginPrefill has allowed.
+	EndPrefill(service models.ServiceName, rejected bool)
 	// Answered reports what the answer of a backend server, to a request that was sent
 	// to it at a time, states of its limit.
 	Answered(server models.Upstream, limit models.StatedLimit, sentAt time.Time)
@@ -324,8 +327,8 @@
 }
 
 // prefill requests the prefill of the prompt from the placement's prefiller, if
-// it has one. A prefill is requested once per request: another would be charged to
-// the retry budget, and what failed for one target may fail for the next. An
+// it has one and the retry budget allows that. A prefill is requested once per request:
+// another would be a retry, and what failed for one target may fail for the next. An
 // error means that the prefiller was not reached and that another placement may
 // succeed.
 func (d *delivery) prefill(ctx context.Context, placement Placement, call models.UpstreamCall) error {
@@ -334,7 +337,8 @@
 		return nil
 	}
 	call.TimeLeft = d.timeLeft()
-	if d.prefillRequested || call.TimeLeft < minTimeLeft {
+	service := d.exchange.Service.Name
+	if d.prefillRequested || call.TimeLeft < minTimeLeft || !d.sender.placer.BeginPrefill(service) {
 		placement.PrefillEnded(ResultLeaving)
 		return nil
 	}
@@ -351,6 +355,7 @@
 		d.exchange.Trace.PrefillerLimit = answer.Limit
 		d.sender.placer.Answered(prefiller, answer.Limit, started)
 	}
+	d.sender.placer.EndPrefill(service, result != ResultServed && result != ResultUnreachable)
 	placement.PrefillEnded(result)
 	if result == ResultServed {
 		d.prefillRequested = true
@@ -367,7 +372,6 @@
 		return nil
 	}
 	d.prefillRequested = true
-	d.sender.placer.ChargeRetry(d.exchange.Service.Name)
 	return nil
 }
 
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -373,6 +373,16 @@
 		f.upstreams.prefill = scriptedAnswer{status: http.StatusServiceUnavailable}
 		f.expectServed(http.StatusOK, "data: x\n\n")
 		f.is.Equal(f.placer.chargedRetries, 1)
+		f.is.Equal(f.placer.prefillsBegun, 0)
+	})
+	t.Run("target prefills if the retry budget allows no rejected prefill", func(t *testing.T) {
+		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: "data: x\n\n"})
+		f.placer.usePrefiller = true
+		f.placer.prefillBudget = 0
+		f.upstreams.prefill = scriptedAnswer{status: http.StatusOK}
+		f.expectServed(http.StatusOK, "data: x\n\n")
+		f.is.Equal(f.upstreams.prefillCalls, 0)
+		f.is.True(f.upstreams.calls[0].KVSource == nil)
 	})
 	t.Run("unreachable prefiller is replaced by another", func(t *testing.T) {
 		f := newFixture(t, nonRepeatableStream, scriptedAnswer{status: http.StatusOK, body: "data: x\n\n"})
