balance, membership: a VM does not spend retries that others have spent

Each VM takes its part of the retry budget by what it knows. A process that starts knew of no retries before it, and counted itself alone until it had read the registrations, so that it took the whole reserve; when VMs left, the rest divided the reserve among fewer at once.

In its first window a process uses a tenth of the ratio and no reserve, unless the deployment starts for the first time, which the settings say (first-start). The reserve is divided by the highest number of VMs in the last window, and used only once the registrations have been read for a window. Membership says whether they have been. Prefill calls right after a start need no room in the budget while they are accepted: as many at once as have been accepted, and one more.

Ruled out: retries summed over all VMs in load shares.

TestRetryReserveOfVMsThatMayHaveSpentIt has the cases one by one. Tests that expect a retry right after a start now state a first start.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,9 +38,10 @@
 
 // Settings configures a Balancer.
 type Settings struct {
-	Self    models.DaemonID
-	Zone    models.Zone
-	Retries retry.Settings // budget of all daemons together
+	Self       models.DaemonID
+	Zone       models.Zone
+	Retries    retry.Settings // budget of all daemons together
+	FirstStart bool           // no daemon has run before: none can have spent the budget
 }
 
 // Balancer implements relay.Placer.
@@ -55,6 +56,10 @@
 	budgets map[models.ServiceName]*retryBudget
 	timings timings
 	daemons int // sharing the retry budget and the limits of servers, this one included
+
+	startedAt  time.Time
+	listedAt   time.Time  // since when all registered daemons are known; zero if they are not
+	daemonPeak retry.Peak // of daemons
 	// zonePeers is the number of other daemons of this zone whose load shares arrive;
 	// zoneVersion rises with each change of these daemons.
 	zonePeers   int
@@ -96,6 +101,7 @@
 		budgets:      map[models.ServiceName]*retryBudget{},
 		timings:      newTimings(),
 		daemons:      1,
+		startedAt:    clock.Now(),
 		zoneVersion:  1,
 		queues:       map[models.ServiceName]*admission.Queue{},
 		capacity:     map[models.ServiceName]int{},
@@ -117,7 +123,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(tried) == 0 {
-		b.retryBudget(e.Service.Name).RecordRequest(now)
+		b.retryBudget(e.Service.Name, now).RecordRequest(now)
 	}
 	b.expireShares(now)
 	candidates, room := b.candidates(snapshot, e, tried, now)
--- a/balance/limit_vms_test.go
+++ b/balance/limit_vms_test.go
@@ -190,6 +190,9 @@
 	return others
 }
 
+// Listed implements balance.Members.
+func (vm *limitVM) Listed() bool { return !vm.ignorant() }
+
 // Share implements balance.ShareClient.
 func (vm *limitVM) Share(ctx context.Context, to netip.AddrPort, share models.LoadShare) (models.ShareReceipt, error) {
 	w := vm.world
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -65,7 +65,7 @@
 func (p *Placer) BeginPrefill(models.ServiceName) bool { return false }
 
 // EndPrefill implements relay.Placer.
-func (p *Placer) EndPrefill(models.ServiceName, bool) {}
+func (p *Placer) EndPrefill(models.ServiceName, relay.Result) {}
 
 // Answered implements relay.Placer.
 func (p *Placer) Answered(models.Upstream, models.StatedLimit, time.Time) {}
--- a/balance/retries.go
+++ b/balance/retries.go
@@ -1,13 +1,21 @@
 package balance
 
 import (
+	"time"
+
 	"quincewinch/models"
 	"quincewinch/policy/retry"
+	"quincewinch/relay"
 )
 
-// retryBudgetFactor is the fraction of the retry budget that is used: the
-// platform sees requests later than they are counted here.
-const retryBudgetFactor = 0.8
+const (
+	// retryBudgetFactor is the fraction of the retry budget that is used: the
+	// platform sees requests later than they are counted here.
+	retryBudgetFactor = 0.8
+	// startBudgetFactor is the fraction of the ratio that a daemon uses in its first
+	// window: a process before it may have spent retryBudgetFactor.
+	startBudgetFactor = 0.1
+)
 
 // retryBudget is this daemon's part of the retry budget of a service.
 type retryBudget struct {
@@ -22,11 +30,19 @@
 	Daemons int // among which the reserve is divided
 }
 
-// SetDaemons sets how many daemons share the retry budget.
-func (b *Balancer) SetDaemons(n int) {
+// SetDaemons sets how many daemons share the retry budget, this one included. Listed
+// states whether all that are registered are among them.
+func (b *Balancer) SetDaemons(n int, listed bool) {
+	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.daemons = max(n, 1)
+	if !listed {
+		b.listedAt = time.Time{}
+	} else if b.listedAt.IsZero() {
+		b.listedAt = now
+	}
+	b.daemonPeak.Observe(now, b.daemons)
 }
 
 // SetRetries replaces the retry budget settings of all services.
@@ -41,7 +57,7 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.retryBudget(service).AllowRetry(now)
+	return b.retryBudget(service, now).AllowRetry(now)
 }
 
 // BeginPrefill implements relay.Placer.
@@ -49,29 +65,55 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.retryBudget(service).Begin(now)
+	return b.retryBudget(service, now).Begin(now)
 }
 
 // EndPrefill implements relay.Placer.
-func (b *Balancer) EndPrefill(service models.ServiceName, rejected bool) {
+func (b *Balancer) EndPrefill(service models.ServiceName, result relay.Result) {
+	end := retry.Rejected
+	switch result {
+	case relay.ResultServed:
+		end = retry.Accepted
+	case relay.ResultUnreachable, relay.ResultLeaving, relay.ResultLimited:
+		end = retry.NotSent
+	case relay.ResultRejected, relay.ResultMoved, relay.ResultFailed, relay.ResultCancelled:
+	}
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retryBudget(service).End(now, rejected)
+	b.retryBudget(service, now).End(now, end)
 }
 
-// retryBudget returns this daemon's part of a service's retry budget. The
+// retryBudget returns this daemon's part of a service's retry budget at a time. The
 // caller must hold b.mu.
-func (b *Balancer) retryBudget(service models.ServiceName) *retryBudget {
+func (b *Balancer) retryBudget(service models.ServiceName, now time.Time) *retryBudget {
 	budget, ok := b.budgets[service]
 	if !ok {
 		budget = &retryBudget{Budget: retry.NewBudget(retry.Settings{Window: b.settings.Retries.Window})}
 		b.budgets[service] = budget
 	}
-	budget.SetLimits(b.settings.Retries.Ratio*retryBudgetFactor, b.settings.Retries.Reserve*retryBudgetFactor/float64(b.daemons))
+	budget.SetLimits(b.retryLimits(now))
 	return budget
 }
 
+// retryLimits returns this daemon's part of the retry budget. What daemons of before may
+// have spent is not spent again: in its first window a daemon uses little of the ratio,
+// and the reserve only once it has known all daemons for a window, divided by the number
+// of those that were there in it. The caller must hold b.mu.
+func (b *Balancer) retryLimits(now time.Time) (ratio, reserve float64) {
+	all := b.settings.Retries
+	young := now.Sub(b.startedAt) <= all.Window
+	if young && !b.settings.FirstStart {
+		return all.Ratio * startBudgetFactor, 0
+	}
+	ratio = all.Ratio * retryBudgetFactor
+	if !young && (b.listedAt.IsZero() || now.Sub(b.listedAt) <= all.Window) {
+		return ratio, 0
+	}
+	daemons := max(b.daemonPeak.Highest(now, all.Window), 1)
+	return ratio, all.Reserve * retryBudgetFactor / float64(daemons)
+}
+
 // RetryChanges returns the retry budgets that have been used up since the last call,
 // and those that allow retries again.
 func (b *Balancer) RetryChanges() []RetryChange {
@@ -80,13 +122,13 @@
 	defer b.mu.Unlock()
 	var changes []RetryChange
 	for service := range b.budgets {
-		budget := b.retryBudget(service)
+		budget := b.retryBudget(service, now)
 		usage := budget.Usage(now)
 		if usage.UsedUp() == budget.usedUp {
 			continue
 		}
 		budget.usedUp = usage.UsedUp()
-		changes = append(changes, RetryChange{Service: service, Usage: usage, Daemons: b.daemons})
+		changes = append(changes, RetryChange{Service: service, Usage: usage, Daemons: b.daemonPeak.Highest(now, b.settings.Retries.Window)})
 	}
 	return changes
 }
--- a/balance/share.go
+++ b/balance/share.go
@@ -53,6 +53,9 @@
 // Members lists the other daemons, live or not.
 type Members interface {
 	Others() map[models.DaemonID]models.Peer
+	// Listed reports whether the registrations have been read since the start, so that
+	// Others has all daemons that are registered.
+	Listed() bool
 }
 
 // ShareClient sends load shares to other daemons.
@@ -164,7 +167,7 @@
 		return
 	}
 	others := s.members.Others()
-	s.balancer.SetDaemons(len(others) + 1)
+	s.balancer.SetDaemons(len(others)+1, s.members.Listed())
 	peers, leads := s.chooseReceivers(others)
 	if s.followers > 0 && s.sending(peers) {
 		return // what the next load share says once would be lost
--- a/balance/share_bench_test.go
+++ b/balance/share_bench_test.go
@@ -28,6 +28,9 @@
 // implements Members and ShareClient.
 type benchmarkPeers map[models.DaemonID]models.Peer
 
+// Listed implements balance.Members.
+func (p benchmarkPeers) Listed() bool { return true }
+
 func (p benchmarkPeers) Others() map[models.DaemonID]models.Peer { return p }
 
 func (p benchmarkPeers) Share(context.Context, netip.AddrPort, models.LoadShare) (models.ShareReceipt, error) {
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -109,6 +109,9 @@
 	self    models.DaemonID
 }
 
+// Listed implements balance.Members.
+func (o others) Listed() bool { return true }
+
 // Others implements balance.Members.
 func (o others) Others() map[models.DaemonID]models.Peer {
 	list := map[models.DaemonID]models.Peer{}
--- a/balance/sharing_bench_test.go
+++ b/balance/sharing_bench_test.go
@@ -31,6 +31,9 @@
 // benchMembers implements balance.Members.
 type benchMembers map[models.DaemonID]models.Peer
 
+// Listed implements balance.Members.
+func (m benchMembers) Listed() bool { return true }
+
 // Others implements balance.Members.
 func (m benchMembers) Others() map[models.DaemonID]models.Peer { return m }
 
--- a/config/entry.go
+++ b/config/entry.go
@@ -18,6 +18,7 @@
 	Name             string
 	Zone             models.Zone
 	Zones            []models.Zone // all zones of the deployment
+	FirstStart       bool          // no process of the deployment has run before
 	Callers          EntryCallers
 	ReadinessAddress netip.AddrPort // for the load balancer's readiness checks
 	DaemonsAddress   netip.AddrPort
@@ -71,6 +72,7 @@
 	{"name", ``, true, "", "name of this VM, in logs, leases and reports", decodeString(func(s *Entry) *string { return &s.Name })},
 	{"zone", ``, true, "", "availability zone of this VM", decodeZone(func(s *Entry) *models.Zone { return &s.Zone })},
 	{"zones", `[]`, false, "", "all availability zones of the deployment", decodeZones(func(s *Entry) *[]models.Zone { return &s.Zones })},
+	{"first-start", `false`, false, "", "the whole deployment starts for the first time: no process has run before", decodeBool(func(s *Entry) *bool { return &s.FirstStart })},
 	{"callers.address", ``, true, "IP:port", "listen address for callers", decodeAddress(func(s *Entry) *netip.AddrPort { return &s.Callers.Address })},
 	{"callers.grace", `"8s"`, false, "duration", "time from the stop signal to the kill", decodeNonNegativeDuration(func(s *Entry) *time.Duration { return &s.Callers.Grace })},
 	{"callers.header-bytes", `65536`, false, "bytes", "maximum size of a request's header", decodePositiveInt(func(s *Entry) *int { return &s.Callers.HeaderBytes })},
--- a/config/rendered_test.go
+++ b/config/rendered_test.go
@@ -97,6 +97,11 @@
 			if neverZero[name] && strings.HasPrefix(form, "zero") {
 				continue
 			}
+			t.Run("first start", func(t *testing.T) {
+				is := is.New(t)
+				is.True(expectAccepted(t, map[string]string{"first_start": "true"}).FirstStart)
+				is.True(!expectAccepted(t, nil).FirstStart)
+			})
 			t.Run(name+" "+form, func(t *testing.T) {
 				expectAccepted(t, map[string]string{name: value})
 			})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,9 +79,10 @@
 	d.origins = resume.NewOrigins(d.versions, d.clock)
 	d.fleet = routing.NewFleet(d.versions, d.clock, d.logger, wait, settings.Store.RemovalTimeout)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
-		Self:    models.DaemonID(settings.Name),
-		Zone:    settings.Zone,
-		Retries: retrySettings(settings),
+		Self:       models.DaemonID(settings.Name),
+		Zone:       settings.Zone,
+		Retries:    retrySettings(settings),
+		FirstStart: settings.FirstStart,
 	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(store); err != nil {
 		return err
@@ -96,7 +97,7 @@
 	d.system.Spawn(d.origins, originInterval)
 	d.system.Spawn(d.configuration, followInterval)
 	d.system.Spawn(d.fleet, followInterval)
-	d.logger.Info("daemon started", zap.String("vm", settings.Name), zap.String("zone", string(settings.Zone)))
+	d.logger.Info("daemon started", zap.String("vm", settings.Name), zap.String("zone", string(settings.Zone)), zap.Bool("first-start", settings.FirstStart))
 	return nil
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -87,7 +87,7 @@
 	d.t.Helper()
 	t := d.t
 	d.daemonsAddress = freeAddress(t)
-	settings := fmt.Sprintf(`{"name": %q, "zone": "z", "callers": {"address": %q, "grace": "200ms"},
+	settings := fmt.Sprintf(`{"name": %q, "zone": "z", "first-start": true, "callers": {"address": %q, "grace": "200ms"},
 		"readiness": {"address": %q}, "daemons": {"address": %q}, "metrics": {"address": %q}, "store": {"address": %q, "notice": "1ms"}}`,
 		name, callerAddress, freeAddress(t), d.daemonsAddress, freeAddress(t), d.storeAddress)
 	parsed, err := config.ParseEntry([]byte(settings))
--- a/membership/members.go
+++ b/membership/members.go
@@ -56,6 +56,7 @@
 	zones   map[models.Zone]zoneContact
 	left    map[models.DaemonID]time.Time // when daemons announced their stop
 	leaving bool
+	listed  bool // the registrations have been read
 }
 
 // zoneContact is when something was last heard of a zone.
@@ -111,6 +112,7 @@
 	for _, row := range changes.Rows {
 		m.apply(row, now)
 	}
+	m.setListed()
 	m.removeSilent(ctx, now)
 }
 
@@ -319,6 +321,19 @@
 	return peers
 }
 
+// Listed reports whether the registrations have been read since the start.
+func (m *Members) Listed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
+func (m *Members) setListed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = true
+}
+
 func (m *Members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -29,6 +29,7 @@
 	number   int64 // of the time slot
 	requests float64
 	retries  float64
+	accepted float64 // calls that Begin has allowed
 }
 
 // NewBudget returns an unused budget.
@@ -57,22 +58,37 @@
 }
 
 // Begin reports whether a call may be made that becomes a retry if it is rejected, and
-// keeps room for that until End. Where no retry has been made in the window, nothing
-// suggests that it will be, and it needs no room.
+// keeps room for that until End. As long as no retry has been made in the window, room
+// is not needed for as many calls at once as were accepted in it, and one more.
 func (b *Budget) Begin(now time.Time) bool {
 	usage := b.Usage(now)
-	if usage.UsedUp() && usage.Retries > usage.Pending {
+	trusted := usage.Retries == usage.Pending && usage.Pending <= usage.Accepted
+	if usage.UsedUp() && !trusted {
 		return false
 	}
 	b.pending++
 	return true
 }
 
+// Ending is how a call ended that Begin had allowed.
+type Ending int
+
+// Endings of a call.
+const (
+	Accepted Ending = iota
+	Rejected        // or not known to be accepted
+	NotSent
+)
+
 // End ends a call that Begin has allowed.
-func (b *Budget) End(now time.Time, rejected bool) {
+func (b *Budget) End(now time.Time, ending Ending) {
 	b.pending--
-	if rejected {
+	switch ending {
+	case Accepted:
+		b.current(now).accepted++
+	case Rejected:
 		b.current(now).retries++
+	case NotSent:
 	}
 }
 
@@ -81,6 +97,7 @@
 	Requests float64
 	Retries  float64 // Pending included
 	Pending  float64 // calls that become retries if they are rejected
+	Accepted float64 // such calls that were not
 	Allowed  float64 // retries, the reserve included
 	Reserve  float64
 }
@@ -92,23 +109,20 @@
 
 // Usage returns how much of the budget has been used.
 func (b *Budget) Usage(now time.Time) Usage {
-	requests, retries := b.totals(now)
-	reserve := b.settings.Reserve
-	return Usage{Requests: requests, Retries: retries + b.pending, Pending: b.pending, Allowed: b.settings.Ratio*requests + reserve, Reserve: reserve}
-}
-
-func (b *Budget) totals(now time.Time) (requests, retries float64) {
+	usage := Usage{Pending: b.pending, Retries: b.pending, Reserve: b.settings.Reserve}
 	latest := b.number(now)
 	for _, slot := range b.buckets {
-		switch age := latest - slot.number; {
-		case age < bucketCount:
-			requests += slot.requests
-			retries += slot.retries
-		case age == bucketCount:
-			retries += slot.retries
+		age := latest - slot.number
+		if age <= bucketCount {
+			usage.Retries += slot.retries
+		}
+		if age < bucketCount {
+			usage.Requests += slot.requests
+			usage.Accepted += slot.accepted
 		}
 	}
-	return requests, retries
+	usage.Allowed = b.settings.Ratio*usage.Requests + usage.Reserve
+	return usage
 }
 
 func (b *Budget) current(now time.Time) *bucket {
--- a/policy/retry/budget_test.go
+++ b/policy/retry/budget_test.go
@@ -66,19 +66,30 @@
 	t.Run("calls that may be rejected need room once one has been", func(t *testing.T) {
 		is := is.New(t)
 		b := retry.NewBudget(settings)
-		for range 7 {
-			is.True(b.Begin(start))
-		}
-		is.Equal(countAllowed(b, 100, start), 0) // all room is kept for them
-		for range 6 {
-			b.End(start, false)
-		}
-		b.End(start, true)
 		is.True(b.Begin(start))
+		is.Equal(countAllowed(b, 100, start), 2) // room is kept for it
+		b.End(start, retry.Rejected)
+		is.True(!b.Begin(start))
+	})
+	t.Run("calls that may be rejected need no room while they are accepted", func(t *testing.T) {
+		is := is.New(t)
+		b := retry.NewBudget(retry.Settings{Ratio: 0.01, Window: 10 * time.Second})
+		is.True(b.Begin(start))
+		is.True(!b.Begin(start)) // nothing has been accepted yet
+		b.End(start, retry.NotSent)
+		for accepted := range 5 {
+			for range accepted + 1 {
+				is.True(b.Begin(start))
+			}
+			is.True(!b.Begin(start))
+			for range accepted {
+				b.End(start, retry.NotSent)
+			}
+			b.End(start, retry.Accepted)
+		}
 		is.True(b.Begin(start))
+		b.End(start, retry.Rejected)
 		is.True(!b.Begin(start))
-		b.End(start, false)
-		is.Equal(countAllowed(b, 100, start), 1)
 	})
 	t.Run("changed limits include earlier retries", func(t *testing.T) {
 		is := is.New(t)
--- a/quarantine/schedule_daemons_test.go
+++ b/quarantine/schedule_daemons_test.go
@@ -131,6 +131,9 @@
 	return d.snapshot
 }
 
+// Listed implements balance.Members.
+func (d *daemon) Listed() bool { return true }
+
 // Others implements balance.Members.
 func (d *daemon) Others() map[models.DaemonID]models.Peer {
 	others := map[models.DaemonID]models.Peer{}
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -211,9 +211,9 @@
 }
 
 // EndPrefill implements relay.Placer.
-func (p *fakePlacer) EndPrefill(_ models.ServiceName, rejected bool) {
+func (p *fakePlacer) EndPrefill(_ models.ServiceName, result relay.Result) {
 	p.prefillsBegun--
-	if rejected {
+	if result != relay.ResultServed && result != relay.ResultUnreachable {
 		p.chargedRetries++
 	}
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -47,7 +47,7 @@
 	// prefiller, which is a retry if it is rejected. EndPrefill must follow.
 	BeginPrefill(service models.ServiceName) bool
 	// EndPrefill ends a call to a prefiller that BeginPrefill has allowed.
-	EndPrefill(service models.ServiceName, rejected bool)
+	EndPrefill(service models.ServiceName, result Result)
 	// Answered reports what the answer of a backend server, to a request that was sent
 	// to it at a time, states of its limit.
 	Answered(server models.Upstream, limit models.StatedLimit, sentAt time.Time)
@@ -355,7 +355,7 @@
 		d.exchange.Trace.PrefillerLimit = answer.Limit
 		d.sender.placer.Answered(prefiller, answer.Limit, started)
 	}
-	d.sender.placer.EndPrefill(service, result != ResultServed && result != ResultUnreachable)
+	d.sender.placer.EndPrefill(service, result)
 	placement.PrefillEnded(result)
 	if result == ResultServed {
 		d.prefillRequested = true
--- a/relay/versions_test.go
+++ b/relay/versions_test.go
@@ -107,7 +107,7 @@
 func (f *versionedFleet) send(t *testing.T, id int) (*recordingReply, error) {
 	t.Helper()
 	clock := system.NewClock()
-	balancer := balance.New(f, clock, balance.Settings{Zone: "z", Retries: retry.Settings{Ratio: 1, Reserve: 50, Window: time.Second}}, uint64(id))
+	balancer := balance.New(f, clock, balance.Settings{Zone: "z", FirstStart: true, Retries: retry.Settings{Ratio: 1, Reserve: 50, Window: time.Second}}, uint64(id))
 	reply := &recordingReply{}
 	e := &relay.Exchange{
 		ID:       models.RequestID(strconv.Itoa(id)),
--- a/resume/schedule_test.go
+++ b/resume/schedule_test.go
@@ -392,6 +392,9 @@
 	return d.snapshot
 }
 
+// Listed implements balance.Members.
+func (d *scheduleDaemon) Listed() bool { return true }
+
 // Others implements balance.Members.
 func (d *scheduleDaemon) Others() map[models.DaemonID]models.Peer {
 	others := map[models.DaemonID]models.Peer{}
