balance, relay: a server that says in an answer that it leaves gets no more requests

A backend server says that it leaves in its registration, and by the users' new promise in all its answers (Server-Leaving: 1).

What an answer says of its server goes to the balancer as one statement. A process that leaves is no candidate any more, neither to run nor to prefill a prompt; a request that was placed there before and is not sent yet goes to another. It counts as busy, so that another is ordered. Its next process, by the start in its registration, is another server. If no other is left, requests are refused at once.

The emulated server can leave.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -169,6 +169,9 @@
 			continue
 		}
 		s := b.stateOf(upstream)
+		if s.leaving {
+			continue
+		}
 		if next := b.nextRoom(s, now); next.After(now) {
 			if room.IsZero() || next.Before(room) {
 				room = next
--- /dev/null
+++ b/balance/leaving_test.go
@@ -0,0 +1,82 @@
+package balance_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quincewinch/models"
+	"quincewinch/peer/system"
+	"quincewinch/relay"
+)
+
+// leave lets a server say in an answer that it leaves.
+func leave(p relay.Placer, server models.Upstream) {
+	p.Answered(server, models.ServerStatement{Leaving: true}, system.NewClock().Now())
+}
+
+func TestServerThatLeaves(t *testing.T) {
+	t.Run("gets no more requests", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(newFleet(plainServers(2)...))
+			before := place(t, b, callExchange())
+			is.True(before.AcceptsWork())
+			leave(b, before.Target())
+			is.True(!before.AcceptsWork()) // chosen, but not sent there yet
+			for range 20 {
+				p := place(t, b, callExchange())
+				is.True(p.Target().ID != before.Target().ID)
+				is.True(p.AcceptsWork())
+			}
+		})
+	})
+	t.Run("prefills no more prompts", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(append(engines(3, models.RoleDecode), engines(1, models.RolePrefill)...)...)
+			b := newBalancer(f)
+			prefiller, ok := place(t, b, promptExchange("catalogue", 3000)).Prefiller()
+			is.True(ok)
+			leave(b, prefiller)
+			_, ok = place(t, b, promptExchange("catalogue", 3000)).Prefiller()
+			is.True(!ok)
+		})
+	})
+	t.Run("request is refused at once if no other is left", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(newFleet(plainServers(1)...))
+			leave(b, place(t, b, callExchange()).Target())
+			_, err := b.Place(callExchange(), nil)
+			refusal := relay.RefusalOf(err)
+			is.True(refusal.NotRun)
+			is.True(refusal.RetryAfter > 0)
+		})
+	})
+	t.Run("its next process gets requests", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(plainServers(1)...)
+			b := newBalancer(f)
+			p := place(t, b, callExchange())
+			leave(b, p.Target())
+			advance(t, time.Second)
+			f.restart(p.Target().ID, system.NewClock().Now())
+			is.True(place(t, b, callExchange()).AcceptsWork())
+			leave(b, p.Target()) // a late answer of the process before
+			is.True(place(t, b, callExchange()).AcceptsWork())
+		})
+	})
+	t.Run("counts as busy, so that another is ordered", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBalancer(newFleet(plainServers(2)...))
+			p := place(t, b, callExchange())
+			p.End(relay.ResultServed)
+			leave(b, p.Target())
+			is.New(t).Equal(b.Busy("desk"), 1.0)
+		})
+	})
+}
--- a/balance/limit_engines_test.go
+++ b/balance/limit_engines_test.go
@@ -39,8 +39,10 @@
 type limitEngine struct {
 	world    *limitWorld
 	upstream models.Upstream
-	stated   []statedLimit // in order of time, the first at the start
-	namedAt  time.Duration // when it stated a limit for the first time
+	leavesAt time.Duration          // when it begins to say that it leaves; 0: it does not
+	said     map[int]*engineRequest // what it has said to VMs
+	stated   []statedLimit          // in order of time, the first at the start
+	namedAt  time.Duration          // when it stated a limit for the first time
 	told     map[int]time.Duration
 	arrivals []limitArrival
 }
@@ -63,7 +65,7 @@
 func (w *limitWorld) newEngine(role models.Role, service models.ServiceName) *limitEngine {
 	w.started++
 	return &limitEngine{
-		world: w, stated: []statedLimit{{limit: noLimit}}, told: map[int]time.Duration{},
+		world: w, stated: []statedLimit{{limit: noLimit}}, told: map[int]time.Duration{}, said: map[int]*engineRequest{},
 		upstream: models.Upstream{
 			ID: models.EngineID(fmt.Sprintf("e%03d", w.started)), Service: service, Version: "v1", Role: role, Slots: 64, Started: w.clock.Now(),
 			Zone: models.Zone("z" + strconv.Itoa(w.started%w.zones)), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(w.started)),
@@ -175,13 +177,14 @@
 }
 
 // arrive records a request of a VM.
-func (w *limitWorld) arrive(vm *limitVM, to models.Upstream) (*limitEngine, bool) {
+func (w *limitWorld) arrive(vm *limitVM, to models.Upstream, id models.RequestID) (*limitEngine, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range w.engines {
 		if e.upstream.ID != to.ID {
 			continue
 		}
+		w.checkEngineRequest(e, vm, id)
 		toldAt, told := e.told[vm.index]
 		e.arrivals = append(e.arrivals, limitArrival{
 			at:          w.since(),
@@ -214,7 +217,7 @@
 	if w.clock.Sleep(ctx, between(r, time.Millisecond, 2*time.Millisecond)) != nil {
 		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeUnknown, "cancelled", ctx.Err())
 	}
-	e, ok := w.arrive(vm, to)
+	e, ok := w.arrive(vm, to, call.ID)
 	if !ok {
 		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeNotDone, "connection refused", nil)
 	}
@@ -222,11 +225,12 @@
 	if w.clock.Sleep(ctx, between(r, 10*time.Millisecond, maxAnswerDelay)) != nil {
 		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeUnknown, "cancelled", ctx.Err())
 	}
-	answer := peer.UpstreamResponse{Status: http.StatusOK, Header: http.Header{}, Limit: e.answer(vm)}
+	answer := peer.UpstreamResponse{Status: http.StatusOK, Header: http.Header{}, Statement: models.ServerStatement{Limit: e.answer(vm), Leaving: e.saysLeaving(vm)}}
 	body := "answer"
 	if r.Float64() < w.rejectedShare() {
 		arrival.rejected = true
 		answer.Status, answer.NotRun = http.StatusServiceUnavailable, true
+		answer.Statement.RetryAfter = e.asksForRest(vm, r)
 	} else if to.Role != "" {
 		body = "id: 1\ndata: x\n\n"
 	}
--- a/balance/limit_schedule_test.go
+++ b/balance/limit_schedule_test.go
@@ -67,6 +67,8 @@
 	replaced             bool          // limited engines are replaced by others
 	rejecting            period        // engines reject most requests
 	ignorance            time.Duration // for which a VM that starts knows no others
+	resting              float64       // share of the rejections that ask for a rest
+	leaving              float64       // share of the engines that say that they leave
 }
 
 // limitWorld is a run of VMs, engines and callers with engines that state limits.
@@ -91,10 +93,11 @@
 	faults   []string
 	callers  sync.WaitGroup
 	arrivals arrivalLog
+	sentAt   map[models.RequestID]time.Duration // by callers
 }
 
 func newLimitWorld(t *testing.T, seed uint64, settings limitSettings) *limitWorld {
-	w := &limitWorld{t: t, is: is.New(t), seed: seed, clock: system.NewClock(), limitSettings: settings, cut: map[[2]int]bool{}}
+	w := &limitWorld{t: t, is: is.New(t), seed: seed, clock: system.NewClock(), limitSettings: settings, cut: map[[2]int]bool{}, sentAt: map[models.RequestID]time.Duration{}}
 	w.origin = w.clock.Now()
 	for _, group := range []struct {
 		count   int
--- a/balance/limit_vms_test.go
+++ b/balance/limit_vms_test.go
@@ -127,6 +127,9 @@
 		prompt := gaps.Float64() < promptShare
 		e := vm.exchange(models.RequestID(fmt.Sprintf("%s-%d", vm.id(), n)), prompt, gaps.IntN(limitSubjects), 500+gaps.IntN(3000))
 		w.arrivals.ask(e.Service.Name, w.since())
+		w.mu.Lock()
+		w.sentAt[e.ID] = w.since()
+		w.mu.Unlock()
 		w.callers.Go(func() { vm.handle(ctx, handler, e) })
 	}
 }
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -48,12 +48,22 @@
 }
 
 // Answered implements relay.Placer.
-func (b *Balancer) Answered(server models.Upstream, limit models.StatedLimit, sentAt time.Time) {
+func (b *Balancer) Answered(server models.Upstream, statement models.ServerStatement, sentAt time.Time) {
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.states[server.ID]
-	if !ok || !s.upstream.SameIncarnation(server) || limit.Unreadable || !limit.Named && s.limit == nil {
+	if !ok || !s.upstream.SameIncarnation(server) {
+		return
+	}
+	s.leaving = s.leaving || statement.Leaving
+	b.stateLimit(s, statement.Limit, sentAt, now)
+}
+
+// stateLimit applies what an answer states of its server's limit. The caller must hold
+// b.mu.
+func (b *Balancer) stateLimit(s *serverState, limit models.StatedLimit, sentAt, now time.Time) {
+	if limit.Unreadable || !limit.Named && s.limit == nil {
 		return
 	}
 	statement := serverlimit.Statement{Rate: serverlimit.Unlimited(), SentAt: sentAt, At: now}
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -15,7 +15,7 @@
 
 // state lets a server state a limit in an answer that has just come.
 func state(b *balance.Balancer, server models.Upstream, limit float64) {
-	b.Answered(server, models.StatedLimit{Named: true, PerSecond: limit}, system.NewClock().Now())
+	b.Answered(server, models.ServerStatement{Limit: models.StatedLimit{Named: true, PerSecond: limit}}, system.NewClock().Now())
 }
 
 // limitedPlacement returns a placement at the only server, which has a limit of one
@@ -77,7 +77,7 @@
 	limitTest(t, "keeps an unreadable limit", func(t *testing.T, is *is.I, b *balance.Balancer, server models.Upstream) {
 		place(t, b, callExchange())
 		state(b, server, 0.5)
-		b.Answered(server, models.StatedLimit{Named: true, Unreadable: true}, system.NewClock().Now())
+		b.Answered(server, models.ServerStatement{Limit: models.StatedLimit{Named: true, Unreadable: true}}, system.NewClock().Now())
 		is.Equal(b.Limited(), 1)
 	})
 	limitTest(t, "counts as busy, so that others are ordered", func(t *testing.T, is *is.I, b *balance.Balancer, server models.Upstream) {
@@ -86,7 +86,7 @@
 		state(b, server, 0.5)
 		is.Equal(b.Busy(server.Service), 0.5)
 		advance(t, time.Second)
-		b.Answered(server, models.StatedLimit{}, system.NewClock().Now())
+		b.Answered(server, models.ServerStatement{}, system.NewClock().Now())
 		is.Equal(b.Busy(server.Service), 0.0)
 	})
 	limitTest(t, "is replaced", func(t *testing.T, is *is.I, b *balance.Balancer, server models.Upstream) {
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -68,7 +68,7 @@
 func (p *Placer) EndPrefill(models.ServiceName, relay.Result) {}
 
 // Answered implements relay.Placer.
-func (p *Placer) Answered(models.Upstream, models.StatedLimit, time.Time) {}
+func (p *Placer) Answered(models.Upstream, models.ServerStatement, time.Time) {}
 
 // placement implements relay.Placement.
 type placement models.Upstream
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -65,7 +65,13 @@
 		return false
 	}
 	now, ok := snapshot.ByID[p.chosen.ID]
-	return ok && !now.Draining && now.SameIncarnation(p.chosen)
+	return ok && !now.Draining && now.SameIncarnation(p.chosen) && !p.targetLeaving()
+}
+
+func (p *placement) targetLeaving() bool {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	return p.target.leaving
 }
 
 // Software implements relay.Placement. An engine that is no longer registered
--- a/balance/retry_schedule_test.go
+++ b/balance/retry_schedule_test.go
@@ -137,6 +137,11 @@
 // runRetries plays a schedule: engines reject most requests for a time, and all VMs are
 // killed at the given times.
 func (w *limitWorld) runRetries(lasting time.Duration, kills []time.Duration) {
+	for i, e := range w.engines {
+		if r := w.draw("leaving", i); r.Float64() < w.leaving {
+			e.leavesAt = between(r, time.Second, lasting)
+		}
+	}
 	for _, vm := range w.vms {
 		w.callers.Add(1)
 		go vm.ask()
--- a/balance/state.go
+++ b/balance/state.go
@@ -42,6 +42,7 @@
 	prefillTokens int    // prompt tokens of this daemon to be prefilled there
 	cache         promptCache
 	limit         *serverLimit // nil: it has stated none
+	leaving       bool         // it has said so in an answer to this daemon
 	speed         speed.Estimate
 	factor        float64 // of the speed as of factorAt; 0: to be computed
 	factorAt      time.Time
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -74,14 +74,6 @@
 	Slots   int
 }
 
-// StatedLimit is what an answer says of how many requests its backend server takes
-// from all daemons together.
-type StatedLimit struct {
-	Named      bool // false: the server states no limit
-	Unreadable bool // it states one that is not a rate
-	PerSecond  float64
-}
-
 // Prompt describes the prompt of a request without its text.
 type Prompt struct {
 	Model     Model
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -35,11 +35,7 @@
 	NotRun        bool
 	WrongInstance bool                 // another backend server has the address
 	Load          *models.UpstreamLoad // nil if not reported
-	Limit         models.StatedLimit
-	Leaving       bool // the backend server is about to stop
-	// How long the backend server, which has rejected the request, wants no other
-	// from this daemon; 0: it does not say.
-	RetryAfter time.Duration
+	Statement     models.ServerStatement
 }
 
 // ChangeSource watches the rows of a store.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -59,15 +59,12 @@
 	PrefillDuration    time.Duration   // of the call to Prefiller, 0 if there was none
 	Status             int
 	Events             int
-	FirstResponseAfter time.Duration      // from arrival to the response or its first event
-	Predicted          time.Duration      // FirstResponseAfter as predicted at placement
-	LastFailure        string             // error of the last failed attempt
-	Limit              models.StatedLimit // of Engine, in its last answer
-	PrefillerLimit     models.StatedLimit // of Prefiller
-	PrefillResult      Result             // empty if no prefiller was asked
-	Leaving            bool               // Engine said in its last answer that it leaves
-	PrefillerLeaving   bool
-	RestAsked          time.Duration // for which the last rejection asked to send nothing more
+	FirstResponseAfter time.Duration          // from arrival to the response or its first event
+	Predicted          time.Duration          // FirstResponseAfter as predicted at placement
+	LastFailure        string                 // error of the last failed attempt
+	Statement          models.ServerStatement // of Engine, in its last answer
+	PrefillerStatement models.ServerStatement
+	PrefillResult      Result // empty if no prefiller was asked
 }
 
 // Reply writes the response to the caller.
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -92,7 +92,7 @@
 		Unframed:      a.unframed,
 		NotRun:        a.notRun || a.moved,
 		WrongInstance: a.moved,
-		Limit:         a.limit,
+		Statement:     models.ServerStatement{Limit: a.limit},
 	}, nil
 }
 
@@ -108,7 +108,7 @@
 		return models.KVSource{}, peer.UpstreamResponse{Status: u.prefill.status}, u.prefill.err
 	}
 	u.heldCaches++
-	return models.KVSource{Engine: to.Address, Handle: "h"}, peer.UpstreamResponse{Status: http.StatusOK, Limit: u.prefill.limit}, nil
+	return models.KVSource{Engine: to.Address, Handle: "h"}, peer.UpstreamResponse{Status: http.StatusOK, Statement: models.ServerStatement{Limit: u.prefill.limit}}, nil
 }
 
 // Free implements peer.Upstreams.
@@ -219,10 +219,10 @@
 }
 
 // Answered implements relay.Placer.
-func (p *fakePlacer) Answered(_ models.Upstream, limit models.StatedLimit, _ time.Time) {
+func (p *fakePlacer) Answered(_ models.Upstream, statement models.ServerStatement, _ time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stated = append(p.stated, limit)
+	p.stated = append(p.stated, statement.Limit)
 }
 
 type fakePlacement struct {
--- a/relay/record.go
+++ b/relay/record.go
@@ -124,12 +124,12 @@
 		milliseconds("target-ms", e.Route.LatencyTarget),
 		milliseconds("took-ms", r.clock.Now().Sub(e.Received)),
 		milliseconds("patience-ms", e.CallerTimeout),
-		zap.String("limit", limitText(e.Trace.Limit)),
-		zap.String("prefiller-limit", limitText(e.Trace.PrefillerLimit)),
+		zap.String("limit", limitText(e.Trace.Statement.Limit)),
+		zap.String("prefiller-limit", limitText(e.Trace.PrefillerStatement.Limit)),
 		zap.String("prefill-result", string(e.Trace.PrefillResult)),
-		zap.Bool("leaving", e.Trace.Leaving),
-		zap.Bool("prefiller-leaving", e.Trace.PrefillerLeaving),
-		milliseconds("rest-ms", e.Trace.RestAsked),
+		zap.Bool("leaving", e.Trace.Statement.Leaving),
+		zap.Bool("prefiller-leaving", e.Trace.PrefillerStatement.Leaving),
+		milliseconds("rest-ms", max(e.Trace.Statement.RetryAfter, e.Trace.PrefillerStatement.RetryAfter)),
 		zap.String("last-failure", e.Trace.LastFailure),
 	}
 }
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -49,8 +49,8 @@
 	// EndPrefill ends a call to a prefiller that BeginPrefill has allowed.
 	EndPrefill(service models.ServiceName, result Result)
 	// Answered reports what the answer of a backend server, to a request that was sent
-	// to it at a time, states of its limit.
-	Answered(server models.Upstream, limit models.StatedLimit, sentAt time.Time)
+	// to it at a time, says of the server.
+	Answered(server models.Upstream, statement models.ServerStatement, sentAt time.Time)
 }
 
 // Placement is a reservation for a request at a backend server.
@@ -284,26 +284,16 @@
 	trace.Predicted = placement.Predicted()
 	trace.PrefillTokens = placement.PrefillTokens()
 	trace.Prefiller = ""
-	trace.Limit, trace.PrefillerLimit = models.StatedLimit{}, models.StatedLimit{}
-	trace.Leaving, trace.PrefillerLeaving = false, false
+	trace.Statement, trace.PrefillerStatement = models.ServerStatement{}, models.ServerStatement{}
 	source, _ := placement.CopyFrom()
 	trace.CopiedFrom = source.ID
 }
 
-// traceAnswer keeps what an answer says of its backend server for the request's log
-// line.
-func (d *delivery) traceAnswer(answer peer.UpstreamResponse) {
-	trace := &d.exchange.Trace
-	trace.Limit = answer.Limit
-	trace.Leaving = answer.Leaving
-	trace.RestAsked = max(trace.RestAsked, answer.RetryAfter)
-}
-
 // handleResponse handles a response whose header has arrived.
 func (d *delivery) handleResponse(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
 	if !answer.WrongInstance {
-		d.traceAnswer(answer)
-		d.sender.placer.Answered(placement.Target(), answer.Limit, d.current.SentAt)
+		d.exchange.Trace.Statement = answer.Statement
+		d.sender.placer.Answered(placement.Target(), answer.Statement, d.current.SentAt)
 		d.sender.guard.Responded(placement.Target(), d.current.SentAt)
 	}
 	if answer.NotRun {
@@ -349,11 +339,9 @@
 	d.exchange.Trace.PrefillDuration = d.sender.clock.Now().Sub(started)
 	result := prefillResult(ctx, source, answer, err)
 	d.exchange.Trace.PrefillResult = result
-	d.exchange.Trace.PrefillerLeaving = answer.Leaving
-	d.exchange.Trace.RestAsked = max(d.exchange.Trace.RestAsked, answer.RetryAfter)
-	if result == ResultServed || result == ResultRejected {
-		d.exchange.Trace.PrefillerLimit = answer.Limit
-		d.sender.placer.Answered(prefiller, answer.Limit, started)
+	if answer.Status != 0 && !answer.WrongInstance {
+		d.exchange.Trace.PrefillerStatement = answer.Statement
+		d.sender.placer.Answered(prefiller, answer.Statement, started)
 	}
 	d.sender.placer.EndPrefill(service, result)
 	placement.PrefillEnded(result)
--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -76,7 +76,7 @@
 		b.crash()
 		panic(http.ErrAbortHandler)
 	}
-	b.server.StateLimit(w.Header())
+	b.server.State(w.Header())
 	switch mode {
 	case modeReject:
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
