balance, relay: a server that asks for a rest gets no requests until its end

Nothing read it: a server was left out for 50 ms after a rejection, and used even then if no other was left.

Until the end of the rest the server is no candidate, also for prefills, and a request that was placed there before goes elsewhere; if no other is left, requests are refused at once, with the time after which one may get some. KV cache there that nobody takes is left to expire. Such a server counts as busy.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -156,8 +156,8 @@
 }
 
 // candidates returns the states of the backend servers that may receive a
-// request, and when the first of those that have reached their limit has room again;
-// zero if none has. Those in backoff are left out unless no other is available. The
+// request, and when the first of those that have reached their limit or rest may get one
+// again; zero if there are none. Those in backoff are left out unless no other is available. The
 // caller must hold b.mu.
 func (b *Balancer) candidates(snapshot *routing.Snapshot, e *relay.Exchange, tried map[models.EngineID]bool, now time.Time) (list []*serverState, room time.Time) {
 	if snapshot == nil {
@@ -172,7 +172,7 @@
 		if s.leaving {
 			continue
 		}
-		if next := b.nextRoom(s, now); next.After(now) {
+		if next := b.nextRequest(s, now); next.After(now) {
 			if room.IsZero() || next.Before(room) {
 				room = next
 			}
--- a/balance/busy.go
+++ b/balance/busy.go
@@ -42,8 +42,8 @@
 		share = float64(s.running+others.Running) / float64(s.upstream.Slots)
 	}
 	share = max(share, b.backlog(s, now).Seconds()/busyBacklog.Seconds())
-	if s.leaving {
-		return 1 // package supply is to replace it
+	if s.leaving || now.Before(s.restUntil) {
+		return 1 // package supply is to order another in its place
 	}
 	if s.limited() {
 		share = max(share, limitedBusy)
--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -80,3 +80,41 @@
 		})
 	})
 }
+
+// askForRest lets a server ask in a rejection to be sent nothing for some time.
+func askForRest(p relay.Placer, server models.Upstream, lasting time.Duration) {
+	p.Answered(server, models.ServerStatement{RetryAfter: lasting}, system.NewClock().Now())
+}
+
+func TestServerThatRests(t *testing.T) {
+	t.Run("gets no request until the end", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(newFleet(plainServers(1)...))
+			before := place(t, b, callExchange())
+			askForRest(b, before.Target(), 4*time.Second)
+			askForRest(b, before.Target(), time.Second) // a shorter one does not end it
+			is.True(!before.TakesRequest())             // chosen, but not sent there yet
+			advance(t, 3*time.Second)
+			_, err := b.Place(callExchange(), nil)
+			refusal := relay.RefusalOf(err)
+			is.True(refusal.NotRun)
+			is.Equal(refusal.RetryAfter, time.Second)
+			is.True(b.Rests(before.Target()))
+			is.Equal(b.Busy("desk"), 1.0)
+			advance(t, time.Second)
+			is.True(place(t, b, callExchange()).TakesRequest())
+			is.True(!b.Rests(before.Target()))
+		})
+	})
+	t.Run("its next process gets requests", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(plainServers(1)...)
+			b := newBalancer(f)
+			p := place(t, b, callExchange())
+			askForRest(b, p.Target(), time.Minute)
+			f.restart(p.Target().ID, system.NewClock().Now().Add(time.Second))
+			is.New(t).True(place(t, b, callExchange()).TakesRequest())
+		})
+	})
+}
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -57,9 +57,21 @@
 		return
 	}
 	s.leaving = s.leaving || statement.Leaving
+	if until := now.Add(statement.RetryAfter); statement.RetryAfter > 0 && until.After(s.restUntil) {
+		s.restUntil = until
+	}
 	b.stateLimit(s, statement.Limit, sentAt, now)
 }
 
+// Rests implements relay.Placer.
+func (b *Balancer) Rests(server models.Upstream) bool {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.states[server.ID]
+	return ok && s.upstream.SameIncarnation(server) && now.Before(s.restUntil)
+}
+
 // stateLimit applies what an answer states of its server's limit. The caller must hold
 // b.mu.
 func (b *Balancer) stateLimit(s *serverState, limit models.StatedLimit, sentAt, now time.Time) {
@@ -87,6 +99,17 @@
 	b.changed = b.changed || before != statement.Rate
 }
 
+// nextRequest returns when a server may get a request of this daemon, because of its
+// limit and of the rest that it has asked for: zero if it may at any time. The caller
+// must hold b.mu.
+func (b *Balancer) nextRequest(s *serverState, now time.Time) time.Time {
+	room := b.nextRoom(s, now)
+	if s.restUntil.After(room) {
+		return s.restUntil
+	}
+	return room
+}
+
 // nextRoom returns when a server has room for a request of this daemon: zero if it
 // has no limit. The caller must hold b.mu.
 func (b *Balancer) nextRoom(s *serverState, now time.Time) time.Time {
@@ -141,6 +164,9 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now.Before(p.target.restUntil) {
+		return false
+	}
 	room := b.nextRoom(p.target, now)
 	if room.IsZero() {
 		return true
@@ -154,12 +180,12 @@
 }
 
 // limitRefusal is the refusal of a request because all servers that are left have
-// reached their limits. Room is the earliest time at which one of them has room for a
-// request of this daemon; others may have some before.
+// reached their limits or rest. Room is the earliest time at which one of them may get a
+// request of this daemon; others may have room before.
 func limitRefusal(room, now time.Time) *models.Refusal {
 	return &models.Refusal{
 		Code:       models.RefusalOverload,
-		Message:    "each backend server that is left has reached the limit that it states",
+		Message:    "each backend server that is left has reached the limit that it states or wants no requests for some time",
 		NotRun:     true,
 		RetryAfter: min(max(room.Sub(now), minLimitRetryAfter), maxLimitRetryAfter),
 	}
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -70,6 +70,9 @@
 // Answered implements relay.Placer.
 func (p *Placer) Answered(models.Upstream, models.ServerStatement, time.Time) {}
 
+// Rests implements relay.Placer.
+func (p *Placer) Rests(models.Upstream) bool { return false }
+
 // placement implements relay.Placement.
 type placement models.Upstream
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -43,6 +43,7 @@
 	cache         promptCache
 	limit         *serverLimit // nil: it has stated none
 	leaving       bool         // it has said so in an answer to this daemon
+	restUntil     time.Time    // until then it wants no requests from this daemon
 	speed         speed.Estimate
 	factor        float64 // of the speed as of factorAt; 0: to be computed
 	factorAt      time.Time
--- a/balance/wishes_schedule_test.go
+++ b/balance/wishes_schedule_test.go
@@ -100,3 +100,11 @@
 		return nil
 	})
 }
+
+// Guards against requests to engines that have asked for a rest.
+func TestEnginesThatRestGetNoRequests(t *testing.T) {
+	playRetries(t, period{from: 5 * time.Second, until: 20 * time.Second}, func(r *rand.Rand, settings *limitSettings) []time.Duration {
+		settings.resting = r.Float64()
+		return nil
+	})
+}
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -175,6 +175,7 @@
 	leaving        models.EngineID // accepts no work if placements have a prefiller
 	limited        models.EngineID // has reached its limit
 	stated         []models.StatedLimit
+	resting        bool // all servers
 }
 
 // Place implements relay.Placer.
@@ -225,6 +226,9 @@
 	p.stated = append(p.stated, statement.Limit)
 }
 
+// Rests implements relay.Placer.
+func (p *fakePlacer) Rests(models.Upstream) bool { return p.resting }
+
 type fakePlacement struct {
 	placer    *fakePlacer
 	target    models.Upstream
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -51,6 +51,8 @@
 	// Answered reports what the answer of a backend server, to a request that was sent
 	// to it at a time, says of the server.
 	Answered(server models.Upstream, statement models.ServerStatement, sentAt time.Time)
+	// Rests reports whether a backend server has asked to be sent nothing now.
+	Rests(server models.Upstream) bool
 }
 
 // Placement is a reservation for a request at a backend server.
@@ -67,7 +69,8 @@
 	// have started draining since it was chosen.
 	AcceptsWork() bool
 	// TakesRequest reports whether the target has room for the request within the limit
-	// that it states, and uses it. It is asked right before the request is sent.
+	// that it states, and does not rest. It uses the room, and is asked right before the
+	// request is sent.
 	TakesRequest() bool
 	// Software is what the target runs. It reports false if the target has been
 	// registered with another version since it was chosen: either may serve the
@@ -407,6 +410,9 @@
 	}
 	cache := *d.prefilled
 	d.prefilled = nil
+	if d.sender.placer.Rests(cache.prefiller) {
+		return // the cache expires there
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	if err := d.sender.upstreams.Free(ctx, cache.prefiller, cache.source); err != nil {
