relay: only an answer of the same kind continues a stream that has begun

An answer with a status of 300 or more never continued a stream here. A success did, whatever it was: a plain text that reads like a field ("error: out of memory") was relayed as an event, an empty 200, a 204 or an event with 202 ended the stream as complete. A run now continues a stream only with the status and the media type with which it began; otherwise it counts as failed, and the stream is resumed elsewhere or cut off.

TestErrorAfterABrokenStreamIsNotPartOfIt failed in 4 of 14 cases: no content, accepted for later, empty success of no stream, error text as a success. The other ten (errors with and without a length, as events, a rejection, the head of an answer within a stream) passed before and stay as guards.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -288,6 +288,7 @@
 	d.headerWritten = true
 	e.Trace.Status = answer.Status
 	e.Trace.FirstResponseAfter = d.sender.clock.Now().Sub(e.Received)
+	d.begun = kindOf(answer)
 	e.Reply.Begin(answer.Status, answer.Header, length)
 }
 
--- a/relay/events.go
+++ b/relay/events.go
@@ -2,8 +2,29 @@
 
 import (
 	"bytes"
+	"strconv"
+	"strings"
+
+	"quincewinch/peer"
 )
 
+// streamKind is what runs of one stream have in common. Another kind of answer, though
+// a success, is an error or holds no events.
+type streamKind struct {
+	status    int
+	mediaType string
+}
+
+func kindOf(answer peer.UpstreamResponse) streamKind {
+	mediaType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
+	return streamKind{status: answer.Status, mediaType: strings.ToLower(strings.TrimSpace(mediaType))}
+}
+
+// String returns the kind for logs.
+func (k streamKind) String() string {
+	return "status " + statusText(k.status) + ", media type " + strconv.Quote(k.mediaType)
+}
+
 // maxEventBytes bounds one event, which is held until it is complete.
 const maxEventBytes = 64 << 10
 
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -163,6 +163,7 @@
 	prefillRequested      bool            // no further prefiller is asked
 	prefilled             *prefilledCache // KV cache not yet taken over by a target
 	headerWritten         bool            // the status and the header went to the caller
+	begun                 streamKind      // of the stream whose header went to the caller
 	billed                bool            // counted by the usage meter
 	largeBuffer           bool            // holds one of the sender's largeBuffers
 	events                eventSplitter
@@ -305,8 +306,8 @@
 	}
 	d.prefilled = nil
 	d.executions++
-	if d.headerWritten && answer.Status >= minFailureStatus {
-		return ResultFailed, errors.Errorf("the stream cannot be resumed: the backend server answered %d", answer.Status)
+	if kind := kindOf(answer); d.headerWritten && kind != d.begun {
+		return ResultFailed, errors.Errorf("the stream of %s cannot be resumed: the backend server answered with %s", d.begun, kind)
 	}
 	if d.exchange.Route.Stream && answer.Status < minFailureStatus {
 		return d.relayStream(ctx, placement, answer)
