balance, relay: KV cache is not released at a server that leaves or has left

A call that releases KV cache at a prefiller is made when its target has turned the request away, which may be seconds after the prefill. It went to a server that had said that it leaves long before, or to an address that has been given to another: a send like others by the users' rule (DRAIN), and of no use, as the memory goes with the process.

The placer says whether a server accepts such calls: not one that rests, as before, leaves or is no longer registered as ready. The cache expires there.

--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -24,8 +24,10 @@
 			b := newBalancer(newFleet(plainServers(2)...))
 			before := place(t, b, callExchange())
 			is.True(before.AcceptsWork())
+			is.True(b.AcceptsCalls(before.Target()))
 			leave(b, before.Target())
 			is.True(!before.AcceptsWork()) // chosen, but not sent there yet
+			is.True(!b.AcceptsCalls(before.Target()))
 			for range 20 {
 				p := place(t, b, callExchange())
 				is.True(p.Target().ID != before.Target().ID)
@@ -86,6 +88,22 @@
 	p.Answered(server, models.ServerStatement{RetryAfter: lasting}, system.NewClock().Now())
 }
 
+// Guards against calls that release KV cache at a server long after it has said that it
+// leaves, or has left.
+func TestServerThatIsNotRegisteredAcceptsNoCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(plainServers(2)...)
+	b := newBalancer(f)
+	server := f.snapshot.ByID["c0"]
+	is.True(b.AcceptsCalls(server))
+	draining := server
+	draining.Draining = true
+	f.snapshot.ByID["c0"] = draining
+	is.True(!b.AcceptsCalls(server))
+	delete(f.snapshot.ByID, "c0")
+	is.True(!b.AcceptsCalls(server))
+}
+
 func TestServerThatRests(t *testing.T) {
 	t.Run("gets no request until the end", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
@@ -100,11 +118,11 @@
 			refusal := relay.RefusalOf(err)
 			is.True(refusal.NotRun)
 			is.Equal(refusal.RetryAfter, time.Second)
-			is.True(b.Rests(before.Target()))
+			is.True(!b.AcceptsCalls(before.Target()))
 			is.Equal(b.Busy("desk"), 1.0)
 			advance(t, time.Second)
 			is.True(place(t, b, callExchange()).TakesRequest())
-			is.True(!b.Rests(before.Target()))
+			is.True(b.AcceptsCalls(before.Target()))
 		})
 	})
 	t.Run("its next process gets requests", func(t *testing.T) {
--- a/balance/limits.go
+++ b/balance/limits.go
@@ -63,13 +63,26 @@
 	b.stateLimit(s, statement.Limit, sentAt, now)
 }
 
-// Rests implements relay.Placer.
-func (b *Balancer) Rests(server models.Upstream) bool {
+// AcceptsCalls implements relay.Placer.
+func (b *Balancer) AcceptsCalls(server models.Upstream) bool {
+	if !b.registered(server) {
+		return false
+	}
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.states[server.ID]
-	return ok && s.upstream.SameIncarnation(server) && now.Before(s.restUntil)
+	return !ok || !s.upstream.SameIncarnation(server) || !s.leaving && !now.Before(s.restUntil)
+}
+
+// registered reports whether a backend server is registered as accepting requests.
+func (b *Balancer) registered(server models.Upstream) bool {
+	snapshot := b.fleet.Snapshot()
+	if snapshot == nil {
+		return false
+	}
+	now, ok := snapshot.ByID[server.ID]
+	return ok && !now.Draining && now.SameIncarnation(server)
 }
 
 // stateLimit applies what an answer states of its server's limit. The caller must hold
--- a/balance/naive/naive.go
+++ b/balance/naive/naive.go
@@ -70,8 +70,8 @@
 // Answered implements relay.Placer.
 func (p *Placer) Answered(models.Upstream, models.ServerStatement, time.Time) {}
 
-// Rests implements relay.Placer.
-func (p *Placer) Rests(models.Upstream) bool { return false }
+// AcceptsCalls implements relay.Placer.
+func (p *Placer) AcceptsCalls(models.Upstream) bool { return true }
 
 // placement implements relay.Placement.
 type placement models.Upstream
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -60,12 +60,7 @@
 
 // AcceptsWork implements relay.Placement.
 func (p *placement) AcceptsWork() bool {
-	snapshot := p.balancer.fleet.Snapshot()
-	if snapshot == nil {
-		return false
-	}
-	now, ok := snapshot.ByID[p.chosen.ID]
-	return ok && !now.Draining && now.SameIncarnation(p.chosen) && !p.targetLeaving()
+	return p.balancer.registered(p.chosen) && !p.targetLeaving()
 }
 
 func (p *placement) targetLeaving() bool {
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -175,7 +175,7 @@
 	leaving        models.EngineID // accepts no work if placements have a prefiller
 	limited        models.EngineID // has reached its limit
 	stated         []models.StatedLimit
-	resting        bool // all servers
+	noCalls        bool // servers accept no calls but requests
 }
 
 // Place implements relay.Placer.
@@ -226,8 +226,8 @@
 	p.stated = append(p.stated, statement.Limit)
 }
 
-// Rests implements relay.Placer.
-func (p *fakePlacer) Rests(models.Upstream) bool { return p.resting }
+// AcceptsCalls implements relay.Placer.
+func (p *fakePlacer) AcceptsCalls(models.Upstream) bool { return !p.noCalls }
 
 type fakePlacement struct {
 	placer    *fakePlacer
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -51,8 +51,9 @@
 	// Answered reports what the answer of a backend server, to a request that was sent
 	// to it at a time, says of the server.
 	Answered(server models.Upstream, statement models.ServerStatement, sentAt time.Time)
-	// Rests reports whether a backend server has asked to be sent nothing now.
-	Rests(server models.Upstream) bool
+	// AcceptsCalls reports whether a backend server may be sent other calls than
+	// requests: it neither leaves nor rests.
+	AcceptsCalls(server models.Upstream) bool
 }
 
 // Placement is a reservation for a request at a backend server.
@@ -411,7 +412,7 @@
 	}
 	cache := *d.prefilled
 	d.prefilled = nil
-	if d.sender.placer.Rests(cache.prefiller) {
+	if !d.sender.placer.AcceptsCalls(cache.prefiller) {
 		return // the cache expires there
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
--- a/relay/sender_test.go
+++ b/relay/sender_test.go
@@ -413,10 +413,10 @@
 		f.is.True(f.upstreams.calls[0].KVSource != nil) // the next target uses the same KV cache
 		f.is.Equal(f.upstreams.heldCaches, 1)           // prefilled only once
 	})
-	t.Run("unused KV cache of a prefiller that rests expires there", func(t *testing.T) {
+	t.Run("unused KV cache of a prefiller that accepts no calls expires there", func(t *testing.T) {
 		f := newFixture(t, nonRepeatableStream, unreachable, unreachable, unreachable)
 		f.placer.usePrefiller = true
-		f.placer.resting = true
+		f.placer.noCalls = true
 		f.upstreams.prefill = scriptedAnswer{status: http.StatusOK}
 		f.expectRefused(models.RefusalBackendFailed, true)
 		f.is.Equal(f.upstreams.heldCaches, 1) // no call was made
