--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -217,6 +217,17 @@
 			})
 		})
 	}
+	t.Run("ratio of a process that has just started", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBalancer(newFleet(plainServers(1)...))
+			b.SetDaemons(1, true)
+			for range 100 {
+				place(t, b, callExchange()).End(relay.ResultServed)
+			}
+			// What 0.2 for each of 100 requests leaves beside the 0.16 of the process before.
+			is.New(t).True(takeRetries(b) <= 4)
+		})
+	})
 	t.Run("no process has run before", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			b := balance.New(newFleet(plainServers(1)...), system.NewClock(), balance.Settings{
@@ -228,6 +239,35 @@
 	})
 }
 
+// Guards against prefill calls that are trusted to be accepted after others that were not
+// sent at all.
+func TestPrefillCallsWithoutRoomInTheRetryBudget(t *testing.T) {
+	tests := []struct {
+		result relay.Result
+		want   int // prefill calls at once after one with the result
+	}{
+		{relay.ResultServed, 2},
+		{relay.ResultUnreachable, 1},
+		{relay.ResultRejected, 0},
+		{relay.ResultFailed, 0},
+	}
+	for _, test := range tests {
+		t.Run(string(test.result), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBalancer(newFleet(plainServers(1)...))
+				is.True(b.BeginPrefill("llm"))
+				b.EndPrefill("llm", test.result)
+				begun := 0
+				for b.BeginPrefill("llm") {
+					begun++
+				}
+				is.Equal(begun, test.want)
+			})
+		})
+	}
+}
+
 func TestPromptGoesToEngineCachingSharedPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/balance/retry_schedule_test.go
+++ b/balance/retry_schedule_test.go
@@ -209,6 +209,16 @@
 	playRetries(t, rejecting, func(r *rand.Rand, _ *limitSettings) []time.Duration { return drawKills(r, rejecting) })
 }
 
+// Guards against VMs that were killed right after they had spent the ratio of a whole
+// window, and spend that of the next one at once.
+func TestVMsKilledAfterABurstStayWithinTheRetryBudget(t *testing.T) {
+	rejecting := period{from: 12 * time.Second, until: 26 * time.Second}
+	playRetries(t, rejecting, func(r *rand.Rand, settings *limitSettings) []time.Duration {
+		settings.rate = 150 + 100*r.Float64()
+		return []time.Duration{between(r, 15*time.Second, 17*time.Second)}
+	})
+}
+
 // Guards against VMs that know no others and take the budget of all of them.
 func TestVMsThatKnowNoOthersStayWithinTheRetryBudget(t *testing.T) {
 	rejecting := period{from: 12 * time.Second, until: 34 * time.Second}
