relay: what a server answers when its time is over is read

A backend server was given all the time that was left, so that what it answered at its end came after the request had been given up: that the request waited in vain and has not run, how long the server wants no others, that it leaves. A full server would have got request after request in the rest that it asks for each time.

Up to 20 ms, and at most a tenth, of the time left are kept for that answer.

--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -352,7 +352,12 @@
 
 func (f *fixture) handle(ctx context.Context) error {
 	f.t.Helper()
-	sender := relay.NewSender(&f.upstreams, &f.placer, &f.meter, f.origins, &f.guard, system.NewClock(), zap.NewNop())
+	return f.handleWith(ctx, &f.upstreams)
+}
+
+func (f *fixture) handleWith(ctx context.Context, upstreams peer.Upstreams) error {
+	f.t.Helper()
+	sender := relay.NewSender(upstreams, &f.placer, &f.meter, f.origins, &f.guard, system.NewClock(), zap.NewNop())
 	return sender.Handle(ctx, &f.exchange)
 }
 
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -26,6 +26,10 @@
 	// minTimeLeft is the shortest remaining time with which a request is sent:
 	// no backend server can answer in less.
 	minTimeLeft = 5 * time.Millisecond
+	// answerMargin is kept of the remaining time, but no more than the share
+	// 1/answerShare of it, for what a backend server answers when its time is over.
+	answerMargin = 20 * time.Millisecond
+	answerShare  = 10
 	// releaseTimeout bounds a call that releases KV cache; the request waits for
 	// it before it is retried elsewhere.
 	releaseTimeout = 300 * time.Millisecond
@@ -252,7 +256,7 @@
 		return ResultLeaving, err
 	}
 	d.tried[target.ID] = true
-	call.TimeLeft = d.timeLeft()
+	call.TimeLeft = d.serverTime()
 	if call.TimeLeft < minTimeLeft {
 		return ResultCancelled, errors.New("no time is left")
 	}
@@ -321,6 +325,12 @@
 	return d.exchange.Deadline.Sub(d.sender.clock.Now())
 }
 
+// serverTime returns the time that a backend server has to answer.
+func (d *delivery) serverTime() time.Duration {
+	left := d.timeLeft()
+	return left - min(answerMargin, left/answerShare)
+}
+
 // prefill requests the prefill of the prompt from the placement's prefiller, if
 // it has one and the retry budget allows that. A prefill is requested once per request:
 // another would be a retry, and what failed for one target may fail for the next. An
@@ -331,7 +341,7 @@
 	if !ok {
 		return nil
 	}
-	call.TimeLeft = d.timeLeft()
+	call.TimeLeft = d.serverTime()
 	service := d.exchange.Service.Name
 	if d.prefillRequested || call.TimeLeft < minTimeLeft || !d.sender.placer.BeginPrefill(service) {
 		placement.PrefillEnded(ResultLeaving)
