--- a/policy/retry/peak_test.go
+++ b/policy/retry/peak_test.go
@@ -17,8 +17,8 @@
 	for i, value := range []int{3, 8, 6, 7, 2} {
 		p.Observe(start.Add(time.Duration(i)*time.Second), value)
 	}
-	for after, want := range map[time.Duration]int{11: 8, 12: 7, 13: 7, 14: 2, 100: 2} {
+	for after, want := range map[int]int{11: 8, 12: 7, 13: 7, 14: 2, 100: 2} {
 		q := p
-		is.Equal(q.Highest(start.Add(after*time.Second), window), want)
+		is.Equal(q.Highest(start.Add(time.Duration(after)*time.Second), window), want)
 	}
 }
