balance: the highest number of daemons comes from policy/fleet's WindowMax

policy/retry had a type of its own for the highest value within a window, which policy/fleet has as WindowMax.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -14,6 +14,7 @@
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/policy/admission"
+	"quincewinch/policy/fleet"
 	"quincewinch/policy/retry"
 	"quincewinch/relay"
 	"quincewinch/routing"
@@ -58,8 +59,8 @@
 	daemons int // sharing the retry budget and the limits of servers, this one included
 
 	startedAt  time.Time
-	listedAt   time.Time  // since when all registered daemons are known; zero if they are not
-	daemonPeak retry.Peak // of daemons
+	listedAt   time.Time        // since when all registered daemons are known; zero if they are not
+	daemonPeak *fleet.WindowMax // of daemons, within a window of the retry budget
 	// zonePeers is the number of other daemons of this zone whose load shares arrive;
 	// zoneVersion rises with each change of these daemons.
 	zonePeers   int
@@ -91,9 +92,9 @@
 }
 
 // New returns a balancer with no load recorded.
-func New(fleet FleetView, clock peer.Clock, settings Settings, seed uint64) *Balancer {
+func New(view FleetView, clock peer.Clock, settings Settings, seed uint64) *Balancer {
 	return &Balancer{
-		fleet:        fleet,
+		fleet:        view,
 		clock:        clock,
 		settings:     settings,
 		random:       rand.New(rand.NewPCG(seed, 0)),
@@ -102,6 +103,7 @@
 		timings:      newTimings(),
 		daemons:      1,
 		startedAt:    clock.Now(),
+		daemonPeak:   fleet.NewWindowMax(settings.Retries.Window),
 		zoneVersion:  1,
 		queues:       map[models.ServiceName]*admission.Queue{},
 		capacity:     map[models.ServiceName]int{},
--- a/balance/retries.go
+++ b/balance/retries.go
@@ -36,13 +36,19 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.mostDaemons(now)
 	b.daemons = max(n, 1)
 	if !listed {
 		b.listedAt = time.Time{}
 	} else if b.listedAt.IsZero() {
 		b.listedAt = now
 	}
-	b.daemonPeak.Observe(now, b.daemons)
+}
+
+// mostDaemons returns the highest number of daemons within a window of the retry budget.
+// The caller must hold b.mu.
+func (b *Balancer) mostDaemons(now time.Time) int {
+	return int(b.daemonPeak.Observe(now, float64(b.daemons)))
 }
 
 // SetRetries replaces the retry budget settings of all services.
@@ -110,8 +116,7 @@
 	if !young && (b.listedAt.IsZero() || now.Sub(b.listedAt) <= all.Window) {
 		return ratio, 0
 	}
-	daemons := max(b.daemonPeak.Highest(now, all.Window), 1)
-	return ratio, all.Reserve * retryBudgetFactor / float64(daemons)
+	return ratio, all.Reserve * retryBudgetFactor / float64(b.mostDaemons(now))
 }
 
 // RetryChanges returns the retry budgets that have been used up since the last call,
@@ -128,7 +133,7 @@
 			continue
 		}
 		budget.usedUp = usage.UsedUp()
-		changes = append(changes, RetryChange{Service: service, Usage: usage, Daemons: b.daemonPeak.Highest(now, b.settings.Retries.Window)})
+		changes = append(changes, RetryChange{Service: service, Usage: usage, Daemons: b.mostDaemons(now)})
 	}
 	return changes
 }
