--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -59,7 +59,7 @@
 	daemons int // sharing the retry budget and the limits of servers, this one included
 
 	startedAt  time.Time
-	listedAt   time.Time        // since when all registered daemons are known; zero if they are not
+	listedAt   time.Time        // since when all registered daemons are known; zero: they are not
 	daemonPeak *fleet.WindowMax // of daemons, within a window of the retry budget
 	// zonePeers is the number of other daemons of this zone whose load shares arrive;
 	// zoneVersion rises with each change of these daemons.
@@ -157,9 +157,9 @@
 	return "no backend server of version " + strconv.Quote(origin.Version) + ", which began the stream, is left to try"
 }
 
-// candidates returns the states of the backend servers that may receive a
-// request, and when the first of those that have reached their limit or rest may get one
-// again; zero if there are none. Those in backoff are left out unless no other is available. The
+// candidates returns the states of the backend servers that may receive a request, and
+// when the first of those that have reached their limit or rest may get one again; zero
+// if there are none. Those in backoff are left out unless no other is available. The
 // caller must hold b.mu.
 func (b *Balancer) candidates(snapshot *routing.Snapshot, e *relay.Exchange, tried map[models.EngineID]bool, now time.Time) (list []*serverState, room time.Time) {
 	if snapshot == nil {
--- a/balance/retries.go
+++ b/balance/retries.go
@@ -102,10 +102,10 @@
 	return budget
 }
 
-// retryLimits returns this daemon's part of the retry budget. What daemons of before may
-// have spent is not spent again: in its first window a daemon uses little of the ratio,
-// and the reserve only once it has known all daemons for a window, divided by the number
-// of those that were there in it. The caller must hold b.mu.
+// retryLimits returns this daemon's part of the retry budget. Earlier processes may have
+// spent it: a daemon uses little of the ratio and no reserve in its first window, and the
+// reserve only once it has known all daemons for a window, divided by the most that there
+// were in it. The caller must hold b.mu.
 func (b *Balancer) retryLimits(now time.Time) (ratio, reserve float64) {
 	all := b.settings.Retries
 	young := now.Sub(b.startedAt) <= all.Window
--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -58,8 +58,8 @@
 }
 
 // Begin reports whether a call may be made that becomes a retry if it is rejected, and
-// keeps room for that until End. As long as no retry has been made in the window, room
-// is not needed for as many calls at once as were accepted in it, and one more.
+// keeps room for that until End. As long as the window has no retry, one more call at
+// once than were accepted in it needs no room.
 func (b *Budget) Begin(now time.Time) bool {
 	usage := b.Usage(now)
 	trusted := usage.Retries == usage.Pending && usage.Pending <= usage.Accepted
