balance: tests of leaving and resting servers fail, rather than panic, on a placement

With leaving or resting servers left among the candidates, or a shorter rest taken over, the tests panicked on a refusal that was not there. They check first that there is one; no check goes.

--- a/balance/leaving_test.go
+++ b/balance/leaving_test.go
@@ -53,6 +53,7 @@
 			b := newBalancer(newFleet(plainServers(1)...))
 			leave(b, place(t, b, callExchange()).Target())
 			_, err := b.Place(callExchange(), nil)
+			is.True(err != nil) // refused
 			refusal := relay.RefusalOf(err)
 			is.True(refusal.NotRun)
 			is.True(refusal.RetryAfter > 0)
@@ -115,6 +116,7 @@
 			is.True(!before.TakesRequest())             // chosen, but not sent there yet
 			advance(t, 3*time.Second)
 			_, err := b.Place(callExchange(), nil)
+			is.True(err != nil) // refused
 			refusal := relay.RefusalOf(err)
 			is.True(refusal.NotRun)
 			is.Equal(refusal.RetryAfter, time.Second)
