--- a/lib/knownred/knownred_test.go
+++ b/lib/knownred/knownred_test.go
@@ -137,6 +137,21 @@
 	})
 }
 
+func TestSplitRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		arguments []string
+		want      [][]string
+	}{
+		"one run":  {[]string{"-race", "./..."}, [][]string{{"-race", "./..."}}},
+		"two runs": {[]string{"-race", "./a", "--", "./b"}, [][]string{{"-race", "./a"}, {"./b"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(slices.EqualFunc(splitRuns(test.arguments), test.want, slices.Equal[[]string])) // got, want
+		})
+	}
+}
+
 // recorded returns the results of a run that was recorded, and what was shown.
 func recorded(t *testing.T, name string) (*results, string) {
 	is := is.New(t)
--- a/lib/knownred/main.go
+++ b/lib/knownred/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"slices"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
@@ -15,7 +16,7 @@
 func main() {
 	app := kingpin.New("knownred", "Run `go test` and pass if exactly the listed tests fail.")
 	name := app.Arg("list", "File of known failures.").Required().ExistingFile()
-	arguments := app.Arg("arguments", "Arguments of `go test`, after --.").Strings()
+	arguments := app.Arg("arguments", "Arguments of `go test`, after --. Another -- begins those of a further run.").Strings()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := run(*name, *arguments, os.Stdout); err != nil {
 		app.Fatalf("%v", err)
@@ -28,9 +29,13 @@
 		return err
 	}
 	r := newResults()
-	passes, err := goTest(arguments, r, out)
-	if err != nil {
-		return err
+	passes := true
+	for _, arguments := range splitRuns(arguments) {
+		runPasses, err := goTest(arguments, r, out)
+		if err != nil {
+			return err
+		}
+		passes = passes && runPasses
 	}
 	found := objections(list, r)
 	if !passes && r.count(failed) == 0 && len(found) == 0 {
@@ -45,6 +50,15 @@
 	return nil
 }
 
+// splitRuns returns the arguments of each run of `go test`.
+func splitRuns(arguments []string) [][]string {
+	end := slices.Index(arguments, "--")
+	if end < 0 {
+		return [][]string{arguments}
+	}
+	return append([][]string{arguments[:end]}, splitRuns(arguments[end+1:])...)
+}
+
 func readListFile(name string) ([]entry, error) {
 	file, err := os.Open(name)
 	if err != nil {
