--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,5 @@
 # Plays case 4; TROUBLE=0 plays it without the disruption. Exits with 1 if the rule was
 # broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/4 review/4/record.txt
+[ -x target/review/cases ] || exit 2
+REVIEW_CASE=4 exec target/review/cases review/4/record.txt
--- a/review/3/main.go
+++ b/review/cases/case4_test.go
@@ -1,31 +1,26 @@
-// Command 3 is case 3 of the review: a part far back in long prompts crashes each engine
+package cases
+
+// Case 4: a part far back in long prompts crashes each engine
 // that begins to write an answer on it.
-package main
 
 import (
 	"fmt"
 	"os"
 	"strconv"
 	"time"
-
-	"quincewinch/review/lab"
 )
 
-func main() {
-	os.Exit(play())
-}
-
-func play() int {
-	l, err := lab.New(os.Args[1])
+func playFarPart() int {
+	l, err := New(os.Args[1])
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
-		return lab.Failed
+		return Failed
 	}
 	defer l.Close()
-	d := &lab.Deadly{Lab: l, Length: 45 * time.Second, Interval: 1500 * time.Millisecond, Group: 1, Parts: 20, Place: place(), Crashes: lab.Trouble(), Events: 30}
+	d := &Deadly{Lab: l, Length: 45 * time.Second, Interval: 1500 * time.Millisecond, Group: 1, Parts: 20, Place: place(), Crashes: Trouble(), Events: 30}
 	if err := d.Start(); err != nil {
 		l.Logf("cannot run: %v", err)
-		return lab.Failed
+		return Failed
 	}
 	d.Run()
 	return d.Judge()
--- a/review/lab/deadly.go
+++ b/review/cases/deadly_test.go
@@ -1,4 +1,4 @@
-package lab
+package cases
 
 import (
 	"context"
--- a/review/lab/lab.go
+++ b/review/cases/lab_test.go
@@ -1,6 +1,4 @@
-// Package lab runs entry daemons as separate processes in front of stand-ins for the
-// platform, its backend servers and its callers, for the cases of the review.
-package lab
+package cases
 
 import (
 	"context"
