--- a/review/cases/case1_test.go
+++ b/review/case1_test.go
@@ -1,4 +1,4 @@
-package cases
+package review
 
 // Case 1: the engines of a service are replaced by others of
 // another software version; callers take up the streams that this broke off.
--- a/review/cases/case2_test.go
+++ b/review/case2_test.go
@@ -1,4 +1,4 @@
-package cases
+package review
 
 // Case 2: all daemons are killed at once and started again;
 // callers take up the streams that this broke off.
--- a/review/cases/case4_test.go
+++ b/review/case4_test.go
@@ -1,4 +1,4 @@
-package cases
+package review
 
 // Case 4: a part far back in long prompts crashes each engine
 // that begins to write an answer on it.
--- a/review/cases/case5_test.go
+++ b/review/case5_test.go
@@ -1,4 +1,4 @@
-package cases
+package review
 
 // Case 5: requests with a part that crashes engines come some
 // at a time.
--- a/review/cases/engine_test.go
+++ b/review/engine_test.go
@@ -1,4 +1,4 @@
-package cases
+package review
 
 import (
 	"fmt"
