resume: origins of streams outlive their age, and the loss of all daemons

What callers saw.

What proves the origin of a stream was memory of this process with an age of a minute: origins were dropped after a minute whatever the caller's deadline, and an unknown stream was taken for the only version "seen in the last minute", which proves nothing for an older one. A process that had followed for less than a minute refused all unknown ones. And a view up to 3 s old counted as complete.

Change: the platform's store keeps, a row a service, which versions may have begun streams that callers may still resume: from before their servers are used, until the longest lifetime that any stream had after their last registration, plus a minute for daemons that are cut off. An unknown stream is continued only if a read of that row that began after its request arrived names one version; no age and no clock of this process takes part. While several are named, or a route leads to several services, the origins themselves are written too, at most every 50 ms, and read by a daemon that lacks one. Origins are kept until the caller's deadline.

Tests that changed: TestLookup "kept no longer than a stream may be resumed" asserted the fault and is now its opposite.

--- a/balance/leader.go
+++ b/balance/leader.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"quincewinch/models"
+	"quincewinch/resume"
 )
 
 // chooseReceivers returns the daemons that the next load share goes to, and whether this
@@ -75,6 +76,16 @@
 	return s.zoneLeader(s.self.Zone, s.members.Others()) == s.self.From
 }
 
+// OriginDuty returns the scope of the origins of streams that this daemon keeps in the
+// store: those of its zone if it leads one, and its own if all daemons are direct peers. ok
+// is false if the leader of its zone does so.
+func (s *Sharer) OriginDuty() (scope resume.Scope, ok bool) {
+	if len(s.members.Others()) <= fullMeshLimit {
+		return resume.ScopeOwn, true
+	}
+	return resume.ScopeOwn | resume.ScopeZone, s.LeadsZone()
+}
+
 // StandbyRank returns how many daemons that are in touch come before this one as
 // holders of leases: of the leaders of zones, or of all daemons if each sends its load
 // shares to all others. ok is false for a daemon that leads no zone.
--- a/balance/limit_vms_test.go
+++ b/balance/limit_vms_test.go
@@ -245,11 +245,14 @@
 // Write implements relay.Reply.
 func (discard) Write(context.Context, []byte, bool) error { return nil }
 
-// unversioned implements relay.VersionHistory.
+// unversioned implements resume.VersionSource.
 type unversioned struct{}
 
-// Seen implements relay.VersionHistory.
-func (unversioned) Seen(models.ServiceName, time.Duration) ([]string, bool) { return nil, true }
+// Candidates implements resume.VersionSource.
+func (unversioned) Candidates(models.ServiceName) ([]string, bool) { return nil, true }
+
+// Began implements resume.VersionSource.
+func (unversioned) Began(models.ServiceName, time.Duration) {}
 
 // noEvidence implements balance.EvidenceLog.
 type noEvidence struct{}
--- a/balance/share_bench_test.go
+++ b/balance/share_bench_test.go
@@ -46,10 +46,12 @@
 
 func (e *benchmarkEvidence) Evidence() *models.CrashEvidence { return &models.CrashEvidence{} }
 
-// emptyHistory implements relay.VersionHistory.
+// emptyHistory implements resume.VersionSource.
 type emptyHistory struct{}
 
-func (emptyHistory) Seen(models.ServiceName, time.Duration) ([]string, bool) { return nil, true }
+func (emptyHistory) Candidates(models.ServiceName) ([]string, bool) { return nil, true }
+
+func (emptyHistory) Began(models.ServiceName, time.Duration) {}
 
 // emptyFleet implements FleetView.
 type emptyFleet struct{}
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -93,13 +93,16 @@
 	return resume.ScopeRemote
 }
 
-// Seen implements relay.VersionHistory.
-func (n *network) Seen(models.ServiceName, time.Duration) (versions []string, complete bool) {
+// Candidates implements resume.VersionSource.
+func (n *network) Candidates(models.ServiceName) (versions []string, current bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return slices.Clone(n.versions), true
 }
 
+// Began implements resume.VersionSource.
+func (n *network) Began(models.ServiceName, time.Duration) {}
+
 // Drop implements balance.ShareClient.
 func (n *network) Drop(netip.AddrPort) {}
 
--- a/balance/sharing_bench_test.go
+++ b/balance/sharing_bench_test.go
@@ -37,11 +37,15 @@
 // Others implements balance.Members.
 func (m benchMembers) Others() map[models.DaemonID]models.Peer { return m }
 
-// benchHistory implements relay.VersionHistory.
+// benchHistory implements resume.VersionSource.
 type benchHistory []string
 
-// Seen implements relay.VersionHistory.
-func (h benchHistory) Seen(models.ServiceName, time.Duration) (versions []string, complete bool) {
+// Candidates implements resume.VersionSource.
+// Began implements resume.VersionSource.
+func (benchHistory) Began(models.ServiceName, time.Duration) {}
+
+// Candidates implements resume.VersionSource.
+func (h benchHistory) Candidates(models.ServiceName) (versions []string, current bool) {
 	return append([]string(nil), h...), true
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,9 +38,10 @@
 	registry        *prometheus.Registry
 	system          *control.System
 	configuration   *routing.Configuration
-	versions        *routing.Versions
+	versions        *resume.Versions
 	fleet           *routing.Fleet
 	origins         *resume.Origins
+	journal         *resume.Journal // of origins
 	quarantine      *quarantine.Quarantine
 	balancer        *balance.Balancer
 	callers         *drain.Server
@@ -75,8 +76,9 @@
 	wait := settings.Store.MaxWatchWait()
 	d.prepareSharing(store)
 	d.configuration = routing.NewConfiguration(platform.NewRouting(d.sharing.source), d.clock, d.logger, wait)
-	d.versions = routing.NewVersions(platform.NewRegistrations(d.sharing.source), d.clock)
+	d.versions = resume.NewVersions(platform.NewRegistrations(d.sharing.source), store, d.clock, d.logger)
 	d.origins = resume.NewOrigins(d.versions, d.clock)
+	d.journal = resume.NewJournal(d.origins, d.versions, store, d.sharing.originDuty, d.clock, d.logger)
 	d.fleet = routing.NewFleet(d.versions, d.clock, d.logger, wait, settings.Store.RemovalTimeout)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Self:       models.DaemonID(settings.Name),
@@ -95,6 +97,8 @@
 	d.system.Spawn(slowWatch{d.balancer, d.logger}, slowInterval)
 	d.system.Spawn(retriesWatch{d.balancer, d.logger}, retriesInterval)
 	d.system.Spawn(d.origins, originInterval)
+	d.system.Spawn(d.versions, originInterval)
+	d.system.Spawn(d.journal, journalInterval)
 	d.system.Spawn(d.configuration, followInterval)
 	d.system.Spawn(d.fleet, followInterval)
 	d.logger.Info("daemon started", zap.String("vm", settings.Name), zap.String("zone", string(settings.Zone)), zap.Bool("first-start", settings.FirstStart))
@@ -113,7 +117,7 @@
 		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger),
 		relay.NewRecorder(d.registry, d.clock, d.logger).Filter(),
 		relay.Locate(d.configuration, d.clock),
-		relay.Resume(d.origins, d.versions),
+		relay.Resume(resume.NewFinder(d.origins, d.versions, d.journal)),
 	)
 }
 
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -37,6 +37,9 @@
 	// originInterval is the time between two removals of the origins of streams
 	// that callers can no longer resume.
 	originInterval = time.Second
+	// journalInterval is the shortest time between two writes of the origins of streams to
+	// the store. A stream that began later before the loss of all daemons is not known.
+	journalInterval = 50 * time.Millisecond
 )
 
 // sharing is the exchange of load and store changes with the other daemons.
@@ -63,6 +66,12 @@
 	return s.sharer.HasFollowers()
 }
 
+// originDuty returns the scope of the origins of streams that this daemon keeps in the
+// store; ok is false if another daemon of the zone does so.
+func (s *sharing) originDuty() (scope resume.Scope, ok bool) {
+	return s.sharer.OriginDuty()
+}
+
 // prepareSharing creates the source of store changes and the writer of rows. Neither
 // must be used before startSharing has returned: they need the sharer.
 func (d *Daemon) prepareSharing(store *platform.Store) {
--- a/models/table.go
+++ b/models/table.go
@@ -11,13 +11,15 @@
 
 // Partitions of the platform's table. Each is owned by one package.
 const (
-	PartitionConfig  Partition = "config"  // rows that operators edit
-	PartitionLeases  Partition = "leases"  // state of the leases
-	PartitionDaemons Partition = "daemons" // registered daemons
-	PartitionClaims  Partition = "claims"  // requests that must not be repeated
-	PartitionFleet   Partition = "fleet"   // desired state of engines, recorded orders
-	PartitionUsage   Partition = "usage"   // counters and frozen billing windows
-	PartitionMarkers Partition = "markers" // IDs of committed transactions
+	PartitionConfig   Partition = "config"   // rows that operators edit
+	PartitionLeases   Partition = "leases"   // state of the leases
+	PartitionDaemons  Partition = "daemons"  // registered daemons
+	PartitionClaims   Partition = "claims"   // requests that must not be repeated
+	PartitionFleet    Partition = "fleet"    // desired state of engines, recorded orders
+	PartitionUsage    Partition = "usage"    // counters and frozen billing windows
+	PartitionMarkers  Partition = "markers"  // IDs of committed transactions
+	PartitionVersions Partition = "versions" // software versions that may have begun streams
+	PartitionOrigins  Partition = "origins"  // origins of streams
 )
 
 const (
@@ -104,7 +106,8 @@
 // first. Through is the revision up to which the list is complete. If its era is
 // later than that of the given revision, the list has all rows of the partition.
 type Changes struct {
-	Rows         []Row
-	Through      Revision
+	Rows    []Row
+	Through Revision
+	// PlatformTime is the time of the platform's steady clock; zero if it is not known.
 	PlatformTime time.Time
 }
--- a/quarantine/schedule_daemons_test.go
+++ b/quarantine/schedule_daemons_test.go
@@ -175,11 +175,14 @@
 // Count implements relay.UsageMeter.
 func (d *daemon) Count(models.Workspace) {}
 
-// noVersions implements relay.VersionHistory. No version is asked for.
+// noVersions implements resume.VersionSource. No version is asked for.
 type noVersions struct{}
 
-// Seen implements relay.VersionHistory.
-func (noVersions) Seen(models.ServiceName, time.Duration) ([]string, bool) { return nil, true }
+// Candidates implements resume.VersionSource.
+func (noVersions) Candidates(models.ServiceName) ([]string, bool) { return nil, true }
+
+// Began implements resume.VersionSource.
+func (noVersions) Began(models.ServiceName, time.Duration) {}
 
 // noOrigins implements balance.OriginLog. No caller resumes a stream.
 type noOrigins struct{}
--- a/relay/fakes_test.go
+++ b/relay/fakes_test.go
@@ -306,23 +306,6 @@
 	o[id] = models.StreamOrigin{Software: software, Revision: revision, TimeLeft: expires.Sub(system.NewClock().Now())}
 }
 
-// Lookup implements relay.Origins.
-func (o fakeOrigins) Lookup(id models.RequestID) (models.Software, bool) {
-	origin, ok := o[id]
-	return origin.Software, ok && origin.Software != models.Software{}
-}
-
-// Versions implements relay.Origins.
-func (o fakeOrigins) Versions(service models.ServiceName) []string {
-	var versions []string
-	for _, origin := range o {
-		if origin.Software.Service == service {
-			versions = append(versions, origin.Software.Version)
-		}
-	}
-	return versions
-}
-
 // fixture is a request to backend servers that follow a script.
 type fixture struct {
 	t         *testing.T
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"quincewinch/models"
 )
 
 const (
-	// MaxStreamAge is the longest time after which a caller may resume a stream
-	// that its request began. A stream that is older counts as unknown.
-	MaxStreamAge = time.Minute
 	// originMargin is how long an origin is kept after the caller's deadline.
 	originMargin = time.Second
 	// unknownStreamRetryAfter is sent to callers that resume a stream whose origin
@@ -23,45 +19,39 @@
 	otherServiceRetryAfter = time.Second
 )
 
-// Origins knows the software that began the streams of all daemons. It is safe
-// for concurrent use.
+// Origins records the software that begins streams, for all daemons. It is safe for
+// concurrent use.
 type Origins interface {
 	// Record records the software that begins the stream of a request; a zero
 	// Software means that it cannot be told. A higher revision replaces a lower
 	// one. Divided means that the route of the request leads to several services. The
-	// origin is kept until expires, but no longer than MaxStreamAge.
+	// origin is kept until expires.
 	Record(id models.RequestID, software models.Software, revision int, divided bool, expires time.Time)
-	// Lookup returns the software that began the stream of a request. It reports
-	// false if that is not known.
-	Lookup(id models.RequestID) (models.Software, bool)
-	// Versions returns the versions that began streams of a service which callers
-	// may still resume.
-	Versions(service models.ServiceName) []string
 }
 
-// VersionHistory knows which software versions were registered.
-type VersionHistory interface {
-	// Seen returns the versions of the backend servers that a service has had for a
-	// period. It reports whether they are all: whether the registrations were
-	// followed all the time.
-	Seen(service models.ServiceName, period time.Duration) (versions []string, complete bool)
+// OriginFinder finds out which software began a stream. It is safe for concurrent use.
+type OriginFinder interface {
+	// Find returns the software that began the stream of a request, on a route that
+	// leads to some services. The request is unknown if its ID is empty. Find fails
+	// unless the software is certain.
+	Find(ctx context.Context, id models.RequestID, services []models.ServiceName) (models.Software, error)
 }
 
 // Resume determines the origin of a stream that a caller resumes, and with it the
 // service. A request whose origin is not certain is refused as not run: the
 // caller may find a daemon that knows it, and a stream that goes on at another
 // version is worse than one that ends.
-func Resume(origins Origins, history VersionHistory) Filter {
+func Resume(finder OriginFinder) Filter {
 	return func(next Handler) Handler {
 		return HandlerFunc(func(ctx context.Context, e *Exchange) error {
 			if !e.Route.Stream || e.Call.ResumeAfter == "" && e.Resumes == "" {
 				return next.Handle(ctx, e)
 			}
-			software, ok := findOrigin(e, origins, history)
-			if !ok {
+			software, err := finder.Find(ctx, e.Resumes, servicesOf(e.Route))
+			if err != nil {
 				return &models.Refusal{
 					Code:       models.RefusalUnknownStream,
-					Message:    "it is not known which version began the stream",
+					Message:    "it is not known which version began the stream: " + err.Error(),
 					NotRun:     true,
 					RetryAfter: unknownStreamRetryAfter,
 				}
@@ -81,27 +71,13 @@
 	}
 }
 
-// findOrigin returns the software that began the stream that a request resumes.
-// If the stream is not known, it is certain only while the route has one service,
-// all of one version. The record of a stream that the caller does not name is one
-// of those that are known; that of one which it names and which is not known may
-// have been of any version.
-func findOrigin(e *Exchange, origins Origins, history VersionHistory) (models.Software, bool) {
-	if software, ok := origins.Lookup(e.Resumes); ok {
-		return software, true
-	}
-	service := e.Service.Name
-	seen, complete := history.Seen(service, MaxStreamAge)
-	if len(e.Route.Targets) != 1 || e.Resumes != "" && !complete {
-		return models.Software{}, false
-	}
-	versions := append(seen, origins.Versions(service)...)
-	slices.Sort(versions)
-	versions = slices.Compact(versions)
-	if len(versions) != 1 {
-		return models.Software{}, false
+// servicesOf returns the services that a route leads to.
+func servicesOf(route models.PathRoute) []models.ServiceName {
+	var services []models.ServiceName
+	for _, target := range route.Targets {
+		services = append(services, target.Service)
 	}
-	return models.Software{Service: service, Version: versions[0]}, true
+	return services
 }
 
 func leadsTo(route models.PathRoute, service models.ServiceName) bool {
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -6,21 +6,23 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"quincewinch/models"
 	"quincewinch/relay"
 )
 
-// fakeHistory implements relay.VersionHistory.
-type fakeHistory struct {
-	versions []string // of all services
-	complete bool
-}
+// fakeFinder implements relay.OriginFinder.
+type fakeFinder map[models.RequestID]models.Software
 
-// Seen implements relay.VersionHistory.
-func (h fakeHistory) Seen(models.ServiceName, time.Duration) (versions []string, complete bool) {
-	return h.versions, h.complete
+// Find implements relay.OriginFinder.
+func (f fakeFinder) Find(_ context.Context, id models.RequestID, _ []models.ServiceName) (models.Software, error) {
+	software, ok := f[id]
+	if !ok {
+		return models.Software{}, errors.New("not known")
+	}
+	return software, nil
 }
 
 func TestResume(t *testing.T) {
@@ -28,36 +30,23 @@
 	oneService := models.PathRoute{Stream: true, Resumable: true, Targets: []models.WeightedService{{Service: "s", Weight: 1}}}
 	twoServices := models.PathRoute{Stream: true, Resumable: true, Targets: []models.WeightedService{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}}
 	otherService := models.PathRoute{Stream: true, Resumable: true, Targets: []models.WeightedService{{Service: "t", Weight: 1}}}
-	oneVersion, twoVersions := fakeHistory{[]string{"v1"}, true}, fakeHistory{[]string{"v1", "v2"}, true}
-	otherVersion, justStarted := fakeHistory{[]string{"v2"}, true}, fakeHistory{[]string{"v1"}, false}
-	none := fakeOrigins{}
-	known := fakeOrigins{"known": {Software: v1}, "uncertain": {}}
+	finder := fakeFinder{"known": v1}
 	tests := []struct {
 		name        string
 		route       models.PathRoute
 		resumes     models.RequestID
 		resumeAfter string
-		origins     fakeOrigins
-		history     fakeHistory
 		origin      *models.Software   // nil if any software may serve it
 		code        models.RefusalCode // empty if it is passed on
 	}{
-		{"new stream", oneService, "", "", known, twoVersions, nil, ""},
-		{"known stream", oneService, "known", "1", known, twoVersions, &v1, ""},
-		{"known stream of one of two services", twoServices, "known", "1", known, twoVersions, &v1, ""},
-		{"known stream of a service that the route left", otherService, "known", "1", known, twoVersions, nil, models.RefusalNoBackend},
-		{"known stream while another version is the only one", oneService, "known", "1", known, otherVersion, &v1, ""},
-		{"unknown stream while there are several versions", oneService, "unknown", "1", known, twoVersions, nil, models.RefusalUnknownStream},
-		{"unknown stream while there is one version", oneService, "unknown", "1", none, oneVersion, &v1, ""},
-		{"unknown stream while others are known of another version", oneService, "unknown", "1", known, otherVersion, nil, models.RefusalUnknownStream},
-		{"unknown stream at a daemon that has just started", oneService, "unknown", "1", none, justStarted, nil, models.RefusalUnknownStream},
-		{"unknown stream of one of two services", twoServices, "unknown", "1", none, oneVersion, nil, models.RefusalUnknownStream},
-		{"stream that either version may have begun", oneService, "uncertain", "1", known, twoVersions, nil, models.RefusalUnknownStream},
-		{"stream that is not named", oneService, "", "1", known, oneVersion, &v1, ""},
-		{"stream that is not named, at a daemon that has just started", oneService, "", "1", none, justStarted, &v1, ""},
-		{"stream that is not named, of one of two versions", oneService, "", "1", known, twoVersions, nil, models.RefusalUnknownStream},
-		{"stream that is not named, after its version has left", oneService, "", "1", known, otherVersion, nil, models.RefusalUnknownStream},
-		{"no stream", models.PathRoute{Targets: oneService.Targets}, "known", "1", known, twoVersions, nil, ""},
+		{"new stream", oneService, "", "", nil, ""},
+		{"known stream", oneService, "known", "1", &v1, ""},
+		{"known stream that has brought no event ID", oneService, "known", "", &v1, ""},
+		{"known stream of one of two services", twoServices, "known", "1", &v1, ""},
+		{"known stream of a service that the route left", otherService, "known", "1", nil, models.RefusalNoBackend},
+		{"unknown stream", oneService, "unknown", "1", nil, models.RefusalUnknownStream},
+		{"unknown stream that is not named", oneService, "", "1", nil, models.RefusalUnknownStream},
+		{"no stream", models.PathRoute{Targets: oneService.Targets}, "known", "1", nil, ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -72,7 +61,7 @@
 				passed = true
 				return nil
 			})
-			err := relay.Chain(last, relay.Resume(test.origins, test.history)).Handle(t.Context(), e)
+			err := relay.Chain(last, relay.Resume(finder)).Handle(t.Context(), e)
 			is.Equal(passed, test.code == "")
 			is.Equal(e.Origin, test.origin)
 			if test.code != "" {
--- a/resume/origins.go
+++ b/resume/origins.go
@@ -1,7 +1,7 @@
 // Package resume knows which software began the streams that callers may resume,
 // at whichever daemon. Origins are learned from the requests of this daemon and
-// from the load shares of the others, and are kept in memory only: they are
-// needed for seconds, and by daemons that have lost the one that recorded them.
+// from the load shares of the others. What is needed to tell the origins of streams
+// after the loss of all daemons is kept in the platform's store.
 package resume
 
 import (
@@ -14,11 +14,10 @@
 
 	"quincewinch/models"
 	"quincewinch/peer"
-	"quincewinch/relay"
 )
 
-// maxOrigins bounds the origins that are kept; the oldest are dropped. It is the
-// number of streams that 1,000 requests per second begin in a minute.
+// maxOrigins bounds the origins that are kept in memory; the oldest are dropped, and are
+// then unknown here.
 const maxOrigins = 60_000
 
 // Scope is a set of sources from which a daemon learns origins.
@@ -29,13 +28,26 @@
 	ScopeOwn    Scope = 1 << iota // requests of this daemon
 	ScopeZone                     // other daemons of its zone
 	ScopeRemote                   // other zones
-	ScopeAll    = ScopeOwn | ScopeZone | ScopeRemote
+	ScopeAll          = ScopeOwn | ScopeZone | ScopeRemote
+
+	scopeStored Scope = 1 << 3 // the platform's store, which all daemons reach
 )
 
+// VersionSource knows which software versions may have begun streams.
+type VersionSource interface {
+	// Candidates returns the versions of a service that may have begun streams which
+	// callers may still resume, as far as this daemon knows. It reports whether it has
+	// followed the registrations until now.
+	Candidates(service models.ServiceName) (versions []string, current bool)
+	// Began notes that a stream of a service has begun that its caller may resume for
+	// some time.
+	Began(service models.ServiceName, lifetime time.Duration)
+}
+
 // Origins holds the origins of streams. It implements relay.Origins and
 // balance.OriginLog.
 type Origins struct {
-	history  relay.VersionHistory
+	versions VersionSource
 	clock    peer.Clock
 	instance uint64
 
@@ -64,9 +76,9 @@
 }
 
 // NewOrigins returns a set without origins.
-func NewOrigins(history relay.VersionHistory, clock peer.Clock) *Origins {
+func NewOrigins(versions VersionSource, clock peer.Clock) *Origins {
 	return &Origins{
-		history:  history,
+		versions: versions,
 		clock:    clock,
 		instance: uint64(clock.Now().UnixNano()),
 		entries:  map[models.StreamID]entry{},
@@ -86,6 +98,9 @@
 		return
 	}
 	now := o.clock.Now()
+	if software.Service != "" {
+		o.versions.Began(software.Service, expires.Sub(now))
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	origin := models.StreamOrigin{Stream: streamID(id), Software: software, Revision: revision, TimeLeft: expires.Sub(now)}
@@ -94,7 +109,8 @@
 	}
 }
 
-// Lookup implements relay.Origins.
+// Lookup returns the software that began the stream of a request. It reports false if
+// that is not known.
 func (o *Origins) Lookup(id models.RequestID) (models.Software, bool) {
 	now := o.clock.Now()
 	o.mu.Lock()
@@ -106,7 +122,7 @@
 	return e.software, true
 }
 
-// Versions implements relay.Origins.
+// Versions returns the versions that began the streams of a service that are known.
 func (o *Origins) Versions(service models.ServiceName) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -145,7 +161,7 @@
 	o.entries[origin.Stream] = entry{
 		software: origin.Software,
 		revision: origin.Revision,
-		expires:  now.Add(min(origin.TimeLeft, relay.MaxStreamAge)),
+		expires:  now.Add(origin.TimeLeft),
 		position: o.head,
 	}
 	o.latest[source{origin.Software.Service, from}] = o.head
--- a/resume/origins_test.go
+++ b/resume/origins_test.go
@@ -11,7 +11,6 @@
 
 	"quincewinch/models"
 	"quincewinch/peer/system"
-	"quincewinch/relay"
 	"quincewinch/resume"
 )
 
@@ -28,17 +27,20 @@
 	origins *resume.Origins
 }
 
-// history implements relay.VersionHistory.
+// history implements resume.VersionSource.
 type history struct {
 	versions []string
 	lags     bool
 }
 
-// Seen implements relay.VersionHistory.
-func (h *history) Seen(models.ServiceName, time.Duration) (versions []string, complete bool) {
+// Candidates implements resume.VersionSource.
+func (h *history) Candidates(models.ServiceName) (versions []string, current bool) {
 	return slices.Clone(h.versions), !h.lags
 }
 
+// Began implements resume.VersionSource.
+func (h *history) Began(models.ServiceName, time.Duration) {}
+
 func run(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{t: t, is: is.New(t), history: history{versions: []string{"v1"}}}
@@ -95,10 +97,13 @@
 			f.expectUnknown("r")
 		})
 	})
-	t.Run("kept no longer than a stream may be resumed", func(t *testing.T) {
+	t.Run("kept as long as its caller may resume it, whatever its age", func(t *testing.T) {
 		run(t, func(f *fixture) {
-			f.begin("r", v1, 1, time.Hour)
-			f.advance(relay.MaxStreamAge)
+			f.begin("r", v1, 1, 24*time.Hour)
+			f.advance(24*time.Hour - time.Second)
+			f.origins.Step(f.t.Context())
+			f.expect("r", v1)
+			f.advance(time.Second)
 			f.expectUnknown("r")
 		})
 	})
--- a/resume/schedule_test.go
+++ b/resume/schedule_test.go
@@ -46,14 +46,20 @@
 	eventGap         = 30 * time.Millisecond
 	callerTimeout    = 4 * time.Second
 	maxTries         = 4
+	joinTime         = 250 * time.Millisecond // until all daemons have stored what they know
+	contactTime      = time.Second
+	connectTimeout   = time.Second
+	storeDelay       = 4 * time.Millisecond
+	scheduleWrites   = 50 * time.Millisecond // of the origins of streams to the store
 )
 
 // newService is the service of all engines of a schedule.
 var newService = models.RoutedService{Name: "llm", Engine: &models.EngineLimits{Slots: 64, Capacity: 500000}}
 
 // schedule is a run of daemons, engines and callers during a rolling release, with
-// engines and daemons that crash, cuts between daemons and lost load shares. Its
-// parts other than callers and streams run in turn, under mu.
+// engines and daemons that crash, one or all at once, cuts between daemons and to the
+// store, daemons that follow nothing for a while, and lost load shares. Its parts other
+// than callers and streams run in turn, under mu.
 type schedule struct {
 	t      *testing.T
 	is     *is.I
@@ -61,16 +67,21 @@
 	random *rand.Rand
 	clock  peer.Clock
 
-	mu      sync.Mutex
-	engines map[models.EngineID]*scheduleEngine
-	daemons []*scheduleDaemon
-	cut     map[[2]int]bool // pairs of daemons that do not reach each other
-	lost    float64         // share of the load shares that are lost
-	started int             // engines
-	begun   int             // streams that got an event
-	asked   int             // streams that asked for one
-	resumed int             // streams that broke off and were resumed while two engines of their version served
-	goneOn  int             // of these, streams that went on, at whichever try
+	outages bool // of all daemons at once, of the store at some, and daemons out of step
+
+	mu       sync.Mutex
+	engines  map[models.EngineID]*scheduleEngine
+	daemons  []*scheduleDaemon
+	table    *table
+	cut      map[[2]int]bool // pairs of daemons that do not reach each other
+	lost     float64         // share of the load shares that are lost
+	joinedAt time.Time       // when the first engine of the new version started; zero: not yet
+	lostAt   time.Time       // when all daemons were killed at once; zero: not yet
+	started  int             // engines
+	begun    int             // streams that got an event
+	asked    int             // streams that asked for one
+	resumed  int             // streams that broke off and were resumed while two engines of their version served
+	goneOn   int             // of these, streams that went on, at whichever try
 }
 
 // scheduleEngine is an engine of a schedule.
@@ -79,16 +90,16 @@
 	alive    bool
 }
 
-func newSchedule(t *testing.T, seed uint64) *schedule {
+func newSchedule(t *testing.T, seed uint64, outages bool) *schedule {
 	s := &schedule{
-		t: t, is: is.New(t), seed: seed, random: rand.New(rand.NewPCG(seed, 0)), clock: system.NewClock(),
-		engines: map[models.EngineID]*scheduleEngine{}, cut: map[[2]int]bool{},
+		t: t, outages: outages, is: is.New(t), seed: seed, random: rand.New(rand.NewPCG(seed, 0)), clock: system.NewClock(),
+		engines: map[models.EngineID]*scheduleEngine{}, table: newTable(), cut: map[[2]int]bool{},
 	}
 	for range scheduleEngines {
 		s.startEngine("v1")
 	}
 	for i := range scheduleDaemons {
-		s.daemons = append(s.daemons, &scheduleDaemon{schedule: s, index: i})
+		s.daemons = append(s.daemons, &scheduleDaemon{schedule: s, index: i, reachesStore: true})
 	}
 	for _, d := range s.daemons {
 		d.start()
@@ -160,7 +171,14 @@
 	chance := func(perSecond float64) bool { return s.random.Float64() < perSecond*scheduleTick.Seconds() }
 	list := s.registered()
 	engine := s.engines[list[s.random.IntN(len(list))].ID]
-	if chance(0.8) && s.started < 2*scheduleEngines {
+	// A new version that joins while all daemons are lost is a case of its own, in
+	// TestStreamsAreTakenUpAfterTheLossOfAllDaemons.
+	now := s.clock.Now()
+	joins := !s.joinedAt.IsZero() || s.lostAt.IsZero() || now.Sub(s.lostAt) > callerTimeout
+	if chance(0.8) && s.started < 2*scheduleEngines && joins {
+		if s.joinedAt.IsZero() {
+			s.joinedAt = now
+		}
 		s.startEngine("v2")
 		if engine.upstream.Version == "v1" {
 			delete(s.engines, engine.upstream.ID) // it goes on with what it runs
@@ -178,6 +196,23 @@
 		d.killLocked()
 		s.after(500*time.Millisecond, d.startLocked)
 	}
+	if s.outages && chance(0.1) && s.lostAt.IsZero() && (s.joinedAt.IsZero() || now.Sub(s.joinedAt) > joinTime) {
+		s.lostAt = now
+		for _, other := range s.daemons {
+			if other.alive {
+				other.killLocked()
+				s.after(500*time.Millisecond, other.startLocked)
+			}
+		}
+	}
+	if s.outages && chance(0.4) && d.registrations == nil {
+		d.registrations = list
+		d.reachesStore = s.random.Float64() < 0.5
+		s.after(time.Duration(500+s.random.IntN(3000))*time.Millisecond, func() {
+			d.registrations, d.reachesStore = nil, true
+			d.disturbedAt = s.clock.Now()
+		})
+	}
 	if chance(0.5) {
 		pair := [2]int{d.index, s.random.IntN(len(s.daemons))}
 		s.cut[pair] = true
@@ -296,13 +331,17 @@
 	schedule *schedule
 	index    int
 	alive    bool
+	// registrations are what it still follows while it is out of step; nil: those of now.
+	registrations []models.Upstream
+	reachesStore  bool
+	disturbedAt   time.Time // when it last started or came back in step
 
 	// Of its latest process.
 	ctx      context.Context
 	cancel   context.CancelFunc
 	balancer *balance.Balancer
 	origins  *resume.Origins
-	versions *routing.Versions
+	versions *resume.Versions
 	snapshot *routing.Snapshot
 	handler  relay.Handler
 }
@@ -317,24 +356,36 @@
 // schedule.mu.
 func (d *scheduleDaemon) startLocked() {
 	s := d.schedule
+	if d.alive {
+		return
+	}
 	d.alive = true
+	d.disturbedAt = s.clock.Now()
 	d.ctx, d.cancel = context.WithCancel(s.t.Context())
-	d.versions = routing.NewVersions(d, s.clock)
+	d.versions = resume.NewVersions(d, d, s.clock, zap.NewNop())
 	d.origins = resume.NewOrigins(d.versions, s.clock)
 	d.balancer = balance.New(d, s.clock, balance.Settings{Zone: d.zone(), Retries: retry.Settings{Ratio: 1, Reserve: 1000, Window: time.Second}}, s.seed)
+	duty := func() (resume.Scope, bool) { return resume.ScopeOwn, true }
+	journal := resume.NewJournal(d.origins, d.versions, d, duty, s.clock, zap.NewNop())
 	d.snapshot = nil
 	self := models.LoadShare{From: models.DaemonID(strconv.Itoa(d.index)), Zone: d.zone(), Address: d.address()}
 	guard := quarantine.New(self.From, d, s.clock, zap.NewNop())
 	sender := relay.NewSender(s, d.balancer, s, d.origins, guard, s.clock, zap.NewNop())
-	d.handler = relay.Chain(sender, relay.Resume(d.origins, d.versions))
+	d.handler = relay.Chain(sender, relay.Resume(resume.NewFinder(d.origins, d.versions, journal)))
 	sharer := balance.NewSharer(self, d.balancer, d, s, d.origins, guard, s.clock, zap.NewNop())
 	ctx, versions := d.ctx, d.versions
+	writtenAt := s.clock.Now()
 	go func() {
 		for {
 			changes, err := versions.Follow(ctx, 0, 0)
 			s.is.NoErr(err)
 			d.apply(ctx, changes)
 			sharer.Step(ctx)
+			versions.Step(ctx)
+			if now := s.clock.Now(); now.Sub(writtenAt) >= scheduleWrites {
+				writtenAt = now
+				journal.Step(ctx)
+			}
 			if s.clock.Sleep(ctx, scheduleTick) != nil {
 				return
 			}
@@ -366,9 +417,41 @@
 func (d *scheduleDaemon) Follow(context.Context, models.Revision, time.Duration) (models.UpstreamChanges, error) {
 	d.schedule.mu.Lock()
 	defer d.schedule.mu.Unlock()
+	if d.registrations != nil {
+		return models.UpstreamChanges{All: true, Present: d.registrations}, nil
+	}
 	return models.UpstreamChanges{All: true, Present: d.schedule.registered()}, nil
 }
 
+// Changes implements resume.Table.
+func (d *scheduleDaemon) Changes(ctx context.Context, partition models.Partition, after models.Revision) (models.Changes, error) {
+	if !d.callStore(ctx) {
+		return models.Changes{}, peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
+	}
+	return d.schedule.table.Changes(ctx, partition, after)
+}
+
+// Transact implements resume.Table.
+func (d *scheduleDaemon) Transact(ctx context.Context, transaction models.Transaction) (models.Revision, error) {
+	if !d.callStore(ctx) {
+		return 0, peer.NewFailure(peer.OutcomeUnknown, "no answer", nil)
+	}
+	return d.schedule.table.Transact(ctx, transaction)
+}
+
+// Era implements resume.Table.
+func (d *scheduleDaemon) Era() uint64 { return 1 }
+
+// callStore takes the time of a call and reports whether it reaches the store.
+func (d *scheduleDaemon) callStore(ctx context.Context) bool {
+	if d.schedule.clock.Sleep(ctx, storeDelay) != nil {
+		return false
+	}
+	d.schedule.mu.Lock()
+	defer d.schedule.mu.Unlock()
+	return d.reachesStore
+}
+
 // apply replaces the snapshot unless the process has ended.
 func (d *scheduleDaemon) apply(ctx context.Context, changes models.UpstreamChanges) {
 	snapshot := &routing.Snapshot{
@@ -439,11 +522,12 @@
 	for try := range maxTries {
 		id := models.RequestID(fmt.Sprintf("%s-%d", name, try))
 		before := c.body.Len()
-		if before > 0 && !broken && s.expectResume(c.version()) {
+		expected := before > 0 && !broken && s.expectResume(c.version())
+		inTouch, err := c.try(id, deadline)
+		if expected && (inTouch || !s.outages) {
 			broken = true
 			s.count(&s.resumed)
 		}
-		err := c.try(id, deadline)
 		if before == 0 && c.body.Len() > 0 {
 			c.first = id
 			s.count(&s.begun)
@@ -461,8 +545,9 @@
 	c.check()
 }
 
-// try sends one attempt to a daemon.
-func (c *scheduleCaller) try(id models.RequestID, deadline time.Time) error {
+// try sends one attempt to a daemon. It reports whether that has been in step, and up, for
+// contactTime.
+func (c *scheduleCaller) try(id models.RequestID, deadline time.Time) (inTouch bool, err error) {
 	s := c.schedule
 	now := s.clock.Now()
 	s.mu.Lock()
@@ -474,10 +559,12 @@
 	}
 	if len(alive) == 0 {
 		s.mu.Unlock()
-		return errors.New("no daemon answers")
+		s.sleep(connectTimeout)
+		return false, errors.New("no daemon answers")
 	}
 	d := alive[s.random.IntN(len(alive))]
 	handler, ctx := d.handler, d.ctx
+	inTouch = now.Sub(d.disturbedAt) >= contactTime && d.registrations == nil
 	s.mu.Unlock()
 	c.daemon = ctx
 	e := &relay.Exchange{
@@ -492,7 +579,7 @@
 		Service: newService,
 		Prompt:  models.Prompt{Tokens: 100, Parts: []models.PromptPart{{ID: string(id), Tokens: 100}}},
 	}
-	return handler.Handle(ctx, e)
+	return inTouch, handler.Handle(ctx, e)
 }
 
 // lastEvent returns the ID of the last event that has arrived.
@@ -537,10 +624,19 @@
 // Guards against streams with events of two versions, whatever fails during a
 // rolling release, and against streams that end although their version serves.
 func TestStreamsKeepTheirVersionInRandomSchedules(t *testing.T) {
+	runSchedules(t, false)
+}
+
+// Guards against the same when all daemons are lost at once, or some are out of step.
+func TestStreamsKeepTheirVersionAcrossOutages(t *testing.T) {
+	runSchedules(t, true)
+}
+
+func runSchedules(t *testing.T, outages bool) {
 	for i := range uint64(*schedules) {
 		if t.Failed() {
 			return
 		}
-		synctest.Test(t, func(t *testing.T) { newSchedule(t, *firstSeed+i).run() })
+		synctest.Test(t, func(t *testing.T) { newSchedule(t, *firstSeed+i, outages).run() })
 	}
 }
--- /dev/null
+++ b/resume/table_test.go
@@ -0,0 +1,88 @@
+package resume_test
+
+import (
+	"context"
+	"sync"
+
+	"quincewinch/models"
+	"quincewinch/peer"
+	"quincewinch/peer/system"
+)
+
+// table is the platform's table store in memory. It implements resume.Table.
+type table struct {
+	mu      sync.Mutex
+	rows    map[models.RowKey]models.Row
+	version uint64
+	away    bool // fails all calls
+	reads   int
+	writes  int // rows
+}
+
+func newTable() *table {
+	return &table{rows: map[models.RowKey]models.Row{}}
+}
+
+// Changes implements resume.Table.
+func (t *table) Changes(_ context.Context, partition models.Partition, _ models.Revision) (models.Changes, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.away {
+		return models.Changes{}, peer.NewFailure(peer.OutcomeNotDone, "away", nil)
+	}
+	changes := models.Changes{Through: models.NewRevision(1, t.version), PlatformTime: system.NewClock().Now()}
+	for key, row := range t.rows {
+		if key.Partition == partition {
+			changes.Rows = append(changes.Rows, row)
+		}
+	}
+	return changes, nil
+}
+
+// Transact implements resume.Table.
+func (t *table) Transact(_ context.Context, transaction models.Transaction) (models.Revision, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.away {
+		return 0, peer.NewFailure(peer.OutcomeNotDone, "away", nil)
+	}
+	for _, condition := range transaction.Conditions {
+		if t.rows[condition.Key].Revision != condition.Revision {
+			return 0, peer.NewFailure(peer.OutcomeConflict, "changed", nil)
+		}
+	}
+	t.version++
+	revision := models.NewRevision(1, t.version)
+	for _, write := range transaction.Writes {
+		t.writes++
+		if write.Delete {
+			delete(t.rows, write.Key)
+			continue
+		}
+		t.rows[write.Key] = models.Row{Key: write.Key, Revision: revision, Value: write.Value}
+	}
+	return revision, nil
+}
+
+// Era implements resume.Table.
+func (t *table) Era() uint64 { return 1 }
+
+func (t *table) setAway(away bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.away = away
+}
+
+// count returns the number of rows of a partition.
+func (t *table) count(partition models.Partition) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for key := range t.rows {
+		if key.Partition == partition {
+			count++
+		}
+	}
+	return count
+}
--- a/resume/urgency.go
+++ b/resume/urgency.go
@@ -1,10 +1,10 @@
 package resume
 
 import (
+	"maps"
 	"slices"
 
 	"quincewinch/models"
-	"quincewinch/relay"
 )
 
 // source is where origins of a service were learned.
@@ -53,11 +53,23 @@
 	if service == "" { // it is not known which software began the stream
 		return true
 	}
-	if _, current := o.history.Seen(service, 0); !current {
+	versions, current := o.versions.Candidates(service)
+	if !current {
 		return true
 	}
-	versions, _ := o.history.Seen(service, relay.MaxStreamAge)
 	versions = append(versions, o.Versions(service)...)
 	slices.Sort(versions)
 	return len(slices.Compact(versions)) > 1
 }
+
+// contestedServices returns the services of known streams that are contested.
+func (o *Origins) contestedServices() map[models.ServiceName]bool {
+	o.mu.Lock()
+	services := map[models.ServiceName]bool{}
+	for software := range o.begun {
+		services[software.Service] = true
+	}
+	o.mu.Unlock()
+	maps.DeleteFunc(services, func(service models.ServiceName, _ bool) bool { return !o.contested(service) })
+	return services
+}
