resume: a caller's deadline out of any range keeps no version recorded for years

By reading, while the record of versions was reviewed: a caller that states a deadline of 292 years made the lifetime that is recorded overflow while it is doubled, which never ends, and would have kept each version that leaves recorded for as long.

--- a/resume/origins.go
+++ b/resume/origins.go
@@ -98,12 +98,13 @@
 		return
 	}
 	now := o.clock.Now()
+	lifetime := min(expires.Sub(now), maxLifetime)
 	if software.Service != "" {
-		o.versions.Began(software.Service, expires.Sub(now))
+		o.versions.Began(software.Service, lifetime)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	origin := models.StreamOrigin{Stream: streamID(id), Software: software, Revision: revision, TimeLeft: expires.Sub(now)}
+	origin := models.StreamOrigin{Stream: streamID(id), Software: software, Revision: revision, TimeLeft: lifetime}
 	if o.learn(origin, ScopeOwn, now) && divided {
 		o.divided = o.head
 	}
@@ -161,7 +162,7 @@
 	o.entries[origin.Stream] = entry{
 		software: origin.Software,
 		revision: origin.Revision,
-		expires:  now.Add(origin.TimeLeft),
+		expires:  now.Add(min(origin.TimeLeft, maxLifetime)),
 		position: o.head,
 	}
 	o.latest[source{origin.Software.Service, from}] = o.head
--- a/resume/origins_test.go
+++ b/resume/origins_test.go
@@ -1,6 +1,7 @@
 package resume_test
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"testing"
@@ -107,6 +108,18 @@
 			f.expectUnknown("r")
 		})
 	})
+	t.Run("deadline out of any range", func(t *testing.T) {
+		run(t, func(f *fixture) {
+			f.begin("r", v1, 1, math.MaxInt64)
+			f.advance(24 * time.Hour)
+			f.expectUnknown("r")
+		})
+		runVersions(t, func(f *versionFixture) {
+			f.begin("r", v1, math.MaxInt64)
+			f.follow(registered("v1"), 0)
+			f.expectFound("r", v1)
+		})
+	})
 	t.Run("request without an ID", func(t *testing.T) {
 		run(t, func(f *fixture) {
 			f.begin("", v1, 1, time.Second)
--- a/resume/versions.go
+++ b/resume/versions.go
@@ -21,6 +21,9 @@
 	// staleView is how long a daemon that is cut off from the store may go on to
 	// begin streams at servers whose registrations are gone.
 	staleView = time.Minute
+	// maxLifetime bounds how long a caller may resume a stream, whatever deadline it
+	// states: one caller must not keep a version recorded for years.
+	maxLifetime = 24 * time.Hour
 	// minLifetime is the shortest lifetime of streams that is recorded. It doubles
 	// until it is long enough, so that it is seldom written.
 	minLifetime = 8 * time.Second
