entry: requests that run to the end of the grace time are answered

Here: requests are taken for 2.5 s after the signal and on connections that are kept until they are idle, and have until 88% of the grace time. What still ran then had its connection closed by the end of the process, without an answer; requests that may not be repeated too.

Change: the contexts of such requests end, with the stop as their cause, and they are answered within 200 ms: 503 if no backend server got them, 502 otherwise; a stream that has begun is broken off as before.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 )
 
@@ -22,8 +23,13 @@
 	// closeFraction is the fraction of the grace time that the last calls to the
 	// store may take after running requests are cut off.
 	closeFraction = 0.08
+	// abortTime is how long requests that are cut off may take to be answered.
+	abortTime = 200 * time.Millisecond
 )
 
+// errGraceOver ends the requests that are still running at the end of the grace time.
+var errGraceOver = errors.New("the daemon stops, and its grace time is over")
+
 // stopTimes are the durations of the consecutive phases of a planned stop.
 type stopTimes struct {
 	accept  time.Duration // callers may still start requests
@@ -91,10 +97,17 @@
 }
 
 // stopCallers stops accepting connections and returns once all requests that have
-// been read are answered, or with the error of ctx.
+// been read are answered. Those that run until ctx ends are cut off, and answered with
+// a failure; if that takes too long it returns an error.
 func (d *Daemon) stopCallers(ctx context.Context) error {
 	begun := d.clock.Now()
 	err := d.callers.Drain(ctx)
+	if err != nil {
+		d.logger.Warn("requests cut off at the end of the grace time", zap.Error(err))
+		answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTime)
+		defer cancel()
+		err = d.callers.Abort(answering, errGraceOver)
+	}
 	counts := d.callers.Counts()
 	d.logger.Info("connections of callers drained",
 		zap.Int64("closed-idle", counts.Idle),
--- a/lib/drain/drain_test.go
+++ b/lib/drain/drain_test.go
@@ -334,3 +334,31 @@
 		is.NoErr(<-stopped)
 	})
 }
+
+// Guards against requests that are cut without an answer at the end of the grace time.
+func TestRequestCutOffByTheDrainIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cause := errors.New("the grace time is over")
+		var got error
+		f := newStopFixture(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			got = context.Cause(r.Context())
+			w.WriteHeader(http.StatusBadGateway)
+			_, _ = io.WriteString(w, "ok") // what readAnswer expects
+		}), nil)
+		conn := f.listener.dial(nil)
+		defer conn.Close()
+		send(t, conn, request)
+		synctest.Wait()
+		grace, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(f.Drain(grace) != nil)
+		aborted := make(chan error, 1)
+		go func() { aborted <- f.Abort(t.Context(), cause) }()
+		is.Equal(readAnswer(conn), http.StatusBadGateway)
+		is.NoErr(<-aborted)
+		is.Equal(got, cause)
+		is.Equal(f.Counts().Unanswered, int64(0))
+	})
+}
--- a/lib/drain/server.go
+++ b/lib/drain/server.go
@@ -21,14 +21,18 @@
 	clock       peer.Clock
 	connections connections
 	draining    atomic.Bool
-	ended       chan struct{} // closed once no more connections are accepted
+	abort       context.CancelCauseFunc // ends the contexts of requests
+	ended       chan struct{}           // closed once no more connections are accepted
 }
 
-// NewServer returns a server of a listener. It sets the ConnState of the
-// http.Server and wraps its Handler; the http.Server must be of no other use.
+// NewServer returns a server of a listener. It sets the ConnState and the BaseContext of
+// the http.Server and wraps its Handler; the http.Server must be of no other use.
 func NewServer(server *http.Server, listener net.Listener, clock peer.Clock) *Server {
 	s := &Server{server: server, clock: clock, ended: make(chan struct{})}
 	s.listener = s.connections.listen(listener)
+	base, abort := context.WithCancelCause(context.Background())
+	s.abort = abort
+	server.BaseContext = func(net.Listener) context.Context { return base }
 	server.ConnState = s.connections.stateChanged
 	server.Handler = s.handler(server.Handler)
 	return s
@@ -76,6 +80,13 @@
 	return errors.Annotate(s.server.Close(), "cannot close the server")
 }
 
+// Abort ends the contexts of the requests that a drain has left unanswered, with a cause,
+// and returns once they are answered, or with the error of ctx.
+func (s *Server) Abort(ctx context.Context, cause error) error {
+	s.abort(cause)
+	return s.connections.drain(ctx, s.clock)
+}
+
 // Counts returns what the drain has done so far.
 func (s *Server) Counts() Counts {
 	return s.connections.drainCounts()
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -392,9 +392,13 @@
 		return d.writeBuffered(ctx, *d.fallback)
 	}
 	notRun := d.executions == 0
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.Canceled) {
 		return &models.Refusal{Code: models.RefusalCancelled, Message: "the caller has gone", NotRun: notRun}
 	}
+	if cause != nil && !errors.Is(cause, context.DeadlineExceeded) {
+		return &models.Refusal{Code: models.RefusalDraining, Message: cause.Error(), NotRun: notRun, RetryAfter: rejectedRetryAfter}
+	}
 	if ctx.Err() != nil {
 		return &models.Refusal{Code: models.RefusalDeadline, Message: "no answer within the request's time: " + err.Error(), NotRun: notRun}
 	}
