entry: a daemon waits for an address that is in use

Whoever starts daemons without restarting them has one less from then on, and one that does restart them counts each end.

Change: Start waits while an address is in use, logs that once, and tries each 100 ms until it is free or the process is told to stop. Other errors of listening end it as before. Go sets SO_REUSEADDR, so that connections of an earlier process hold nothing.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	d := entry.New(settings, logger, system.NewClock(), system.NewWallClock(), lines.Dropped)
-	if err := d.Start(); err != nil {
+	if err := d.Start(env.ctx); err != nil {
 		return err
 	}
 	reloader := entry.NewReloader(d, func() (*config.Entry, error) { return config.LoadEntry(c.settings) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,10 +3,12 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +30,9 @@
 	"quincewinch/routing"
 )
 
+// bindInterval is the time between two tries to listen at an address that is in use.
+const bindInterval = 100 * time.Millisecond
+
 // Daemon is one entry process with its listeners and background tasks.
 type Daemon struct {
 	settings        atomic.Pointer[config.Entry]
@@ -66,8 +71,9 @@
 	return d
 }
 
-// Start binds the listeners and starts following changes in the store.
-func (d *Daemon) Start() error {
+// Start binds the listeners and starts following changes in the store. It waits for
+// addresses that are in use, until ctx ends.
+func (d *Daemon) Start(ctx context.Context) error {
 	settings := d.settings.Load()
 	store := platform.NewStore(settings.Store.Address, storeClient(), settings.Store.Timeout)
 	store.SetRestoreListener(d.storeRestored)
@@ -86,11 +92,11 @@
 		Retries:    retrySettings(settings),
 		FirstStart: settings.FirstStart,
 	}, xxhash.Sum64String(settings.Name))
-	if err := d.startSharing(store); err != nil {
+	if err := d.startSharing(ctx, store); err != nil {
 		return err
 	}
 	d.startDuties(store)
-	if err := d.listen(d.newHandler()); err != nil {
+	if err := d.listen(ctx, d.newHandler()); err != nil {
 		return err
 	}
 	d.system.Spawn(d.balancer, pruneInterval)
@@ -121,7 +127,7 @@
 	)
 }
 
-func (d *Daemon) listen(handler relay.Handler) error {
+func (d *Daemon) listen(ctx context.Context, handler relay.Handler) error {
 	settings := d.settings.Load()
 	frontend := platform.NewFrontend(handler, d.clock, platform.FrontendSettings{
 		MaxBodyBytes: d.maxBodyBytes,
@@ -133,23 +139,23 @@
 		IdleTimeout:       settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    settings.Callers.HeaderBytes,
 	}
-	listener, err := bind(settings.Callers.Address)
+	listener, err := d.bind(ctx, settings.Callers.Address)
 	if err != nil {
 		return err
 	}
 	d.serveCallers(callers, listener)
 	readiness := &http.Server{Handler: platform.NewReadiness(d.Ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
-	if err := d.serveInternal(readiness, settings.ReadinessAddress); err != nil {
+	if err := d.serveInternal(ctx, readiness, settings.ReadinessAddress); err != nil {
 		return err
 	}
 	metricsServer := &http.Server{Handler: d.metrics(), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
-	return d.serveInternal(metricsServer, settings.MetricsAddress)
+	return d.serveInternal(ctx, metricsServer, settings.MetricsAddress)
 }
 
 // serveInternal serves an address that callers do not use until the daemon has
 // stopped serving them.
-func (d *Daemon) serveInternal(server *http.Server, address netip.AddrPort) error {
-	listener, err := bind(address)
+func (d *Daemon) serveInternal(ctx context.Context, server *http.Server, address netip.AddrPort) error {
+	listener, err := d.bind(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -158,12 +164,27 @@
 	return nil
 }
 
-func bind(address netip.AddrPort) (net.Listener, error) {
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, errors.Annotatef(err, "cannot listen at %s", address)
+// bind listens at an address. While something else does, such as a process that is about
+// to end or a connection with that local port, it waits.
+func (d *Daemon) bind(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	for tries := 1; ; tries++ {
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+		if err == nil {
+			if tries > 1 {
+				d.logger.Info("address free again", zap.String("address", address.String()), zap.Int("tries", tries))
+			}
+			return listener, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, errors.Annotatef(err, "cannot listen at %s", address)
+		}
+		if tries == 1 {
+			d.logger.Warn("address in use; waiting until it is free", zap.String("address", address.String()), zap.Error(err))
+		}
+		if d.clock.Sleep(ctx, bindInterval) != nil {
+			return nil, errors.Annotatef(err, "stopped while waiting to listen at %s", address)
+		}
 	}
-	return listener, nil
 }
 
 // serveCallers serves a listener for callers in the background until the stop.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -93,7 +93,7 @@
 	parsed, err := config.ParseEntry([]byte(settings))
 	d.is.NoErr(err)
 	daemon := entry.New(parsed, zap.NewNop(), system.NewClock(), system.NewWallClock(), func() int64 { return 0 })
-	d.is.NoErr(daemon.Start())
+	d.is.NoErr(daemon.Start(d.t.Context()))
 	t.Cleanup(func() { daemon.Stop(context.Background()) })
 	for !daemon.Ready() {
 	}
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"time"
 
@@ -84,9 +83,9 @@
 
 // startSharing listens for the other daemons, registers this daemon and starts
 // sending load shares.
-func (d *Daemon) startSharing(store *platform.Store) error {
+func (d *Daemon) startSharing(ctx context.Context, store *platform.Store) error {
 	settings := d.settings.Load()
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(settings.DaemonsAddress))
+	listener, err := d.bind(ctx, settings.DaemonsAddress)
 	if err != nil {
 		return errors.Annotate(err, "cannot listen for the other daemons")
 	}
