entry: origins of streams are looked through four times a second while none is needed

Change: a look each 250 ms, and a write each 50 ms from the first origin that is needed until none is. When a second version joins, the streams of before are written up to 250 ms later than they were.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,7 +104,7 @@
 	d.system.Spawn(retriesWatch{d.balancer, d.logger}, retriesInterval)
 	d.system.Spawn(d.origins, originInterval)
 	d.system.Spawn(d.versions, originInterval)
-	d.system.Spawn(d.journal, journalInterval)
+	d.system.Spawn(originWriter{d.journal, d.clock}, journalIdleInterval)
 	d.system.Spawn(d.configuration, followInterval)
 	d.system.Spawn(d.fleet, followInterval)
 	d.logger.Info("daemon started", zap.String("vm", settings.Name), zap.String("zone", string(settings.Zone)), zap.Bool("first-start", settings.FirstStart))
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -13,6 +13,7 @@
 	"quincewinch/feed"
 	"quincewinch/membership"
 	"quincewinch/models"
+	"quincewinch/peer"
 	peerdaemon "quincewinch/peer/daemon"
 	"quincewinch/platform"
 	"quincewinch/quarantine"
@@ -39,6 +40,8 @@
 	// journalInterval is the shortest time between two writes of the origins of streams to
 	// the store. A stream that began later before the loss of all daemons is not known.
 	journalInterval = 50 * time.Millisecond
+	// journalIdleInterval is the time between two looks whether any are to be written.
+	journalIdleInterval = 250 * time.Millisecond
 )
 
 // sharing is the exchange of load and store changes with the other daemons.
@@ -71,6 +74,22 @@
 	return s.sharer.OriginDuty()
 }
 
+// originWriter writes the origins of streams to the store while they are needed.
+type originWriter struct {
+	journal *resume.Journal
+	clock   peer.Clock
+}
+
+// Step implements control.Task. It goes on while origins are needed.
+func (w originWriter) Step(ctx context.Context) {
+	for {
+		w.journal.Step(ctx)
+		if !w.journal.Active() || w.clock.Sleep(ctx, journalInterval) != nil {
+			return
+		}
+	}
+}
+
 // prepareSharing creates the source of store changes and the writer of rows. Neither
 // must be used before startSharing has returned: they need the sharer.
 func (d *Daemon) prepareSharing(store *platform.Store) {
--- a/resume/journal.go
+++ b/resume/journal.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// Active reports whether the last step found origins that are needed, so that more may
+// be soon. It must not be called during a step.
+func (j *Journal) Active() bool {
+	return len(j.contested) > 0
+}
+
 // writeRow writes one row of origins that are needed. It reports whether there may be
 // more.
 func (j *Journal) writeRow(ctx context.Context, scope Scope) (more bool) {
--- a/resume/schedule_test.go
+++ b/resume/schedule_test.go
@@ -46,7 +46,7 @@
 	eventGap         = 30 * time.Millisecond
 	callerTimeout    = 4 * time.Second
 	maxTries         = 4
-	joinTime         = 250 * time.Millisecond // until all daemons have stored what they know
+	joinTime         = 250 * time.Millisecond // until all daemons have stored what they know, if they look each 50 ms
 	contactTime      = time.Second
 	connectTimeout   = time.Second
 	storeDelay       = 4 * time.Millisecond
