soak: all daemons are lost at the end, right after a change of the configuration

Once all daemons serve again after the last fault, the key is replaced and all are killed at the same moment; each must serve every kind within 15 s.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -17,6 +17,8 @@
 	// minFaultDuration and maxFaultDuration bound the duration of a fault.
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
+	// maxDownTime is the upper bound of the time for which all daemons are down.
+	maxDownTime = 2 * time.Second
 	// catchUpTime is how long a daemon may lag behind the store after a fault.
 	catchUpTime = 6 * time.Second
 )
@@ -146,6 +148,26 @@
 	in.world.markSuspect(processOf(daemon.name), 0)
 }
 
+// loseAll kills all daemons at once, right after an operator's change has been
+// acknowledged, and starts them again.
+func (in *injector) loseAll() {
+	w := in.world
+	w.countInjected("kill-all")
+	w.changeKey(1)
+	for _, daemon := range w.daemons {
+		w.markSuspect(daemon.name, grace+catchUpTime)
+		daemon.signal(syscall.SIGKILL)
+	}
+	for _, daemon := range w.daemons {
+		<-daemon.exited()
+	}
+	in.wait(time.Duration(w.random.Int64N(int64(maxDownTime))))
+	for _, daemon := range w.daemons {
+		daemon.start()
+		w.markSuspect(processOf(daemon.name), 0)
+	}
+}
+
 // failStore makes the store fail for all daemons, and then compacts its change
 // history.
 func (in *injector) failStore(kind string, f emulator.Fault, d time.Duration) {
