resume: a caller that leaves does not end the call that others wait for

By reading the change: callers that take streams up at the same time share one read of the store, made with the context of the first of them. The call now goes on without it; the client of the store bounds its time.

TestReadOfACallerThatHasGoneServesTheOthers failed before, for the record and for stored origins.

--- a/resume/finder_test.go
+++ b/resume/finder_test.go
@@ -1,6 +1,7 @@
 package resume_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -164,3 +165,45 @@
 		f.expectNotFound("new")
 	})
 }
+
+// Guards against callers that are refused because another one, whose call they share, has
+// gone.
+func TestReadOfACallerThatHasGoneServesTheOthers(t *testing.T) {
+	for name, id := range map[string]models.RequestID{"of the record": "unknown", "of stored origins": "stored"} {
+		t.Run(name, func(t *testing.T) {
+			runVersions(t, func(f *versionFixture) {
+				changes := registered("v1")
+				if id == "stored" {
+					changes = registered("v1", "v2")
+				}
+				f.follow(changes, 0)
+				f.begin("stored", v1, lifetime)
+				f.journal.Step(f.t.Context())
+				f.restart()
+				f.table.delay = 100 * time.Millisecond
+				find := func(ctx context.Context) chan error {
+					done := make(chan error, 1)
+					go func() {
+						_, err := f.finder.Find(ctx, id, []models.ServiceName{"llm"})
+						done <- err
+					}()
+					f.is.NoErr(system.NewClock().Sleep(f.t.Context(), f.table.delay/10))
+					return done
+				}
+				var reading chan error
+				if id == "unknown" {
+					reading = find(f.t.Context()) // the next two share the call after this one's
+				}
+				leaving, leave := context.WithCancel(f.t.Context())
+				_ = find(leaving)
+				found := find(f.t.Context())
+				f.is.NoErr(system.NewClock().Sleep(f.t.Context(), 5*f.table.delay/4))
+				leave()
+				f.is.NoErr(<-found)
+				if reading != nil {
+					f.is.NoErr(<-reading)
+				}
+			})
+		})
+	}
+}
--- a/resume/journal.go
+++ b/resume/journal.go
@@ -170,6 +170,7 @@
 		return j.scanErr
 	}
 	j.scannedAt = j.clock.Now()
+	ctx = context.WithoutCancel(ctx) // other callers use the result
 	changes, err := j.table.Changes(ctx, models.PartitionOrigins, 0)
 	j.scanErr = err
 	j.report("origins of streams not read", err)
--- a/resume/table_test.go
+++ b/resume/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"quincewinch/models"
 	"quincewinch/peer"
@@ -15,6 +16,7 @@
 	rows    map[models.RowKey]models.Row
 	version uint64
 	away    bool // fails all calls
+	delay   time.Duration
 	reads   int
 	writes  int // rows
 }
@@ -24,7 +26,10 @@
 }
 
 // Changes implements resume.Table.
-func (t *table) Changes(_ context.Context, partition models.Partition, _ models.Revision) (models.Changes, error) {
+func (t *table) Changes(ctx context.Context, partition models.Partition, _ models.Revision) (models.Changes, error) {
+	if err := system.NewClock().Sleep(ctx, t.delay); err != nil {
+		return models.Changes{}, peer.NewFailure(peer.OutcomeUnknown, "given up", err)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
--- a/resume/versions.go
+++ b/resume/versions.go
@@ -201,7 +201,8 @@
 	}
 	defer v.calling.release()
 	if !v.readAt.After(at) {
-		v.syncLocked(ctx)
+		// The callers that wait need the result, also if this one has gone.
+		v.syncLocked(context.WithoutCancel(ctx))
 	}
 	return v.readErr
 }
