--- a/resume/journal.go
+++ b/resume/journal.go
@@ -41,8 +41,8 @@
 	// Used only by Step.
 	position  uint64                      // of the last origin that is written
 	contested map[models.ServiceName]bool // at the last step
-	rows      int                         // written
-	written   []storedRow
+	rows      int                         // written so far; numbers the next one
+	written   []storedRow                 // not deleted yet
 
 	scanning  turn
 	scannedAt time.Time // guarded by scanning
