routing: a removal proves the departure of a server dropped before

Cause, from a trace of the schedule: daemon 3 dropped engine-5 at 7,249 ms, as it was missing from a copy, which proves a departure only 4 s after the return. The removal, read at 7,550 ms, was ignored, since it was noted only at servers that were still known. The next copy, at 9,953 ms, listed the same process, and it was used at once.

A removal of a server that was dropped before now proves its departure, and counts from then on for how long it is remembered.

TestRemovalAfterLossInCopy failed before in two of its four cases (removed after it was dropped; remembered as long as a copy may be old: [a b], want [b]) and passes; the other two hold that a server never removed, or registered again, is used at once. go test ./feed -run TestPropagationAcrossStoreRestores -args -schedules 1 - failed each time before and passes.

--- a/routing/departure.go
+++ b/routing/departure.go
@@ -69,6 +69,18 @@
 	return left
 }
 
+// confirmDeparture records that the registration of a backend server was removed that was
+// dropped before, as it was missing from an older copy.
+func (f *Fleet) confirmDeparture(id models.EngineID, now time.Time) {
+	left, ok := f.departed[id]
+	if !ok {
+		return
+	}
+	left.at = now
+	left.provenAt = time.Time{}
+	f.departed[id] = left
+}
+
 // forgetDepartures forgets the departures that no copy of the store can be older
 // than.
 func (f *Fleet) forgetDepartures(now time.Time) {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -189,6 +189,9 @@
 func (f *Fleet) markMissing(id models.EngineID, removed bool, now time.Time) {
 	r, ok := f.known[id]
 	if !ok {
+		if removed {
+			f.confirmDeparture(id, now)
+		}
 		return
 	}
 	r.removed = r.removed || removed
