commands: check of a configuration before it is sent

Operators learned of a mistake in a configuration only when the store or the daemons met it: a route behind another with the same host and prefix never matched, a misspelled field had no effect, a service that does not exist refused each request.

`quincewinch check FILE [--against FILE] [--json]` reads a configuration with the decoder of package platform and names errors, entries that never match or have no effect, limits that contradict each other, and what differs from the version in force. Keys are counted, not printed.

--- /dev/null
+++ b/check/document.go
@@ -0,0 +1,69 @@
+package check
+
+import (
+	"crypto/sha256"
+	"slices"
+
+	"quincewinch/models"
+)
+
+// Document is a configuration as it is written, with what models.Routing leaves out.
+type Document struct {
+	Routing *models.Routing
+	// Services and Workspaces are in order, those with the same name included.
+	Services   []models.RoutedService
+	Workspaces []Workspace
+	// Problems were found while the document was decoded.
+	Problems []Finding
+}
+
+// Workspace is the access of a workspace.
+type Workspace struct {
+	Name models.Workspace
+	Keys [][sha256.Size]byte // hashes
+}
+
+// Configuration returns what is wrong with a configuration, errors first.
+func Configuration(d *Document) []Finding {
+	if d.Routing == nil {
+		return Sorted(d.Problems)
+	}
+	f := &findings{list: slices.Clone(d.Problems)}
+	f.checkLimits(d.Routing.Limits)
+	f.checkRoutes(d)
+	f.checkServices(d)
+	f.checkWorkspaces(d)
+	return Sorted(f.list)
+}
+
+// checkLimits checks the limits on what callers send.
+func (f *findings) checkLimits(limits models.CallerLimits) {
+	f.about(KindConfiguration, "")
+	f.errorIf(limits.HeaderBytes <= 0, "the size of a request's header is not limited to a positive number of bytes")
+	f.errorIf(limits.BodyBytes <= 0, "the size of a request's body is not limited to a positive number of bytes")
+	f.errorIf(limits.HeaderTimeout <= 0, "there is no time limit for a request's header")
+	f.errorIf(limits.IdleTimeout <= 0, "there is no time limit for idle connections")
+	f.warnIf(limits.HeaderTimeout > limits.IdleTimeout && limits.IdleTimeout > 0,
+		"a header may take %s, longer than the %s for which a connection may be idle", limits.HeaderTimeout, limits.IdleTimeout)
+}
+
+// checkWorkspaces checks names and keys.
+func (f *findings) checkWorkspaces(d *Document) {
+	names := map[models.Workspace]bool{}
+	holders := map[[sha256.Size]byte]models.Workspace{}
+	empty := sha256.Sum256(nil)
+	for _, w := range d.Workspaces {
+		f.about(KindWorkspace, string(w.Name))
+		f.errorIf(w.Name == "", "it has no name")
+		f.errorIf(names[w.Name], "another workspace has the same name")
+		f.warnIf(len(w.Keys) == 0, "it has no keys, so that no request can be its own")
+		names[w.Name] = true
+		for _, key := range w.Keys {
+			holder, taken := holders[key]
+			f.errorIf(key == empty, "an empty key never matches")
+			f.errorIf(taken && holder != w.Name, "workspace %s has one of its keys too", holder)
+			f.warnIf(taken && holder == w.Name, "a key is listed twice")
+			holders[key] = w.Name
+		}
+	}
+}
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
 )
 
 const (
@@ -29,6 +30,17 @@
 	run(env environment) error
 }
 
+// exitError ends a command with an exit status of its own.
+type exitError struct {
+	status  int
+	message string
+}
+
+// Error implements error.
+func (e exitError) Error() string {
+	return e.message
+}
+
 // Run executes a command line and returns the exit status of the process.
 func Run(args []string, stdout, stderr io.Writer) int {
 	// Caught until the process ends, so that a repeated signal does not end it in
@@ -49,11 +61,20 @@
 	}
 	if err := commands[name].run(environment{ctx: ctx, stdout: stdout, stderr: stderr}); err != nil {
 		_, _ = fmt.Fprintln(stderr, "quincewinch: "+err.Error())
-		return exitFailure
+		return exitStatus(err)
 	}
 	return exitSuccess
 }
 
+// exitStatus returns the exit status for the error of a command.
+func exitStatus(err error) int {
+	var exit exitError
+	if errors.As(err, &exit) {
+		return exit.status
+	}
+	return exitFailure
+}
+
 // registrations returns the functions that register the commands. It creates
 // the command groups first, since commands look up their group.
 func registrations(app *kingpin.Application) []func(*kingpin.Application) (string, command) {
@@ -62,7 +83,7 @@
 	app.Command("table", "Read and edit the table's rows.")
 	app.Command("fleet", "Show the engines.")
 	return []func(*kingpin.Application) (string, command){
-		registerServe, registerEntry, registerDemo, registerCheckSettings, registerSettings, registerCompare, registerReport,
+		registerServe, registerEntry, registerDemo, registerCheckSettings, registerSettings, registerCheck, registerCompare, registerReport,
 		registerWorkspaceList, registerWorkspaceCreate,
 		registerKeyList, registerKeyGive, registerKeyWithdraw,
 		registerTableColumns, registerTableList, registerTablePut, registerTableDelete,
