logfmt: a line after the log was closed is dropped

A daemon that stopped could end with a panic in place of its exit status: a tick that was due while its actor stopped became a dead letter, which is logged, and the log's buffer had been closed. Seen once in `go test ./commands` with 40 runnable processes on 7 cores, on code that did not touch either package.

Write takes a lock shared with Close and drops, and counts, what comes after it.

--- a/lib/logfmt/writer.go
+++ b/lib/logfmt/writer.go
@@ -6,13 +6,15 @@
 	"sync/atomic"
 )
 
-// Writer passes lines to another writer in the background. Write never blocks:
+// Writer passes lines to another writer in the background. Write does not wait for it:
 // when the buffer is full, the line is dropped and counted.
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	close   sync.Once
+
+	mu     sync.RWMutex // held by Write while it uses lines
+	closed bool
 }
 
 // NewWriter returns a writer that buffers up to the given number of lines for
@@ -32,8 +34,14 @@
 }
 
 // Write implements io.Writer. It returns the length of the line also if the
-// line is dropped.
+// line is dropped, as each one after Close is: a background task may still be ending.
 func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -47,9 +55,13 @@
 	return w.dropped.Load()
 }
 
-// Close waits until the buffered lines are written. Write must not be called
-// after Close.
+// Close waits until the buffered lines are written.
 func (w *Writer) Close() {
-	w.close.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	<-w.done
 }
--- a/lib/logfmt/writer_test.go
+++ b/lib/logfmt/writer_test.go
@@ -38,3 +38,18 @@
 	is.True(written >= 10)
 	is.Equal(int(w.Dropped()), lines-written) // each line is written or counted as dropped
 }
+
+// TestLinesAfterCloseAreDropped guards against a process that ends with a panic because a
+// task logs while it stops.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	w := logfmt.NewWriter(&out, 10)
+	w.Close()
+	n, err := fmt.Fprint(w, "late\n")
+	is.NoErr(err)
+	is.Equal(n, len("late\n"))
+	is.Equal(out.String(), "")
+	is.Equal(int(w.Dropped()), 1)
+	w.Close() // may be repeated
+}
