--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -393,6 +393,23 @@
 		_, err := r.Changes(t.Context(), servers, 1, time.Second)
 		is.New(t).Equal(peer.OutcomeOf(err), peer.OutcomeNotDone)
 	})
+	t.Run("a row that changed often is passed on once, as it is now", func(t *testing.T) {
+		is := is.New(t)
+		s := newStore()
+		s.write("a")
+		r := feed.NewReader(s)
+		follow(t, r, 0)
+		for i, name := range []string{"a", "b", "a", "a"} {
+			s.write(name)
+			follow(t, r, models.Revision(i+1))
+		}
+		changes, err := r.Changes(t.Context(), servers, 1, time.Second)
+		is.NoErr(err)
+		is.Equal(changes, models.Changes{Rows: []models.Row{s.rows[2], s.rows[4]}, Through: 5})
+		changes, err = r.Changes(t.Context(), servers, 3, time.Second)
+		is.NoErr(err)
+		is.Equal(changes, models.Changes{Rows: []models.Row{s.rows[4]}, Through: 5})
+	})
 	t.Run("waiting calls fail at once when the store fails", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/feed/history.go
+++ b/feed/history.go
@@ -10,7 +10,8 @@
 // a few rows per second, and following daemons ask several times per second.
 const maxRows = 2048
 
-// history keeps the recent changes of one partition.
+// history keeps the recent changes of one partition, of each row only the last: rows that
+// change quickly would make an answer too large for the time of a call.
 type history struct {
 	// following means that this daemon follows the store and that its last call
 	// succeeded.
@@ -45,9 +46,7 @@
 		h.reset(after)
 		fallthrough
 	default:
-		for _, row := range changes.Rows {
-			h.rows = append(h.rows, historyRow{row, changes.Through})
-		}
+		h.add(changes)
 		h.through = max(h.through, changes.Through)
 		h.trim()
 	}
@@ -56,6 +55,23 @@
 	}
 }
 
+// add adds changed rows, in place of older changes of the same rows.
+func (h *history) add(changes models.Changes) {
+	last := map[models.RowKey]int{}
+	for i, row := range changes.Rows {
+		last[row.Key] = i
+	}
+	h.rows = slices.DeleteFunc(h.rows, func(r historyRow) bool {
+		_, replaced := last[r.row.Key]
+		return replaced
+	})
+	for i, row := range changes.Rows {
+		if last[row.Key] == i {
+			h.rows = append(h.rows, historyRow{row, changes.Through})
+		}
+	}
+}
+
 // close marks that this daemon no longer follows the store, and wakes the
 // waiting calls.
 func (h *history) close() {
--- a/routing/watch.go
+++ b/routing/watch.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"quincewinch/models"
@@ -95,6 +96,7 @@
 	clock     peer.Clock
 	startedAt time.Time     // of the current outage, zero if there is none
 	backoff   time.Duration // after the last failure
+	reason    string        // of the last failure
 }
 
 // limitWait returns how long the next call may wait. The first call after a failed
@@ -107,18 +109,33 @@
 }
 
 // recordFailure returns the backoff until the next call, and logs the start of
-// an outage.
+// an outage and each failure of another kind than the one before.
 func (t *outageTracker) recordFailure(err error) time.Duration {
+	reason := reasonOf(err)
 	if !t.startedAt.IsZero() {
+		if reason != t.reason {
+			t.reason = reason
+			t.logger.Warn("store still unreachable", zap.String("for", t.name), zap.Error(err))
+		}
 		t.backoff = min(t.backoff*2, maxBackoff)
 		return t.backoff
 	}
+	t.reason = reason
 	t.backoff = initialBackoff
 	t.startedAt = t.clock.Now()
 	t.logger.Warn("store unreachable", zap.String("for", t.name), zap.Error(err))
 	return t.backoff
 }
 
+// reasonOf returns what failed, without what differs from call to call.
+func reasonOf(err error) string {
+	var failure *peer.Failure
+	if errors.As(err, &failure) {
+		return failure.Message
+	}
+	return ""
+}
+
 // recordSuccess ends an outage and logs its duration.
 func (t *outageTracker) recordSuccess() {
 	if t.startedAt.IsZero() {
