limits: workspaces are limited over all VMs on the users' platform

Nothing on the way that serves the users' platform knew rate_per_s, burst, unit and plain_tokens: a workspace beyond its limit was served.

policy/limit gets Joint: each daemon keeps a bucket of the whole limit, fed by its own admissions and by the totals that the others report in their load shares (field 13, summed per zone), and admits the same part of what is offered as all others. ratelimit is the filter after Locate, with metrics and log lines; a refusal is 429 with Retry-After. relay.Sender counts the runs of a request. The bucket of the serve command's limiter is reused; its decisions do not change.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -43,6 +43,7 @@
 	Zone       models.Zone
 	Retries    retry.Settings // budget of all daemons together
 	FirstStart bool           // no daemon has run before: none can have spent the budget
+	Uses       LimitUses      // what daemons use of workspaces' limits; nil: not exchanged
 }
 
 // Balancer implements relay.Placer.
@@ -93,6 +94,9 @@
 
 // New returns a balancer with no load recorded.
 func New(view FleetView, clock peer.Clock, settings Settings, seed uint64) *Balancer {
+	if settings.Uses == nil {
+		settings.Uses = noUses{}
+	}
 	return &Balancer{
 		fleet:        view,
 		clock:        clock,
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -31,6 +31,7 @@
 	daemons   map[netip.AddrPort]*balance.Balancer
 	origins   map[netip.AddrPort]*resume.Origins
 	evidence  map[netip.AddrPort]*evidenceLog
+	uses      map[models.DaemonID]*usesLog
 	lost      shareLoss
 	delay     time.Duration // of each share
 	members   map[models.DaemonID]models.Peer
@@ -133,7 +134,7 @@
 func newNetwork(t *testing.T, daemons, zones int) *network {
 	n := &network{
 		t: t, fleet: newFleet(engines(networkEngines, models.RoleDecode)...), daemons: map[netip.AddrPort]*balance.Balancer{},
-		origins: map[netip.AddrPort]*resume.Origins{}, evidence: map[netip.AddrPort]*evidenceLog{}, members: map[models.DaemonID]models.Peer{},
+		origins: map[netip.AddrPort]*resume.Origins{}, evidence: map[netip.AddrPort]*evidenceLog{}, members: map[models.DaemonID]models.Peer{}, uses: map[models.DaemonID]*usesLog{},
 		down: map[netip.AddrPort]bool{}, messages: map[models.DaemonID]int{}, stop: map[netip.AddrPort]context.CancelFunc{},
 		versions: []string{"v1", "v2"}, cut: map[[2]netip.AddrPort]bool{},
 	}
@@ -163,8 +164,9 @@
 	defer n.mu.Unlock()
 	n.origins[member.Address] = resume.NewOrigins(n, clock)
 	n.evidence[member.Address] = newEvidenceLog()
+	n.uses[daemonID(i)] = &usesLog{daemon: i}
 	n.daemons[member.Address] = balance.New(n.fleet, clock, balance.Settings{
-		Self: daemonID(i), Zone: member.Zone, Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
+		Self: daemonID(i), Zone: member.Zone, Uses: n.uses[daemonID(i)], Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
 	}, 1)
 }
 
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -22,11 +22,12 @@
 }
 
 // Urgent reports whether the load should be shared sooner than usual: own is set
-// if this daemon has sent a long prompt, zone if another daemon of its zone has.
+// if this daemon has sent a long prompt or a limit is nearly used up, zone if another daemon of its zone has.
 func (b *Balancer) Urgent() (own, zone bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.urgent, b.zoneUrgent
+	pressed := b.settings.Uses.Urgent()
+	return b.urgent || pressed, b.zoneUrgent
 }
 
 // Changed reports whether the load has changed since the last load share.
@@ -46,6 +47,7 @@
 	share.Loads = b.ownLoads()
 	share.Limits = b.limitReports(originAnswer, now)
 	share.Speeds = takeSpeeds(b.unsharedSpeeds)
+	share.Uses = b.settings.Uses.Report(false)
 	share.Prompts = b.unsharedPrompts
 	b.unsharedPrompts = nil
 	b.changed = false
@@ -78,6 +80,7 @@
 		Prompts: b.zonePrompts,
 		Limits:  b.limitReports(originZone, now),
 		Speeds:  takeSpeeds(b.zoneSpeeds),
+		Uses:    b.settings.Uses.Report(true),
 	}
 	b.zonePrompts = nil
 	b.zoneUrgent = false
@@ -241,8 +244,10 @@
 	}
 	if share.Leaving {
 		b.dropShare(share.From)
+		b.settings.Uses.Leave(share.From)
 		return
 	}
+	b.settings.Uses.Learn(share.From, share.Uses)
 	b.recordPrompts(share, now)
 	b.receiveLimits(share, now)
 	b.receiveSpeeds(share, now)
--- a/config/entry.go
+++ b/config/entry.go
@@ -28,6 +28,12 @@
 	LeaseDuration    time.Duration
 	Retries          RetryLimits
 	Log              Log
+	Limits           EntryLimits
+}
+
+// EntryLimits is the section of the limits of workspaces.
+type EntryLimits struct {
+	Over float64 // share by which the daemons together may exceed a limit
 }
 
 // EntryCallers is the section of the listener for callers.
@@ -97,6 +103,7 @@
 	{"retries.window", `"10s"`, false, "duration", "window over which requests and retries are counted", decodeDuration(func(s *Entry) *time.Duration { return &s.Retries.Window })},
 	{"retries.reserve", `10`, false, "", "retries allowed per window on top of the share, over all daemons", decodeNonNegativeFloat(func(s *Entry) *float64 { return &s.Retries.Reserve })},
 	{"log.level", `"info"`, false, "", "debug, info, warn or error", decodeLogLevel(func(s *Entry) *string { return &s.Log.Level })},
+	{"limits.over", `0`, false, "", "share by which the daemons together may exceed the limit of a workspace; those in touch use half of it while others are out of touch", decodeNonNegativeFloat(func(s *Entry) *float64 { return &s.Limits.Over })},
 }
 
 const (
--- a/config/rendered_test.go
+++ b/config/rendered_test.go
@@ -23,6 +23,7 @@
 	"bounds.retry_budget_ratio": "0.2",
 	"bounds.retry_window_s":     "10",
 	"bounds.budget_slack":       "54",
+	"bounds.quota_over":         "0.1",
 	"cloud_api.duty_per_s":      "50",
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"quincewinch/peer"
 	"quincewinch/platform"
 	"quincewinch/quarantine"
+	"quincewinch/ratelimit"
 	"quincewinch/relay"
 	"quincewinch/resume"
 	"quincewinch/routing"
@@ -49,6 +50,7 @@
 	journal         *resume.Journal // of origins
 	quarantine      *quarantine.Quarantine
 	balancer        *balance.Balancer
+	limits          *ratelimit.Limits // of workspaces
 	callers         *drain.Server
 	sharing         sharing
 	duties          duties
@@ -86,11 +88,13 @@
 	d.origins = resume.NewOrigins(d.versions, d.clock)
 	d.journal = resume.NewJournal(d.origins, d.versions, store, d.sharing.originDuty, d.clock, d.logger)
 	d.fleet = routing.NewFleet(d.versions, d.clock, d.logger, wait, settings.Store.RemovalTimeout)
+	d.limits = ratelimit.New(limitView{d}, limitSettings(settings), d.registry, d.clock, d.logger)
 	d.balancer = balance.New(d.fleet, d.clock, balance.Settings{
 		Self:       models.DaemonID(settings.Name),
 		Zone:       settings.Zone,
 		Retries:    retrySettings(settings),
 		FirstStart: settings.FirstStart,
+		Uses:       d.limits,
 	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(ctx, store); err != nil {
 		return err
@@ -100,6 +104,7 @@
 		return err
 	}
 	d.system.Spawn(d.balancer, pruneInterval)
+	d.system.Spawn(d.limits, ratelimit.Interval)
 	d.system.Spawn(slowWatch{d.balancer, d.logger}, slowInterval)
 	d.system.Spawn(retriesWatch{d.balancer, d.logger}, retriesInterval)
 	d.system.Spawn(d.origins, originInterval)
@@ -123,6 +128,7 @@
 		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger),
 		relay.NewRecorder(d.registry, d.clock, d.logger).Filter(),
 		relay.Locate(d.configuration, d.clock),
+		d.limits.Filter(),
 		relay.Resume(resume.NewFinder(d.origins, d.versions, d.journal)),
 	)
 }
--- a/models/routing.go
+++ b/models/routing.go
@@ -12,6 +12,7 @@
 	RequireKeys bool
 	Keys        map[[32]byte]KeyGrant // by SHA-256 hash of the key
 	Limits      CallerLimits
+	RateLimits  map[Workspace]RateLimit // of the workspaces that have one
 }
 
 // KeyGrant is the access that a key gives: its workspace and, if HasRank, the
--- a/models/share.go
+++ b/models/share.go
@@ -15,11 +15,12 @@
 	Leaving  bool           // the sender is about to stop
 	Loads    map[EngineID]ServerLoad
 	Limits   []LimitReport
-	Prompts  []CachedPrompt // prefilled since the previous share
-	Speeds   []SpeedReport  // observed since the previous share
-	Relayed  []LoadShare    // by the sender: sums of other zones, and shares of daemons of its zone
-	Origins  []StreamOrigin // that the receiver may not know
-	Evidence *CrashEvidence // nil: nothing that the receiver has not confirmed
+	Prompts  []CachedPrompt         // prefilled since the previous share
+	Speeds   []SpeedReport          // observed since the previous share
+	Relayed  []LoadShare            // by the sender: sums of other zones, and shares of daemons of its zone
+	Origins  []StreamOrigin         // that the receiver may not know
+	Evidence *CrashEvidence         // nil: nothing that the receiver has not confirmed
+	Uses     map[Workspace]LimitUse // of the limits of workspaces; nil: none of late
 }
 
 // SpeedReport is a sum of observations of how long requests took at a backend server.
--- a/peer/daemon/share_test.go
+++ b/peer/daemon/share_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 			{Stream: 4, Revision: 2, TimeLeft: time.Second},
 		},
 		Evidence: fullEvidence(),
+		Uses:     map[models.Workspace]models.LimitUse{"w": {Epoch: 3, Amount: 1e12 + 1, Admitted: 0.5, Offered: 2, Reserved: 0.25}},
 		Limits:   []models.LimitReport{{Server: "e1", PerSecond: 1, SentAge: time.Second}},
 		Relayed: []models.LoadShare{{
 			From: "zone/b", Zone: "b", Address: netip.MustParseAddrPort("10.0.0.2:7780"), Sequence: 9,
@@ -44,6 +46,13 @@
 		_, err := decodeShare(&proto.LoadShare{From: "vm-1"})
 		is.New(t).True(err != nil)
 	})
+	t.Run("malformed uses are dropped", func(t *testing.T) {
+		is := is.New(t)
+		forms := []*proto.LimitUse{{Workspace: "a", Amount: math.NaN()}, {Workspace: "b", Offered: -1}, {Workspace: "c", Admitted: float32(math.Inf(1))}, {Workspace: "d", Amount: -1}}
+		decoded, err := decodeShare(&proto.LoadShare{From: "vm-1", Address: "10.0.0.1:1", Uses: forms})
+		is.NoErr(err)
+		is.Equal(decoded.Uses, map[models.Workspace]models.LimitUse{"d": {Amount: -1}})
+	})
 	t.Run("nested sums are dropped", func(t *testing.T) {
 		is := is.New(t)
 		address := "10.0.0.1:1"
--- a/policy/limit/limiter.go
+++ b/policy/limit/limiter.go
@@ -53,8 +53,8 @@
 func (l *Limiter) Admit(w models.WorkspaceSettings, tokens float64, now time.Time) Decision {
 	u := l.usageOf(w.Name)
 	share := l.shares.Share(w.Name, now)
-	u.requests.refill(w.RequestsPerSecond*share, 1, now)
-	u.tokens.refill(w.TokensPerSecond*share, 1, now)
+	u.requests.refill(w.RequestsPerSecond*share, burst(w.RequestsPerSecond*share), now)
+	u.tokens.refill(w.TokensPerSecond*share, burst(w.TokensPerSecond*share), now)
 	switch {
 	case w.Concurrent > 0 && !l.hasRoom(w, u, now):
 		return Decision{Limit: "requests running at once", RetryAfter: minRetryAfter}
@@ -105,15 +105,20 @@
 	return u
 }
 
-// bucket is a token bucket. It fills at a rate per second up to its burst.
+// burst returns what a rate per second allows at once.
+func burst(rate float64) float64 {
+	return max(rate*burstWindow.Seconds(), 1)
+}
+
+// bucket is a token bucket. It fills at a rate per second up to a capacity.
 type bucket struct {
 	level     float64
 	rate      float64
 	updatedAt time.Time
 }
 
-func (b *bucket) refill(rate, minCapacity float64, now time.Time) {
-	capacity := max(rate*burstWindow.Seconds(), minCapacity)
+// refill advances the bucket to a time. A new one is full.
+func (b *bucket) refill(rate, capacity float64, now time.Time) {
 	if b.updatedAt.IsZero() {
 		b.level = capacity
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -32,12 +32,17 @@
 	Rank      int // priority, 0 is the most urgent
 	Deadline  time.Time
 
+	// BeforeRepeat is called before the request is sent again after a backend server may
+	// have run it; nil: nobody needs to know.
+	BeforeRepeat func()
+
 	// Set by Resume, or by Sender with the first event: the software that began the
 	// stream.
 	Origin *models.Software
 
 	// Set by Sender.
 	Sends int // attempts at backend servers so far
+	Runs  int // of them, those in which the backend server may have run the request
 	Trace Trace
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -26,6 +26,22 @@
 	return nil
 }
 
+// beginSend counts an attempt that is about to be sent.
+func (d *delivery) beginSend(placement Placement) {
+	e := d.exchange
+	if e.Runs > 0 && e.BeforeRepeat != nil {
+		e.BeforeRepeat()
+	}
+	e.Sends++
+	d.beginRun(placement)
+}
+
+// countExecution counts an attempt in which the backend server may have run the request.
+func (d *delivery) countExecution() {
+	d.executions++
+	d.exchange.Runs++
+}
+
 // beginRun records that the request is sent to a backend server.
 func (d *delivery) beginRun(placement Placement) {
 	d.placed = placement
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -268,8 +268,7 @@
 	} else {
 		call.CopyFrom = copyAddress(placement)
 	}
-	d.exchange.Sends++
-	d.beginRun(placement)
+	d.beginSend(placement)
 	answer, err := d.sender.upstreams.Send(ctx, target, call)
 	if err != nil {
 		return d.handleSendError(ctx, err)
@@ -303,7 +302,7 @@
 		return d.handleRejection(answer)
 	}
 	d.prefilled = nil
-	d.executions++
+	d.countExecution()
 	if kind := kindOf(answer); d.headerWritten && kind != d.begun {
 		return ResultFailed, errors.Errorf("the stream of %s cannot be resumed: the backend server answered with %s", d.begun, kind)
 	}
@@ -336,7 +335,7 @@
 	}
 	d.runBroken(ctx, err)
 	d.releasePrefilled(ctx)
-	d.executions++
+	d.countExecution()
 	if ctx.Err() != nil {
 		return ResultCancelled, err
 	}
