--- a/policy/limit/joint.go
+++ b/policy/limit/joint.go
@@ -151,7 +151,7 @@
 		return
 	}
 	j.checkContacts(now)
-	if !c.silent {
+	if !c.silent && now.Sub(c.heardAt) < silentAfter {
 		j.interval += time.Duration(intervalWeight * float64(now.Sub(c.heardAt)-j.interval))
 	}
 	wasSilent := c.silent
@@ -273,6 +273,9 @@
 
 // checkContacts notes the sources that have come to be out of touch.
 func (j *Joint) checkContacts(now time.Time) {
+	if len(j.workspaces) == 0 {
+		return
+	}
 	settled := false
 	for from, c := range j.contacts {
 		if c.silent || now.Sub(c.heardAt) < silentAfter {
