limits: a daemon that does not know the others uses a hundredth

A daemon that had read no registrations since its start took itself for the only one, and a limit as its own: after the loss of all daemons with a slow store each would have used the whole rate. TestDaemonThatDoesNotKnowTheOthersUsesLittle fails without the change (run with the condition turned off) and passes with it.

--- a/balance/uses.go
+++ b/balance/uses.go
@@ -35,8 +35,9 @@
 
 // ReportSources returns the senders of load shares that stand for the other daemons, as a
 // daemon of a zone hears of them: each daemon, or those of its zone and the other zones.
-func ReportSources(zone models.Zone, others map[models.DaemonID]models.Peer) limit.Group {
-	group := limit.Group{Sources: map[models.DaemonID]int{}, Zone: map[models.DaemonID]bool{}}
+func ReportSources(zone models.Zone, members Members) limit.Group {
+	others := members.Others()
+	group := limit.Group{Listed: members.Listed(), Sources: map[models.DaemonID]int{}, Zone: map[models.DaemonID]bool{}}
 	for id, other := range others {
 		switch {
 		case other.Zone == zone:
--- a/balance/uses_test.go
+++ b/balance/uses_test.go
@@ -47,9 +47,8 @@
 				advance(t, 3*time.Second)
 				for i := range daemons {
 					self := daemonID(i)
-					others := others{n, self}.Others()
 					expected := map[models.DaemonID]float64{}
-					for source := range balance.ReportSources(n.members[self].Zone, others).Sources {
+					for source := range balance.ReportSources(n.members[self].Zone, others{n, self}).Sources {
 						expected[source] = 1000
 					}
 					for j := range daemons {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -16,7 +16,7 @@
 
 // Group implements ratelimit.View.
 func (v limitView) Group() limit.Group {
-	return balance.ReportSources(v.daemon.settings.Load().Zone, v.daemon.sharing.members.Others())
+	return balance.ReportSources(v.daemon.settings.Load().Zone, v.daemon.sharing.members)
 }
 
 // Routing implements ratelimit.View.
--- a/policy/limit/joint.go
+++ b/policy/limit/joint.go
@@ -46,6 +46,8 @@
 	Sources map[models.DaemonID]int
 	// Zone holds the senders that are daemons of the same zone.
 	Zone map[models.DaemonID]bool
+	// Listed states that all daemons that there are have been read since the start.
+	Listed bool
 }
 
 // Joint holds the limits of workspaces over all daemons together. Each daemon keeps a
--- a/policy/limit/joint_test.go
+++ b/policy/limit/joint_test.go
@@ -124,7 +124,7 @@
 
 // setGroup makes a daemon share the limit with the others, as balance.ReportSources does.
 func (c *jointCase) setGroup(n *jointNode, daemons int) {
-	group := limit.Group{Sources: map[models.DaemonID]int{}, Zone: map[models.DaemonID]bool{}}
+	group := limit.Group{Sources: map[models.DaemonID]int{}, Zone: map[models.DaemonID]bool{}, Listed: true}
 	for i := range daemons {
 		switch {
 		case id(i) == n.name || c.alone:
--- a/policy/limit/jointrate.go
+++ b/policy/limit/jointrate.go
@@ -17,6 +17,9 @@
 	// evenPart is the part of a limit that is kept for daemons out of touch by their
 	// number rather than by what was offered to them.
 	evenPart = 0.2
+	// unlistedPart is the part of a limit that a daemon uses while it does not know how
+	// many others there are.
+	unlistedPart = 0.01
 	// minJointRetryAfter and maxJointRetryAfter bound the Retry-After of a refusal.
 	minJointRetryAfter = 50 * time.Millisecond
 	maxJointRetryAfter = 10 * time.Second
@@ -92,6 +95,9 @@
 // part returns the part of the limit that the daemons in touch share: what is not kept
 // for the others.
 func (r *jointRate) part(j *Joint) float64 {
+	if !j.group.Listed {
+		return unlistedPart
+	}
 	kept := 0.0
 	for from, c := range j.contacts {
 		s, ok := r.sources[from]
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -18,13 +18,19 @@
 )
 
 // view is a daemon among four, in one zone.
-type view struct{ routing *models.Routing }
+type view struct {
+	routing  *models.Routing
+	unlisted bool
+}
 
 func (v *view) Routing() *models.Routing { return v.routing }
 
 func (v *view) Group() limit.Group {
+	if v.unlisted {
+		return limit.Group{}
+	}
 	others := map[models.DaemonID]int{"vm-2": 1, "vm-3": 1, "vm-4": 1}
-	return limit.Group{Sources: others, Zone: map[models.DaemonID]bool{"vm-2": true, "vm-3": true, "vm-4": true}}
+	return limit.Group{Listed: true, Sources: others, Zone: map[models.DaemonID]bool{"vm-2": true, "vm-3": true, "vm-4": true}}
 }
 
 // daemon is a daemon with limits whose requests end after some runs.
@@ -63,6 +69,15 @@
 	return float64(admitted) / float64(seconds)
 }
 
+func TestDaemonThatDoesNotKnowTheOthersUsesLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDaemon(40)
+		d.view.unlisted = true
+		is := is.New(t)
+		is.True(d.serve(is, "w", 5, func() {}) < 2)
+	})
+}
+
 func TestLimitOfDaemonThatLosesOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
