balance: place by what requests cost where servers state a pace

Requests that look alike cost servers very different amounts of work, and servers differ for good and for moments. Placement counted requests, and dropped the load header with four figures.

Where a service's servers state a pace, requests are placed by the expected end of the work: estimates by service, route and workspace, the work left at each server from own requests, load shares and the server's words weighed by their age, the stated pace as far as it still holds, and lasting differences told from short ones. Prompts are placed among fewer engines the older the loads are.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -43,6 +43,8 @@
 	Zone       models.Zone
 	Retries    retry.Settings // budget of all daemons together
 	FirstStart bool           // no daemon has run before: none can have spent the budget
+	// WorkListener is told of each request of a service whose servers state a pace; nil: none.
+	WorkListener WorkListener
 }
 
 // Balancer implements relay.Placer.
@@ -74,9 +76,11 @@
 	// zonePrompts are the prompts that the daemons of this zone had prefilled
 	// since its last zone sum.
 	zonePrompts    []models.CachedPrompt
-	unsharedSpeeds map[models.EngineID]models.SpeedReport
-	zoneSpeeds     map[models.EngineID]models.SpeedReport // observed in this zone since its last sum
+	unsharedSpeeds map[models.EngineID]queuedSpeed
+	zoneSpeeds     map[models.EngineID]queuedSpeed // observed in this zone since its last sum
 	references     map[timingKey]speedReference
+	lastings       map[timingKey]speedReference // of lasting differences
+	works          map[models.ServiceName]*serviceWork
 	prefilling     map[*placement]struct{} // prompts that this daemon waits for
 
 	relaying     relayMode
@@ -111,9 +115,11 @@
 		remoteLoads:  map[models.EngineID]models.ServerLoad{},
 		fetchRecords: map[zonePair]fetchRecord{},
 
-		unsharedSpeeds: map[models.EngineID]models.SpeedReport{},
-		zoneSpeeds:     map[models.EngineID]models.SpeedReport{},
+		unsharedSpeeds: map[models.EngineID]queuedSpeed{},
+		zoneSpeeds:     map[models.EngineID]queuedSpeed{},
 		references:     map[timingKey]speedReference{},
+		lastings:       map[timingKey]speedReference{},
+		works:          map[models.ServiceName]*serviceWork{},
 		prefilling:     map[*placement]struct{}{},
 	}
 }
@@ -143,6 +149,9 @@
 	if e.Service.Engine != nil && len(e.Prompt.Parts) > 0 {
 		return b.placePrompt(e, candidates, room, e.Sends > 0, now)
 	}
+	if service, ok := b.works[e.Service.Name]; ok {
+		return b.placeWork(e, service, candidates, now), nil
+	}
 	p := b.placeCall(candidates, now)
 	p.expected = b.timings.call(e.Service.Name).Duration()
 	return p, nil
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -30,6 +30,7 @@
 	tookRoom          bool // of the target's limit, at placedAt
 	prefillDone       bool
 	prefillerReleased bool // the prefiller no longer counts the request as in flight
+	work              placedWork
 	ended             bool
 }
 
@@ -117,11 +118,13 @@
 }
 
 // ResponseStarted implements relay.Placement.
-func (p *placement) ResponseStarted(*models.UpstreamLoad) {
+func (p *placement) ResponseStarted(load *models.UpstreamLoad) {
 	now := p.balancer.clock.Now()
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
 	p.target.unreachableCount = 0
+	p.observeLoad(load, now)
+	p.runWork(now)
 	p.startedAt = now
 	p.observePrefill(now)
 	p.observeCall(now)
@@ -131,6 +134,16 @@
 	}
 }
 
+// observeLoad applies the load that the target stated with its answer, if it states a
+// pace. The caller must hold the balancer's lock.
+func (p *placement) observeLoad(load *models.UpstreamLoad, now time.Time) {
+	if load == nil || load.Pace <= 0 {
+		return
+	}
+	p.balancer.stateLoad(p.target, *load, now, now)
+	p.balancer.queueReport(models.SpeedReport{Server: p.target.upstream.ID, Started: p.target.upstream.Started, Load: *load}, now)
+}
+
 // recordCached records that an engine has the prompt in its KV cache. A request
 // that ends before its prompt was prefilled leaves nothing there. The caller must
 // hold the balancer's lock.
@@ -171,8 +184,8 @@
 // observeCall records the time to the answer of a plain service. The caller must hold
 // the balancer's lock.
 func (p *placement) observeCall(now time.Time) {
-	if p.prefillServer != nil {
-		return
+	if p.prefillServer != nil || p.work.open {
+		return // endWork observes what was served
 	}
 	b := p.balancer
 	taken := now.Sub(p.placedAt)
@@ -234,6 +247,7 @@
 	p.ended = true
 	p.balancer.changed = true
 	p.target.running--
+	p.endWork(result, now)
 	p.releasePrefill()
 	p.releasePrefiller()
 	p.recordFetch(result, now)
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -10,6 +10,7 @@
 	"quincewinch/models"
 	"quincewinch/policy/admission"
 	"quincewinch/policy/serving"
+	"quincewinch/policy/work"
 	"quincewinch/relay"
 )
 
@@ -53,7 +54,9 @@
 // request was sent before, and KV cache is not fetched for it. The caller must
 // hold b.mu.
 func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*serverState, room time.Time, retried bool, now time.Time) (relay.Placement, error) {
+	candidates = b.compared(e, candidates, now)
 	orders := rendezvousOrder(e.Prompt, candidates)
+	own := b.generation(e)
 	engines := make([]serving.Engine, len(candidates))
 	for i, s := range candidates {
 		engines[i] = b.engineView(e, s, orders[i], now)
@@ -88,6 +91,9 @@
 		return nil, err
 	}
 	p := b.reservePrompt(e, candidates, choice, now)
+	if p.target.work != nil {
+		p.beginWork(kindOf(e), own, choice.Predicted, now)
+	}
 	p.urgency = min(admission.Urgency(request), maxUrgency)
 	return p, nil
 }
@@ -198,7 +204,7 @@
 	timing := b.timings.prefill(s.upstream)
 	others := b.remoteLoads[s.upstream.ID]
 	factor := b.speedFactor(s, now)
-	return serving.Engine{
+	view := serving.Engine{
 		Zone:    s.upstream.Zone,
 		Role:    s.upstream.Role,
 		Slots:   s.upstream.Slots,
@@ -210,6 +216,20 @@
 		Order:   order,
 		Penalty: time.Duration(s.decayedFailures(now) * float64(failurePenalty)),
 	}
+	if s.work != nil {
+		view.Work = time.Duration(float64(b.workLeft(s, now)) * factor)
+	}
+	return view
+}
+
+// generation returns how long the answer to a prompt is expected to occupy a typical
+// engine; zero if the engines state no pace. The caller must hold b.mu.
+func (b *Balancer) generation(e *relay.Exchange) work.Estimate {
+	service, ok := b.works[e.Service.Name]
+	if !ok {
+		return work.Estimate{}
+	}
+	return service.costs.Expect(kindOf(e))
 }
 
 // cacheCapacity returns how many tokens of prompt parts an engine of a capacity
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -43,9 +43,9 @@
 	now := b.clock.Now()
 	b.observeOverdue(now)
 	var share models.LoadShare
-	share.Loads = b.ownLoads()
+	share.Loads = b.ownLoads(now)
 	share.Limits = b.limitReports(originAnswer, now)
-	share.Speeds = takeSpeeds(b.unsharedSpeeds)
+	share.Speeds = takeSpeeds(b.unsharedSpeeds, now)
 	share.Prompts = b.unsharedPrompts
 	b.unsharedPrompts = nil
 	b.changed = false
@@ -55,12 +55,13 @@
 
 // Requeue takes back what a load share that got lost says once.
 func (b *Balancer) Requeue(share models.LoadShare) {
+	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.unsharedPrompts = slices.Concat(share.Prompts, b.unsharedPrompts)
 	b.unsharedPrompts = b.unsharedPrompts[max(0, len(b.unsharedPrompts)-maxQueuedPrompts):]
 	for _, report := range share.Speeds {
-		queueSpeed(b.unsharedSpeeds, report)
+		queueSpeed(b.unsharedSpeeds, report, now)
 	}
 	b.changed = true
 }
@@ -74,10 +75,10 @@
 	sum := models.LoadShare{
 		From:    zoneSumID(b.settings.Zone),
 		Zone:    b.settings.Zone,
-		Loads:   b.ownLoads(),
+		Loads:   b.ownLoads(now),
 		Prompts: b.zonePrompts,
 		Limits:  b.limitReports(originZone, now),
-		Speeds:  takeSpeeds(b.zoneSpeeds),
+		Speeds:  takeSpeeds(b.zoneSpeeds, now),
 	}
 	b.zonePrompts = nil
 	b.zoneUrgent = false
@@ -102,6 +103,7 @@
 		}
 		sum := r.share
 		sum.Limits = agedLimits(sum.Limits, now.Sub(r.receivedAt))
+		sum.Speeds = agedSpeeds(sum.Speeds, now.Sub(r.receivedAt))
 		sums = append(sums, sum)
 		r.share.Prompts = nil
 		r.share.Speeds = nil
@@ -149,6 +151,7 @@
 		}
 		share := r.share
 		share.Limits = agedLimits(share.Limits, now.Sub(r.receivedAt))
+		share.Speeds = agedSpeeds(share.Speeds, now.Sub(r.receivedAt))
 		shares = append(shares, share)
 		r.share.Prompts = nil
 		r.share.Speeds = nil
@@ -204,11 +207,15 @@
 
 // ownLoads returns the load of this daemon at each backend server. The caller
 // must hold b.mu.
-func (b *Balancer) ownLoads() map[models.EngineID]models.ServerLoad {
+func (b *Balancer) ownLoads(now time.Time) map[models.EngineID]models.ServerLoad {
 	loads := map[models.EngineID]models.ServerLoad{}
 	for id, s := range b.states {
 		if s.running > 0 || s.prefillTokens > 0 {
-			loads[id] = models.ServerLoad{Running: s.running, PrefillTokens: s.prefillTokens}
+			load := models.ServerLoad{Running: s.running, PrefillTokens: s.prefillTokens}
+			if s.work != nil {
+				load.Work = s.work.own.Left(now)
+			}
+			loads[id] = load
 		}
 	}
 	return loads
@@ -256,7 +263,7 @@
 	b.changed = b.changed || relays && b.relaying == relayDirect
 	if ok && (IsZoneSum(share.From) || relays) {
 		// Keep the prompts and speeds that have not been relayed yet.
-		share.Speeds = slices.Concat(previous.share.Speeds, share.Speeds)
+		share.Speeds = slices.Concat(agedSpeeds(previous.share.Speeds, now.Sub(previous.receivedAt)), share.Speeds)
 		share.Speeds = share.Speeds[max(0, len(share.Speeds)-maxQueuedSpeeds):]
 		share.Prompts = slices.Concat(previous.share.Prompts, share.Prompts)
 		share.Prompts = share.Prompts[max(0, len(share.Prompts)-maxQueuedPrompts):]
@@ -337,6 +344,7 @@
 		total := sum[server]
 		total.Running += load.Running
 		total.PrefillTokens += load.PrefillTokens
+		total.Work += load.Work
 		sum[server] = total
 	}
 }
@@ -347,6 +355,7 @@
 		total := sum[server]
 		total.Running -= load.Running
 		total.PrefillTokens -= load.PrefillTokens
+		total.Work -= load.Work
 		if total == (models.ServerLoad{}) {
 			delete(sum, server)
 			continue
--- a/balance/speeds.go
+++ b/balance/speeds.go
@@ -44,16 +44,34 @@
 	if s.factor > 0 && now.Sub(s.factorAt) < factorInterval {
 		return s.factor
 	}
-	s.factor, s.factorAt = 1, now
-	if s.speed.Known(now) {
-		s.factor = s.speed.Factor(b.speedReference(keyOf(s.upstream), now), now)
+	s.factorAt = now
+	if b.workOf(s) != nil {
+		s.factor = b.paceFactor(s, now)
+	} else {
+		s.factor = b.shortFactor(s, now)
 	}
 	return s.factor
 }
 
+// shortFactor returns how many times as long requests take of late, beside what is known
+// of the server for good. The caller must hold b.mu.
+func (b *Balancer) shortFactor(s *serverState, now time.Time) float64 {
+	if !s.speed.Known(now) {
+		return 1
+	}
+	reference := b.speedReference(keyOf(s.upstream), now)
+	if s.work != nil {
+		reference *= b.lastingFactor(s, now)
+	}
+	return s.speed.Factor(reference, now)
+}
+
 // observe adds observations of the server's speed.
 func (s *serverState) observe(sample speed.Sample, now time.Time) {
 	s.speed.Observe(sample, now)
+	if s.work != nil && sample.Weight > 0 {
+		s.work.lasting.Observe(sample, now)
+	}
 	s.factor = 0
 }
 
@@ -77,15 +95,23 @@
 // observeSpeed records how long a request of this daemon took at a server, or has
 // taken so far. The caller must hold b.mu.
 func (b *Balancer) observeSpeed(s *serverState, taken, predicted time.Duration, now time.Time) {
+	if w := b.workOf(s); w != nil {
+		taken = dividedBy(taken, w.pace.Expect(w.service.hold, now))
+	}
 	sample := speed.NewSample(taken, predicted)
 	if sample.Weight == 0 {
 		return
 	}
 	s.observe(sample, now)
-	report := models.SpeedReport{Server: s.upstream.ID, Started: s.upstream.Started, Observations: sample.Weight, LogRatios: sample.LogSum}
-	queueSpeed(b.unsharedSpeeds, report)
+	b.queueReport(models.SpeedReport{Server: s.upstream.ID, Started: s.upstream.Started, Observations: sample.Weight, LogRatios: sample.LogSum}, now)
+}
+
+// queueReport queues what an answer to this daemon says of its server for the others. The
+// caller must hold b.mu.
+func (b *Balancer) queueReport(report models.SpeedReport, now time.Time) {
+	queueSpeed(b.unsharedSpeeds, report, now)
 	if b.relaying == relayAll {
-		queueSpeed(b.zoneSpeeds, report)
+		queueSpeed(b.zoneSpeeds, report, now)
 	}
 	b.changed = true
 }
@@ -116,36 +142,62 @@
 		if !ok || !upstream.Started.Equal(report.Started) || !sample.Valid() {
 			continue
 		}
-		b.stateOf(upstream).observe(sample, now)
+		s := b.stateOf(upstream)
+		b.stateLoad(s, report.Load, now.Add(-report.LoadAge), now)
+		s.observe(sample, now)
+		if s.work != nil {
+			s.work.service.others.observe(report, now)
+		}
 		if b.relaying == relayAll && b.isZonePeer(share) {
-			queueSpeed(b.zoneSpeeds, report)
+			queueSpeed(b.zoneSpeeds, report, now)
 		}
 	}
 }
 
+// queuedSpeed is a report that is not shared yet.
+type queuedSpeed struct {
+	models.SpeedReport
+	at time.Time // of its LoadAge
+}
+
 // queueSpeed adds a report to those that are not shared yet.
-func queueSpeed(queue map[models.EngineID]models.SpeedReport, report models.SpeedReport) {
+func queueSpeed(queue map[models.EngineID]queuedSpeed, report models.SpeedReport, now time.Time) {
+	added := queuedSpeed{SpeedReport: report, at: now}
 	queued, ok := queue[report.Server]
 	switch {
 	case !ok && len(queue) >= maxQueuedSpeeds:
 		return
 	case ok && queued.Started.Equal(report.Started):
-		report.Observations += queued.Observations
-		report.LogRatios += queued.LogRatios
+		added.Observations += queued.Observations
+		added.LogRatios += queued.LogRatios
+		if aged := queued.LoadAge + now.Sub(queued.at); queued.Load.Pace > 0 && (report.Load.Pace == 0 || aged < report.LoadAge) {
+			added.Load, added.LoadAge = queued.Load, aged
+		}
 	}
-	queue[report.Server] = report
+	queue[report.Server] = added
 }
 
 // takeSpeeds empties a queue of reports. The caller must hold b.mu.
-func takeSpeeds(queue map[models.EngineID]models.SpeedReport) []models.SpeedReport {
+func takeSpeeds(queue map[models.EngineID]queuedSpeed, now time.Time) []models.SpeedReport {
 	reports := make([]models.SpeedReport, 0, len(queue))
-	for _, report := range queue {
-		reports = append(reports, report)
+	for _, queued := range queue {
+		queued.LoadAge += now.Sub(queued.at)
+		reports = append(reports, queued.SpeedReport)
 	}
 	clear(queue)
 	return reports
 }
 
+// agedSpeeds returns reports as of some time later.
+func agedSpeeds(reports []models.SpeedReport, by time.Duration) []models.SpeedReport {
+	aged := make([]models.SpeedReport, 0, len(reports))
+	for _, report := range reports {
+		report.LoadAge += by
+		aged = append(aged, report)
+	}
+	return aged
+}
+
 // SpeedChanges returns the servers that have turned slow since the last call, and
 // those that are well again.
 func (b *Balancer) SpeedChanges() []SlowServer {
@@ -154,7 +206,7 @@
 	defer b.mu.Unlock()
 	var changes []SlowServer
 	for _, s := range b.states {
-		factor := b.speedFactor(s, now)
+		factor := b.shortFactor(s, now)
 		if slow, changed := s.speed.Report(factor); changed {
 			changes = append(changes, SlowServer{Server: s.upstream, Slow: slow, Factor: factor, Backlog: b.backlog(s, now)})
 		}
@@ -169,7 +221,7 @@
 	defer b.mu.Unlock()
 	slow := 0
 	for _, s := range b.states {
-		if b.speedFactor(s, now) >= speed.SlowFactor {
+		if b.shortFactor(s, now) >= speed.SlowFactor {
 			slow++
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,7 +45,8 @@
 	leaving       bool         // it has said so in an answer to this daemon
 	restUntil     time.Time    // until then it wants no requests from this daemon
 	speed         speed.Estimate
-	factor        float64 // of the speed as of factorAt; 0: to be computed
+	work          *serverWork // nil: its service states no pace, or nothing is known yet
+	factor        float64     // of the speed as of factorAt; 0: to be computed
 	factorAt      time.Time
 	seenAt        time.Time // when the server was last seen registered
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,6 +91,8 @@
 		Zone:       settings.Zone,
 		Retries:    retrySettings(settings),
 		FirstStart: settings.FirstStart,
+
+		WorkListener: d.workListener(),
 	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(ctx, store); err != nil {
 		return err
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"quincewinch/balance"
 	"quincewinch/models"
 )
 
@@ -58,6 +60,20 @@
 	return func(kind, table string) { calls.WithLabelValues(kind, table).Inc() }
 }
 
+// workListener returns a function that records how far off the work of requests was
+// estimated.
+func (d *Daemon) workListener() balance.WorkListener {
+	ratios := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Subsystem: subsystem, Name: "work_ratio",
+		Help:    "Time for which requests occupied a backend server, over the time estimated, by service; only of services whose backend servers state a pace.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 2, 7),
+	}, []string{"service"})
+	d.registry.MustRegister(ratios)
+	return func(service models.ServiceName, estimated, taken time.Duration) {
+		ratios.WithLabelValues(string(service)).Observe(taken.Seconds() / max(estimated, time.Microsecond).Seconds())
+	}
+}
+
 func (d *Daemon) gauge(name, help string, value func() float64) {
 	d.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: namespace, Subsystem: subsystem, Name: name, Help: help,
--- a/entry/slow.go
+++ b/entry/slow.go
@@ -13,7 +13,8 @@
 // slow. They are to be logged within three seconds.
 const slowInterval = 500 * time.Millisecond
 
-// slowWatch logs backend servers that turn slow and those that are well again. It
+// slowWatch logs backend servers that turn slow and those that are well again, and those
+// that are faster or slower than others for good. It
 // implements control.Task.
 type slowWatch struct {
 	balancer *balance.Balancer
@@ -35,4 +36,13 @@
 			zap.Duration("backlog", change.Backlog),
 		)
 	}
+	for _, d := range w.balancer.LastingDifferences() {
+		w.logger.Info("backend server differs for good",
+			zap.String("server", string(d.Server.ID)),
+			zap.String("service", string(d.Server.Service)),
+			zap.String("zone", string(d.Server.Zone)),
+			zap.Float64("times-as-long", d.Factor),
+			zap.Float64("before", d.Before),
+		)
+	}
 }
--- a/models/share.go
+++ b/models/share.go
@@ -22,12 +22,15 @@
 	Evidence *CrashEvidence // nil: nothing that the receiver has not confirmed
 }
 
-// SpeedReport is a sum of observations of how long requests took at a backend server.
+// SpeedReport is a sum of observations of how long requests took at a backend server, and
+// the latest load that the server stated, if it states a pace.
 type SpeedReport struct {
 	Server       EngineID
 	Started      time.Time // of the server's process
 	Observations float64
-	LogRatios    float64 // sum of the logarithms of the time taken over the time predicted
+	LogRatios    float64       // sum of the logarithms of the time taken over the time predicted
+	Load         UpstreamLoad  // a pace of 0: none
+	LoadAge      time.Duration // since it was stated
 }
 
 // StreamOrigin is the software that began the stream of a request.
@@ -60,6 +63,9 @@
 type ServerLoad struct {
 	Running       int // requests in flight
 	PrefillTokens int // prompt tokens not yet prefilled
+	// Work is the time that the requests still occupy a slot of a typical server, one
+	// after the other; 0 where the service's servers state no pace.
+	Work time.Duration
 }
 
 // LimitReport is what a backend server stated of its limit in an answer.
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -72,6 +72,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// How many times as long as usual work takes there at the moment; 0: not stated.
+	Pace float64
 }
 
 // Prompt describes the prompt of a request without its text.
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -56,6 +56,7 @@
 			Server:  string(server),
 			Running: int64(load.Running),
 			Reading: int64(load.PrefillTokens),
+			Work:    int64(load.Work),
 		})
 	}
 	for _, sent := range share.Prompts {
@@ -92,6 +93,7 @@
 		share.Loads[models.EngineID(load.GetServer())] = models.ServerLoad{
 			Running:       int(load.GetRunning()),
 			PrefillTokens: int(load.GetReading()),
+			Work:          time.Duration(max(load.GetWork(), 0)),
 		}
 	}
 	for _, sent := range form.GetPrompts() {
--- a/peer/daemon/share_test.go
+++ b/peer/daemon/share_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -19,7 +20,8 @@
 		Address:  netip.MustParseAddrPort("10.0.0.1:7780"),
 		Sequence: 7,
 		Leaving:  true,
-		Loads:    map[models.EngineID]models.ServerLoad{"e1": {Running: 3, PrefillTokens: 4000}},
+		Loads:    map[models.EngineID]models.ServerLoad{"e1": {Running: 3, PrefillTokens: 4000, Work: time.Second}},
+		Speeds:   []models.SpeedReport{{Server: "e1", Observations: 2, LogRatios: 0.5, Load: models.UpstreamLoad{Running: 3, Waiting: 1, Slots: 6, Pace: 2.5}, LoadAge: time.Second}},
 		Prompts:  []models.CachedPrompt{{Server: "e1", Parts: []models.PromptPart{{ID: "5c", Tokens: 800}, {ID: "91", Tokens: 410}}}},
 		Origins: []models.StreamOrigin{
 			{Stream: 1, Software: models.Software{Service: "s", Version: "v1"}, Revision: 1, TimeLeft: time.Second},
@@ -44,6 +46,11 @@
 		_, err := decodeShare(&proto.LoadShare{From: "vm-1"})
 		is.New(t).True(err != nil)
 	})
+	t.Run("stated loads that cannot be are dropped", func(t *testing.T) {
+		for _, form := range []*proto.SpeedReport{{Running: -1, Pace: 1}, {Pace: -1}, {Pace: math.NaN()}, {Pace: math.Inf(1)}, {Pace: 1, LoadAge: -1}} {
+			is.New(t).Equal(decodeSpeeds([]*proto.SpeedReport{form})[0].Load, models.UpstreamLoad{})
+		}
+	})
 	t.Run("nested sums are dropped", func(t *testing.T) {
 		is := is.New(t)
 		address := "10.0.0.1:1"
--- a/peer/daemon/speeds.go
+++ b/peer/daemon/speeds.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"math"
+	"time"
+
 	"quincewinch/models"
 	"quincewinch/peer/daemon/proto"
 )
@@ -8,6 +11,9 @@
 // maxSharedSpeeds bounds the servers whose speed is in one load share.
 const maxSharedSpeeds = 4096
 
+// maxLoadAge bounds the age of a stated load: it says nothing by then.
+const maxLoadAge = time.Minute
+
 func encodeSpeeds(reports []models.SpeedReport) []*proto.SpeedReport {
 	var forms []*proto.SpeedReport
 	for _, report := range reports {
@@ -16,6 +22,11 @@
 			Started:      encodeTime(report.Started),
 			Observations: report.Observations,
 			LogRatios:    report.LogRatios,
+			Running:      int64(report.Load.Running),
+			Waiting:      int64(report.Load.Waiting),
+			Slots:        int64(report.Load.Slots),
+			Pace:         report.Load.Pace,
+			LoadAge:      int64(report.LoadAge),
 		})
 	}
 	return forms
@@ -24,12 +35,25 @@
 func decodeSpeeds(forms []*proto.SpeedReport) []models.SpeedReport {
 	var reports []models.SpeedReport
 	for _, form := range forms[:min(len(forms), maxSharedSpeeds)] {
-		reports = append(reports, models.SpeedReport{
+		report := models.SpeedReport{
 			Server:       models.EngineID(form.GetServer()),
 			Started:      decodeTime(form.GetStarted()),
 			Observations: form.GetObservations(),
 			LogRatios:    form.GetLogRatios(),
-		})
+		}
+		report.Load, report.LoadAge = decodeStatedLoad(form)
+		reports = append(reports, report)
 	}
 	return reports
 }
+
+// decodeStatedLoad drops what is malformed: nothing can be stated in the future.
+func decodeStatedLoad(form *proto.SpeedReport) (load models.UpstreamLoad, age time.Duration) {
+	pace := form.GetPace()
+	malformed := form.GetRunning() < 0 || form.GetWaiting() < 0 || form.GetSlots() < 0 || form.GetLoadAge() < 0
+	if malformed || !(pace > 0) || math.IsInf(pace, 0) {
+		return models.UpstreamLoad{}, 0
+	}
+	load = models.UpstreamLoad{Running: int(form.GetRunning()), Waiting: int(form.GetWaiting()), Slots: int(form.GetSlots()), Pace: pace}
+	return load, min(time.Duration(form.GetLoadAge()), maxLoadAge)
+}
--- a/policy/serving/choose.go
+++ b/policy/serving/choose.go
@@ -38,6 +38,9 @@
 	Cached  int           // leading tokens of the prompt in its cache
 	Order   int           // place in the prompt's rendezvous order of engines, from 0
 	Penalty time.Duration // for recent failures
+	// Work is the time for which the requests in flight still occupy a slot there, one
+	// after the other; 0: not known.
+	Work time.Duration
 }
 
 // Request is a request to be placed.
@@ -167,7 +170,11 @@
 	if e.Slots <= 0 || e.Running < e.Slots {
 		return 0
 	}
-	return r.RunTime * time.Duration(e.Running-e.Slots+1) / time.Duration(e.Slots)
+	run := r.RunTime
+	if e.Work > 0 {
+		run = e.Work / time.Duration(e.Running)
+	}
+	return run * time.Duration(e.Running-e.Slots+1) / time.Duration(e.Slots)
 }
 
 func tokenTime(tokens int, rate float64) time.Duration {
