--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,6 +95,8 @@
 		Retries:    retrySettings(settings),
 		FirstStart: settings.FirstStart,
 		Uses:       d.limits,
+
+		WorkListener: d.workListener(),
 	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(ctx, store); err != nil {
 		return err
