room: engines' room divided by demand, rank and workspace

Cause: policy/admission sends a request up to a fixed part of its caller's patience, by the queue that one daemon sees.

Change: where the setting `terms` asks for it, policy/room decides by the chance of being in time, from the prediction and its error as all daemons have seen it, with a bound by what the workspace is owed, by how often more urgent routes are served, and a floor for each route. Field 15 of the load share carries demand, queued tokens by urgency and errors.

A run of the tests of balance with "Share" in their name failed once beside other load, with its output lost; 18 further runs passed.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -43,6 +43,9 @@
 	Zone       models.Zone
 	Retries    retry.Settings // budget of all daemons together
 	FirstStart bool           // no daemon has run before: none can have spent the budget
+	// AdmitByDemand admits requests for engines by the demand at all daemons, by rank
+	// and workspace, instead of by the queue that this daemon sees.
+	AdmitByDemand bool
 }
 
 // Balancer implements relay.Placer.
@@ -67,7 +70,8 @@
 	zoneVersion uint64
 
 	queues          map[models.ServiceName]*admission.Queue
-	capacity        map[models.ServiceName]int // KV cache of one engine in tokens
+	rooms           map[models.ServiceName]*serviceRoom // empty unless settings.AdmitByDemand
+	capacity        map[models.ServiceName]int          // KV cache of one engine in tokens
 	loadShares      map[models.DaemonID]receivedShare
 	remoteLoads     map[models.EngineID]models.ServerLoad // sum of all load shares
 	unsharedPrompts []models.CachedPrompt
@@ -106,6 +110,7 @@
 		daemonPeak:   fleet.NewWindowMax(settings.Retries.Window),
 		zoneVersion:  1,
 		queues:       map[models.ServiceName]*admission.Queue{},
+		rooms:        map[models.ServiceName]*serviceRoom{},
 		capacity:     map[models.ServiceName]int{},
 		loadShares:   map[models.DaemonID]receivedShare{},
 		remoteLoads:  map[models.EngineID]models.ServerLoad{},
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -26,6 +26,7 @@
 	prefilledAt       time.Time     // when the prefiller had answered
 	startedAt         time.Time     // when the response started
 	urgency           int
+	ticket            *roomTicket // nil unless requests are admitted by demand
 	placedAt          time.Time
 	tookRoom          bool // of the target's limit, at placedAt
 	prefillDone       bool
@@ -126,6 +127,9 @@
 	p.observePrefill(now)
 	p.observeCall(now)
 	p.recordCached(p.target, now)
+	if p.ticket != nil {
+		p.ticket.ended(p, relay.ResultServed, now)
+	}
 	if !p.prefilledAt.IsZero() {
 		p.observeStart(now)
 	}
@@ -197,6 +201,9 @@
 	delete(p.balancer.prefilling, p)
 	p.balancer.changed = true
 	p.prefillServer.prefillTokens -= p.prefillTokens
+	if p.ticket != nil {
+		p.ticket.room.queue(p.urgency, -p.prefillTokens)
+	}
 }
 
 // recordFetch records whether the target could fetch the KV cache from the
@@ -237,6 +244,9 @@
 	p.releasePrefill()
 	p.releasePrefiller()
 	p.recordFetch(result, now)
+	if p.ticket != nil && p.startedAt.IsZero() && result != relay.ResultServed {
+		p.ticket.ended(p, result, now)
+	}
 	if result == relay.ResultServed && !p.startedAt.IsZero() {
 		p.balancer.timings.run(p.target.upstream.Service).Observe(now.Sub(p.startedAt))
 	}
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -84,6 +84,9 @@
 		}
 	}
 	request := admissionRequest(e, choice, now)
+	if b.settings.AdmitByDemand {
+		return b.placeByDemand(e, candidates, choice, request, now)
+	}
 	if err := b.admit(e, request, retried, now); err != nil {
 		return nil, err
 	}
@@ -92,6 +95,20 @@
 	return p, nil
 }
 
+// placeByDemand places a request for which engines are chosen, if there is room for it.
+// The caller must hold b.mu.
+func (b *Balancer) placeByDemand(e *relay.Exchange, candidates []*serverState, choice serving.Choice, request admission.Request, now time.Time) (relay.Placement, error) {
+	ticket, err := b.admitByDemand(e, request, b.drainRate(candidates, now), now)
+	if err != nil {
+		return nil, err
+	}
+	p := b.reservePrompt(e, candidates, choice, now)
+	p.urgency = ticket.decision.Urgency
+	p.ticket = ticket
+	ticket.sent(e.Workspace, p.prefillTokens, now)
+	return p, nil
+}
+
 // admit returns a refusal if a request would wait too long for an engine. A
 // stream that has begun is always admitted: it has fewer engines to wait for, and
 // its wait says nothing about the service. The caller must hold b.mu.
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -40,6 +40,7 @@
 	addresses []netip.AddrPort
 	versions  []string // that all daemons have seen
 	streams   int      // that have begun under load
+	byDemand  bool     // requests are admitted by demand
 
 	evidenceSent int // shares with evidence that were sent
 }
@@ -131,8 +132,14 @@
 
 // newNetwork starts daemons spread over zones, all with the same engines.
 func newNetwork(t *testing.T, daemons, zones int) *network {
+	return newNetworkBy(t, daemons, zones, false)
+}
+
+// newNetworkBy is newNetwork with requests admitted by demand or not.
+func newNetworkBy(t *testing.T, daemons, zones int, demand bool) *network {
 	n := &network{
-		t: t, fleet: newFleet(engines(networkEngines, models.RoleDecode)...), daemons: map[netip.AddrPort]*balance.Balancer{},
+		byDemand: demand,
+		t:        t, fleet: newFleet(engines(networkEngines, models.RoleDecode)...), daemons: map[netip.AddrPort]*balance.Balancer{},
 		origins: map[netip.AddrPort]*resume.Origins{}, evidence: map[netip.AddrPort]*evidenceLog{}, members: map[models.DaemonID]models.Peer{},
 		down: map[netip.AddrPort]bool{}, messages: map[models.DaemonID]int{}, stop: map[netip.AddrPort]context.CancelFunc{},
 		versions: []string{"v1", "v2"}, cut: map[[2]netip.AddrPort]bool{},
@@ -165,6 +172,7 @@
 	n.evidence[member.Address] = newEvidenceLog()
 	n.daemons[member.Address] = balance.New(n.fleet, clock, balance.Settings{
 		Self: daemonID(i), Zone: member.Zone, Retries: retry.Settings{Ratio: 0.2, Window: 10 * time.Second},
+		AdmitByDemand: n.byDemand,
 	}, 1)
 }
 
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -46,6 +46,7 @@
 	share.Loads = b.ownLoads()
 	share.Limits = b.limitReports(originAnswer, now)
 	share.Speeds = takeSpeeds(b.unsharedSpeeds)
+	share.Demand = b.nextDemand(false, now)
 	share.Prompts = b.unsharedPrompts
 	b.unsharedPrompts = nil
 	b.changed = false
@@ -62,6 +63,7 @@
 	for _, report := range share.Speeds {
 		queueSpeed(b.unsharedSpeeds, report)
 	}
+	b.requeueDemand(share.Demand)
 	b.changed = true
 }
 
@@ -78,6 +80,7 @@
 		Prompts: b.zonePrompts,
 		Limits:  b.limitReports(originZone, now),
 		Speeds:  takeSpeeds(b.zoneSpeeds),
+		Demand:  b.nextDemand(true, now),
 	}
 	b.zonePrompts = nil
 	b.zoneUrgent = false
@@ -105,6 +108,7 @@
 		sums = append(sums, sum)
 		r.share.Prompts = nil
 		r.share.Speeds = nil
+		r.share.Demand = withoutNews(r.share.Demand)
 		b.loadShares[from] = r
 	}
 	return sums
@@ -126,6 +130,7 @@
 	b.relaying = mode
 	if mode != relayAll {
 		clear(b.zoneSpeeds)
+		b.clearZoneDemand()
 	}
 }
 
@@ -152,6 +157,7 @@
 		shares = append(shares, share)
 		r.share.Prompts = nil
 		r.share.Speeds = nil
+		r.share.Demand = withoutNews(r.share.Demand)
 		r.relayed = true
 		b.loadShares[from] = r
 	}
@@ -246,6 +252,7 @@
 	b.recordPrompts(share, now)
 	b.receiveLimits(share, now)
 	b.receiveSpeeds(share, now)
+	b.receiveDemand(share, previous.share, now)
 	if !ok && b.isZonePeer(share) {
 		b.countZonePeers(1)
 	}
@@ -261,6 +268,7 @@
 		share.Prompts = slices.Concat(previous.share.Prompts, share.Prompts)
 		share.Prompts = share.Prompts[max(0, len(share.Prompts)-maxQueuedPrompts):]
 	}
+	share.Demand = b.keptDemand(share, previous.share, relays)
 	subtractLoads(b.remoteLoads, previous.share.Loads)
 	addLoads(b.remoteLoads, share.Loads)
 	b.loadShares[share.From] = receivedShare{share: share, receivedAt: now, direct: direct}
@@ -302,6 +310,7 @@
 		b.countZonePeers(-1)
 	}
 	subtractLoads(b.remoteLoads, r.share.Loads)
+	b.replaceQueued(r.share.Demand, nil)
 	delete(b.loadShares, from)
 }
 
--- a/config/entry.go
+++ b/config/entry.go
@@ -28,6 +28,7 @@
 	LeaseDuration    time.Duration
 	Retries          RetryLimits
 	Log              Log
+	Terms            []string // that the deployment is served under, in the platform's words
 }
 
 // EntryCallers is the section of the listener for callers.
@@ -97,6 +98,7 @@
 	{"retries.window", `"10s"`, false, "duration", "window over which requests and retries are counted", decodeDuration(func(s *Entry) *time.Duration { return &s.Retries.Window })},
 	{"retries.reserve", `10`, false, "", "retries allowed per window on top of the share, over all daemons", decodeNonNegativeFloat(func(s *Entry) *float64 { return &s.Retries.Reserve })},
 	{"log.level", `"info"`, false, "", "debug, info, warn or error", decodeLogLevel(func(s *Entry) *string { return &s.Log.Level })},
+	{"terms", `[]`, false, "", "terms that the deployment is served under; parts of the product that not every deployment wants follow from them", decodeTexts(func(s *Entry) *[]string { return &s.Terms })},
 }
 
 const (
@@ -154,6 +156,15 @@
 	}
 }
 
+func decodeTexts[S any](field func(*S) *[]string) func(*S, json.RawMessage) error {
+	return func(s *S, raw json.RawMessage) error {
+		if err := json.Unmarshal(raw, field(s)); err != nil {
+			return errors.New("must be a list of texts")
+		}
+		return nil
+	}
+}
+
 func decodeOptionalAddress[S any](field func(*S) *netip.AddrPort) func(*S, json.RawMessage) error {
 	decode := decodeAddress(field)
 	return func(s *S, raw json.RawMessage) error {
--- a/config/rendered_test.go
+++ b/config/rendered_test.go
@@ -118,6 +118,12 @@
 		}
 		expectAccepted(t, absent)
 	})
+	t.Run("terms", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(len(expectAccepted(t, nil).Terms), 0)
+		// The section is rendered once for each entry; here there is one.
+		is.Equal(expectAccepted(t, map[string]string{"contracts": "pressure", ".": "pressure"}).Terms, []string{"pressure"})
+	})
 	t.Run("a fraction of a retry", func(t *testing.T) {
 		is.New(t).Equal(expectAccepted(t, map[string]string{"bounds.budget_slack": "35.5"}).Retries.Reserve, 35.5)
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,6 +91,8 @@
 		Zone:       settings.Zone,
 		Retries:    retrySettings(settings),
 		FirstStart: settings.FirstStart,
+
+		AdmitByDemand: platform.AdmitsByDemand(settings.Terms),
 	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(ctx, store); err != nil {
 		return err
@@ -101,6 +103,8 @@
 	}
 	d.system.Spawn(d.balancer, pruneInterval)
 	d.system.Spawn(slowWatch{d.balancer, d.logger}, slowInterval)
+	d.system.Spawn(roomWatch{d.balancer, d.logger}, roomInterval)
+	d.registry.MustRegister(newRoomCollector(d.balancer))
 	d.system.Spawn(retriesWatch{d.balancer, d.logger}, retriesInterval)
 	d.system.Spawn(d.origins, originInterval)
 	d.system.Spawn(d.versions, originInterval)
--- a/models/share.go
+++ b/models/share.go
@@ -20,6 +20,46 @@
 	Relayed  []LoadShare    // by the sender: sums of other zones, and shares of daemons of its zone
 	Origins  []StreamOrigin // that the receiver may not know
 	Evidence *CrashEvidence // nil: nothing that the receiver has not confirmed
+	Demand   []ServiceDemand
+}
+
+// ServiceDemand is the demand for a service that a daemon, or the daemons of a zone,
+// have seen.
+type ServiceDemand struct {
+	Service    ServiceName
+	Queued     []int             // prompt tokens that wait for prefill at engines, by urgency
+	Workspaces []WorkspaceDemand // since the previous share
+	Errors     []PredictionError // since the previous share
+}
+
+// WorkspaceDemand counts the requests of a workspace on a route.
+type WorkspaceDemand struct {
+	Workspace Workspace
+	Route     string
+	Offered   int // first attempts of callers
+	Served    int // whose answer has begun
+	Lost      int // refused after they had come back, or given up
+	Work      int // prompt tokens to prefill of those that were sent
+}
+
+// WaitClass is how the requests of an observation waited for an engine.
+type WaitClass int
+
+// Classes of waits.
+const (
+	WaitNone   WaitClass = iota // the engine was expected to be free
+	WaitQueued                  // in the order of urgency
+	WaitBehind                  // behind those that can be in time
+)
+
+// PredictionError is a sum of observations of how far off the predicted time to the
+// first token of a route's requests was.
+type PredictionError struct {
+	Route   string
+	Wait    WaitClass
+	Count   float64
+	Sum     float64 // of the logarithms of the time taken over the time predicted
+	Squares float64 // of these logarithms
 }
 
 // SpeedReport is a sum of observations of how long requests took at a backend server.
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -69,6 +69,7 @@
 	form.Evidence = encodeEvidence(share.Evidence)
 	form.Limits = encodeLimits(share.Limits)
 	form.Speeds = encodeSpeeds(share.Speeds)
+	form.Demand = encodeDemand(share.Demand)
 	for _, relayed := range share.Relayed {
 		form.Relayed = append(form.Relayed, encodeShare(relayed))
 	}
@@ -105,6 +106,7 @@
 	share.Evidence = decodeEvidence(form.GetEvidence())
 	share.Limits = decodeLimits(form.GetLimits())
 	share.Speeds = decodeSpeeds(form.GetSpeeds())
+	share.Demand = decodeDemand(form.GetDemand())
 	for _, relayed := range form.GetRelayed() {
 		// Relayed sums are forwarded over one hop only, and evidence comes with the
 		// share itself.
--- a/peer/daemon/share_test.go
+++ b/peer/daemon/share_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -29,6 +30,12 @@
 		},
 		Evidence: fullEvidence(),
 		Limits:   []models.LimitReport{{Server: "e1", PerSecond: 1, SentAge: time.Second}},
+		Demand: []models.ServiceDemand{{
+			Service:    "s",
+			Queued:     []int{0, 4000, 0, 20},
+			Workspaces: []models.WorkspaceDemand{{Workspace: "w", Route: "r", Offered: 3, Served: 2, Lost: 1, Work: 5000}},
+			Errors:     []models.PredictionError{{Route: "r", Wait: models.WaitBehind, Count: 2, Sum: -0.5, Squares: 0.25}},
+		}},
 		Relayed: []models.LoadShare{{
 			From: "zone/b", Zone: "b", Address: netip.MustParseAddrPort("10.0.0.2:7780"), Sequence: 9,
 			Loads: map[models.EngineID]models.ServerLoad{"e2": {Running: 1}},
@@ -54,6 +61,22 @@
 		is.Equal(len(decoded.Relayed), 1)
 		is.Equal(len(decoded.Relayed[0].Relayed), 0)
 	})
+	t.Run("malformed demand is dropped", func(t *testing.T) {
+		is := is.New(t)
+		demand := &proto.ServiceDemand{
+			Queued: append([]int64{-1}, make([]int64, 1000)...),
+			Errors: []*proto.PredictionError{
+				{Count: 1, Sum: float32(math.NaN())}, {Count: 0, Sum: 1}, {Count: 1, Sum: 1000, Squares: 1}, {Count: 1, Wait: 7},
+			},
+			Workspaces: make([]*proto.WorkspaceDemand, 10*maxSharedWorkspaces),
+		}
+		decoded, err := decodeShare(&proto.LoadShare{From: "vm-1", Address: "10.0.0.1:1", Demand: []*proto.ServiceDemand{demand}})
+		is.NoErr(err)
+		is.Equal(decoded.Demand[0].Queued[0], 0)
+		is.Equal(len(decoded.Demand[0].Queued), maxSharedUrgencies)
+		is.Equal(len(decoded.Demand[0].Errors), 0)
+		is.Equal(len(decoded.Demand[0].Workspaces), maxSharedWorkspaces)
+	})
 	t.Run("evidence of relayed sums is dropped", func(t *testing.T) {
 		is := is.New(t)
 		address := "10.0.0.1:1"
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -38,7 +38,10 @@
 
 	// Set by Sender.
 	Sends int // attempts at backend servers so far
-	Trace Trace
+	// Set by the placer: it has admitted the request, and does not refuse it for lack
+	// of room any more.
+	Admitted bool
+	Trace    Trace
 }
 
 // MayUse reports whether a backend server may serve the request. A stream is
