--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -46,6 +46,9 @@
 	Uses       LimitUses      // what daemons use of workspaces' limits; nil: not exchanged
 	// WorkListener is told of each request of a service whose servers state a pace; nil: none.
 	WorkListener WorkListener
+	// AdmitByDemand admits requests for engines by the demand at all daemons, by rank
+	// and workspace, instead of by the queue that this daemon sees.
+	AdmitByDemand bool
 }
 
 // Balancer implements relay.Placer.
@@ -70,7 +73,8 @@
 	zoneVersion uint64
 
 	queues          map[models.ServiceName]*admission.Queue
-	capacity        map[models.ServiceName]int // KV cache of one engine in tokens
+	rooms           map[models.ServiceName]*serviceRoom // empty unless settings.AdmitByDemand
+	capacity        map[models.ServiceName]int          // KV cache of one engine in tokens
 	loadShares      map[models.DaemonID]receivedShare
 	remoteLoads     map[models.EngineID]models.ServerLoad // sum of all load shares
 	unsharedPrompts []models.CachedPrompt
@@ -114,6 +118,7 @@
 		daemonPeak:   fleet.NewWindowMax(settings.Retries.Window),
 		zoneVersion:  1,
 		queues:       map[models.ServiceName]*admission.Queue{},
+		rooms:        map[models.ServiceName]*serviceRoom{},
 		capacity:     map[models.ServiceName]int{},
 		loadShares:   map[models.DaemonID]receivedShare{},
 		remoteLoads:  map[models.EngineID]models.ServerLoad{},
--- a/config/entry.go
+++ b/config/entry.go
@@ -29,6 +29,7 @@
 	Retries          RetryLimits
 	Log              Log
 	Limits           EntryLimits
+	Terms            []string // that the deployment is served under, in the platform's words
 }
 
 // EntryLimits is the section of the limits of workspaces.
@@ -104,6 +105,7 @@
 	{"retries.reserve", `10`, false, "", "retries allowed per window on top of the share, over all daemons", decodeNonNegativeFloat(func(s *Entry) *float64 { return &s.Retries.Reserve })},
 	{"log.level", `"info"`, false, "", "debug, info, warn or error", decodeLogLevel(func(s *Entry) *string { return &s.Log.Level })},
 	{"limits.over", `0`, false, "", "share by which the daemons together may exceed the limit of a workspace; those in touch use half of it while others are out of touch", decodeNonNegativeFloat(func(s *Entry) *float64 { return &s.Limits.Over })},
+	{"terms", `[]`, false, "", "terms that the deployment is served under; parts of the product that not every deployment wants follow from them", decodeTexts(func(s *Entry) *[]string { return &s.Terms })},
 }
 
 const (
@@ -161,6 +163,15 @@
 	}
 }
 
+func decodeTexts[S any](field func(*S) *[]string) func(*S, json.RawMessage) error {
+	return func(s *S, raw json.RawMessage) error {
+		if err := json.Unmarshal(raw, field(s)); err != nil {
+			return errors.New("must be a list of texts")
+		}
+		return nil
+	}
+}
+
 func decodeOptionalAddress[S any](field func(*S) *netip.AddrPort) func(*S, json.RawMessage) error {
 	decode := decodeAddress(field)
 	return func(s *S, raw json.RawMessage) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,7 +96,8 @@
 		FirstStart: settings.FirstStart,
 		Uses:       d.limits,
 
-		WorkListener: d.workListener(),
+		WorkListener:  d.workListener(),
+		AdmitByDemand: platform.AdmitsByDemand(settings.Terms),
 	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(ctx, store); err != nil {
 		return err
@@ -108,6 +109,8 @@
 	d.system.Spawn(d.balancer, pruneInterval)
 	d.system.Spawn(d.limits, ratelimit.Interval)
 	d.system.Spawn(slowWatch{d.balancer, d.logger}, slowInterval)
+	d.system.Spawn(roomWatch{d.balancer, d.logger}, roomInterval)
+	d.registry.MustRegister(newRoomCollector(d.balancer))
 	d.system.Spawn(retriesWatch{d.balancer, d.logger}, retriesInterval)
 	d.system.Spawn(d.origins, originInterval)
 	d.system.Spawn(d.versions, originInterval)
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -71,6 +71,7 @@
 	form.Limits = encodeLimits(share.Limits)
 	form.Speeds = encodeSpeeds(share.Speeds)
 	form.Uses = encodeUses(share.Uses)
+	form.Demand = encodeDemand(share.Demand)
 	for _, relayed := range share.Relayed {
 		form.Relayed = append(form.Relayed, encodeShare(relayed))
 	}
@@ -109,6 +110,7 @@
 	share.Limits = decodeLimits(form.GetLimits())
 	share.Speeds = decodeSpeeds(form.GetSpeeds())
 	share.Uses = decodeUses(form.GetUses())
+	share.Demand = decodeDemand(form.GetDemand())
 	for _, relayed := range form.GetRelayed() {
 		// Relayed sums are forwarded over one hop only, and evidence comes with the
 		// share itself.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -43,7 +43,10 @@
 	// Set by Sender.
 	Sends int // attempts at backend servers so far
 	Runs  int // of them, those in which the backend server may have run the request
-	Trace Trace
+	// Set by the placer: it has admitted the request, and does not refuse it for lack
+	// of room any more.
+	Admitted bool
+	Trace    Trace
 }
 
 // MayUse reports whether a backend server may serve the request. A stream is
