--- a/check/compare.go
+++ b/check/compare.go
@@ -134,6 +134,7 @@
 // compareWorkspaces compares workspaces by name. Keys are counted, never shown.
 func (c *comparison) compareWorkspaces(before, after []Workspace) {
 	old, current := keysByWorkspace(before), keysByWorkspace(after)
+	limits, nextLimits := limitsByWorkspace(before), limitsByWorkspace(after)
 	for _, name := range unionOfKeys(old, current) {
 		subject := Subject{Kind: KindWorkspace, Name: name}
 		was, existed := old[name]
@@ -143,12 +144,23 @@
 			c.add(subject, ChangeAdded, "", "", "")
 		case !exists:
 			c.add(subject, ChangeRemoved, "", "", "")
-		case !maps.Equal(was, is):
-			c.add(subject, ChangeField, "keys", keyCount(was, is, "withdrawn"), keyCount(is, was, "given"))
+		default:
+			if !maps.Equal(was, is) {
+				c.add(subject, ChangeField, "keys", keyCount(was, is, "withdrawn"), keyCount(is, was, "given"))
+			}
+			c.compareFields(subject, limits[name], nextLimits[name])
 		}
 	}
 }
 
+func limitsByWorkspace(list []Workspace) map[string]models.RateLimit {
+	limits := map[string]models.RateLimit{}
+	for _, w := range list {
+		limits[string(w.Name)] = w.Limit
+	}
+	return limits
+}
+
 func keysByWorkspace(list []Workspace) map[string]map[[sha256.Size]byte]bool {
 	keys := map[string]map[[sha256.Size]byte]bool{}
 	for _, w := range list {
--- a/check/document.go
+++ b/check/document.go
@@ -17,10 +17,11 @@
 	Problems []Finding
 }
 
-// Workspace is the access of a workspace.
+// Workspace is the access of a workspace, and its limit.
 type Workspace struct {
-	Name models.Workspace
-	Keys [][sha256.Size]byte // hashes
+	Name  models.Workspace
+	Keys  [][sha256.Size]byte // hashes
+	Limit models.RateLimit
 }
 
 // Configuration returns what is wrong with a configuration, errors first.
@@ -58,6 +59,7 @@
 		f.errorIf(names[w.Name], "another workspace has the same name")
 		f.warnIf(len(w.Keys) == 0, "it has no keys, so that no request can be its own")
 		names[w.Name] = true
+		f.checkRateLimit(w.Limit)
 		for _, key := range w.Keys {
 			holder, taken := holders[key]
 			f.errorIf(key == empty, "an empty key never matches")
@@ -67,3 +69,17 @@
 		}
 	}
 }
+
+// checkRateLimit checks that the parts of a workspace's limit fit together.
+func (f *findings) checkRateLimit(limit models.RateLimit) {
+	f.errorIf(limit.PerSecond < 0 || limit.Burst < 0 || limit.PlainTokens < 0, "a part of its limit is negative")
+	f.warnIf(limit.PerSecond == 0 && limit.Burst > 0, "a burst has no effect: its rate is not limited")
+	f.warnIf(!limit.Tokens && limit.PlainTokens > 0, "the tokens of requests that state none have no effect: its limit counts requests")
+	if limit.PerSecond <= 0 {
+		return
+	}
+	f.warnIf(limit.Burst == 0, "it has no burst: requests beyond the rate of a moment are refused")
+	f.warnIf(limit.Tokens && limit.PlainTokens == 0, "requests that state no tokens are not limited")
+	f.errorIf(limit.Tokens && limit.PlainTokens > limit.PerSecond+limit.Burst,
+		"a request that states no tokens counts as %g, more than the limit ever has room for at once", limit.PlainTokens)
+}
