policy/blame: a part that crashes engines in groups is found with the first group

Cause: engines that crash together counted as one crash, whatever was at them, so that three moments were waited for. Engines that crash within half a second of each other now count one each against a part that different requests at three or more of them have in common, if it was never served, is in all crashes of that moment, is the only such part, and does not stand at the beginning of a prompt. Such parts are found with the third group, as before.

--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -118,12 +118,8 @@
 // explained by it. Sound has, for parts with which a request was answered to its
 // end, when that answer began: crashes before it do not count against the part.
 func Find(crashes []Crash, sound map[models.PartID]time.Time, blocked func(models.PartID) bool) (Finding, bool) {
-	suspects := map[models.PartID]*suspect{}
-	for _, crash := range crashes {
-		accuse(suspects, unexplained(crash, blocked), sound)
-	}
 	var best *suspect
-	for _, s := range suspects {
+	for _, s := range accused(crashes, sound, blocked) {
 		if s.guilty() && !blocked(s.part) && (best == nil || compare(s, best) < 0) {
 			best = s
 		}
@@ -138,12 +134,24 @@
 // blame a part.
 func Supports(crashes []Crash, sound map[models.PartID]time.Time, blocked func(models.PartID) bool, part models.PartID) bool {
 	others := func(other models.PartID) bool { return other != part && blocked(other) }
-	suspects := map[models.PartID]*suspect{}
+	s := accused(crashes, sound, others)[part]
+	return s != nil && s.guilty()
+}
+
+// accused returns what the crashes that nothing blocked explains tell of each part.
+func accused(crashes []Crash, sound map[models.PartID]time.Time, blocked func(models.PartID) bool) map[models.PartID]*suspect {
+	var left []Crash
 	for _, crash := range crashes {
-		accuse(suspects, unexplained(crash, others), sound)
+		if crash = unexplained(crash, blocked); len(crash.Runs) > 0 {
+			left = append(left, crash)
+		}
 	}
-	s := suspects[part]
-	return s != nil && s.guilty()
+	suspects := map[models.PartID]*suspect{}
+	joint := groups(left, sound)
+	for i, crash := range left {
+		accuse(suspects, crash, joint[i], sound)
+	}
+	return suspects
 }
 
 // unexplained returns what of a crash nothing that is blocked explains. A blocked part
@@ -170,8 +178,9 @@
 }
 
 // accuse counts a crash against the parts of the requests that it broke off.
-// Engines that crash together count once: the requests at them were sent before.
-func accuse(suspects map[models.PartID]*suspect, crash Crash, sound map[models.PartID]time.Time) {
+// Engines that crash together count once, as the requests at them were sent before, unless
+// one part is all that the requests at them have in common.
+func accuse(suspects map[models.PartID]*suspect, crash Crash, joint *group, sound map[models.PartID]time.Time) {
 	counted := map[models.PartID]bool{}
 	involved := map[models.PartID]bool{}
 	for i, run := range crash.Runs {
@@ -195,7 +204,10 @@
 				involved[part.ID] = true
 				s.involved++
 			}
-			if !counted[part.ID] && !s.processes[crash.Process] && (crash.byRuns || s.separate(crash, run)) {
+			if counted[part.ID] || s.processes[crash.Process] {
+				continue
+			}
+			if joint.separate(crash, part.ID) || crash.byRuns || s.separate(crash, run) {
 				counted[part.ID] = true
 				s.processes[crash.Process] = true
 				s.crashes++
