routing: a second list without a server that a copy had lost is no removal

Callers' requests were kept from an engine for 5 s that had registered again, after the store had returned from an older copy and then dropped its history (found by a schedule of TestPropagationAcrossStoreRestores).

Cause, from a trace: the copy lacked the registration, so it had time to come back. The next answer listed all rows of the same era, and what such a list lacks counted as removed, which proves a departure; the registration in the next copy was then taken for one that should not be there. A list proves a removal only of what was registered before it.

--- a/routing/departure_test.go
+++ b/routing/departure_test.go
@@ -37,6 +37,14 @@
 			lostInCopy(f)
 			copyLists(f)
 		}, []models.EngineID{"a", "b"}},
+		{"listed without it a second time", func(f *fleetFixture) {
+			f.step(all(at(1, 4), upstream("a"), upstream("b")))
+			f.step(all(at(2, 1), upstream("b")))
+			f.step(all(at(2, 2), upstream("b"))) // the history is gone
+			f.advance(leaveTimeout)
+			f.step(present(at(2, 2)))
+			copyLists(f)
+		}, []models.EngineID{"a", "b"}},
 		{"registered again after its removal", func(f *fleetFixture) {
 			lostInCopy(f)
 			f.step(removed(at(2, 2), "a"))
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -154,9 +154,10 @@
 	if !changes.All {
 		return
 	}
-	for id := range f.known {
+	for id, r := range f.known {
 		if !present[id] {
-			f.markMissing(id, !restored, now)
+			// One that an older copy lacks is in no later list either until it registers again.
+			f.markMissing(id, !restored && r.dropAt.IsZero(), now)
 		}
 	}
 }
