intake: what callers can make a daemon hold is bounded by its VM

Callers without limits drove a daemon of a VM with 144 MB to 552 MiB with 64 bodies that stop short of their end, and out of its descriptors: bodies were read whole before the key was looked at, without a bound on all of them together, and heads of thousands of lines cost 60 times their size.

Adds package intake: an account of bytes and one of requests, derived from the VM's memory and descriptors (vm.memory-mb, vm.descriptors, which the deploy template fills in) and divided between workspaces by dynamic thresholds. Heads are charged as they are read, before they are parsed; bodies as their buffers grow, and large ones only for a known route and key; answers wait with their backend server. What does not fit is refused as not run. Connections beyond the limit close the oldest idle one, and a body or an answer that stands still for vm.stall-timeout ends its connection.

--- a/config/entry.go
+++ b/config/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -28,6 +29,7 @@
 	LeaseDuration    time.Duration
 	Retries          RetryLimits
 	Log              Log
+	VM               EntryVM
 }
 
 // EntryCallers is the section of the listener for callers.
@@ -59,6 +61,14 @@
 	CallsPerSecond   float64       // that the platform accepts from all daemons together
 }
 
+// EntryVM is the section of what the daemon's VM has, and of how long others may keep
+// it.
+type EntryVM struct {
+	MemoryBytes  int           // 0: as the process finds it
+	Descriptors  int           // 0: as the process finds it
+	StallTimeout time.Duration // in which a body or an answer has to go on; 0: none
+}
+
 // RetryLimits limits the retries of requests to backend servers, over all
 // daemons.
 type RetryLimits struct {
@@ -97,6 +107,9 @@
 	{"retries.window", `"10s"`, false, "duration", "window over which requests and retries are counted", decodeDuration(func(s *Entry) *time.Duration { return &s.Retries.Window })},
 	{"retries.reserve", `10`, false, "", "retries allowed per window on top of the share, over all daemons", decodeNonNegativeFloat(func(s *Entry) *float64 { return &s.Retries.Reserve })},
 	{"log.level", `"info"`, false, "", "debug, info, warn or error", decodeLogLevel(func(s *Entry) *string { return &s.Log.Level })},
+	{"vm.memory-mb", `0`, false, "MB", "memory of this VM, which bounds what callers can make the daemon hold; 0: GOMEMLIMIT, or the machine's", decodeAmount(megabyte, func(s *Entry) *int { return &s.VM.MemoryBytes })},
+	{"vm.descriptors", `0`, false, "", "descriptors that the process may open, which bound connections and requests; 0: its RLIMIT_NOFILE", decodeAmount(1, func(s *Entry) *int { return &s.VM.Descriptors })},
+	{"vm.stall-timeout", `"20s"`, false, "duration", "a connection is closed if in that time less than 16 KiB pass of a body that is read or an answer that is written; 0s: never", decodeNonNegativeDuration(func(s *Entry) *time.Duration { return &s.VM.StallTimeout })},
 }
 
 const (
@@ -173,6 +186,21 @@
 	}
 }
 
+// decodeAmount decodes a number of units, 0 or more, into a whole amount.
+func decodeAmount[S any](unit float64, field func(*S) *int) func(*S, json.RawMessage) error {
+	return func(s *S, raw json.RawMessage) error {
+		var number float64
+		if err := json.Unmarshal(raw, &number); err != nil || number < 0 || number*unit > math.MaxInt64/2 {
+			return errors.New("must be a number, 0 or more")
+		}
+		*field(s) = int(number * unit)
+		return nil
+	}
+}
+
+// megabyte is the unit of settings in MB, in bytes.
+const megabyte = 1_000_000
+
 // decodeNonNegativeDuration is decodeDuration for bounds that a deployment may set
 // to zero.
 func decodeNonNegativeDuration[S any](field func(*S) *time.Duration) func(*S, json.RawMessage) error {
@@ -196,10 +224,10 @@
 }
 
 // SameIdentityAndAddresses reports whether both settings have the same name,
-// zone and addresses. These cannot be changed without a restart.
+// zone, addresses and VM. These cannot be changed without a restart.
 func (s *Entry) SameIdentityAndAddresses(other *Entry) bool {
 	return s.Name == other.Name && s.Zone == other.Zone &&
 		s.Callers.Address == other.Callers.Address && s.ReadinessAddress == other.ReadinessAddress &&
 		s.DaemonsAddress == other.DaemonsAddress && s.MetricsAddress == other.MetricsAddress &&
-		s.Store.Address == other.Store.Address && s.Duties.Address == other.Duties.Address
+		s.Store.Address == other.Store.Address && s.Duties.Address == other.Duties.Address && s.VM == other.VM
 }
--- a/config/rendered_test.go
+++ b/config/rendered_test.go
@@ -24,6 +24,8 @@
 	"bounds.retry_window_s":     "10",
 	"bounds.budget_slack":       "54",
 	"cloud_api.duty_per_s":      "50",
+	"limits.memory_mb":          "284",
+	"limits.max_fds":            "4100",
 }
 
 // neverZero are the bounds with which zero leaves nothing to do: periods, and the
@@ -118,6 +120,12 @@
 		}
 		expectAccepted(t, absent)
 	})
+	t.Run("what the VM has", func(t *testing.T) {
+		is := is.New(t)
+		vm := expectAccepted(t, nil).VM
+		is.Equal(vm.MemoryBytes, 284_000_000)
+		is.Equal(vm.Descriptors, 4100)
+	})
 	t.Run("a fraction of a retry", func(t *testing.T) {
 		is.New(t).Equal(expectAccepted(t, map[string]string{"bounds.budget_slack": "35.5"}).Retries.Reserve, 35.5)
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"quincewinch/balance"
 	"quincewinch/config"
 	"quincewinch/control"
+	"quincewinch/intake"
 	"quincewinch/lib/drain"
 	"quincewinch/lib/logfmt"
 	"quincewinch/models"
@@ -49,6 +50,8 @@
 	journal         *resume.Journal // of origins
 	quarantine      *quarantine.Quarantine
 	balancer        *balance.Balancer
+	intake          *intake.Intake
+	recorder        *relay.Recorder
 	callers         *drain.Server
 	sharing         sharing
 	duties          duties
@@ -96,10 +99,12 @@
 		return err
 	}
 	d.startDuties(store)
+	d.limitIntake(settings.VM)
 	if err := d.listen(ctx, d.newHandler()); err != nil {
 		return err
 	}
 	d.system.Spawn(d.balancer, pruneInterval)
+	d.system.Spawn(d.intake, intake.SweepInterval)
 	d.system.Spawn(slowWatch{d.balancer, d.logger}, slowInterval)
 	d.system.Spawn(retriesWatch{d.balancer, d.logger}, retriesInterval)
 	d.system.Spawn(d.origins, originInterval)
@@ -119,9 +124,12 @@
 // newHandler returns the chain of filters that handles each request.
 func (d *Daemon) newHandler() relay.Handler {
 	upstreams := platform.NewUpstreams(platform.NewTransport(upstreamTransport))
+	sender := relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger)
+	sender.LimitAnswers(d.intake.Bytes())
+	d.recorder = relay.NewRecorder(d.registry, d.clock, d.logger)
 	return relay.Chain(
-		relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger),
-		relay.NewRecorder(d.registry, d.clock, d.logger).Filter(),
+		sender,
+		d.recorder.Filter(),
 		relay.Locate(d.configuration, d.clock),
 		relay.Resume(resume.NewFinder(d.origins, d.versions, d.journal)),
 	)
@@ -132,18 +140,22 @@
 	frontend := platform.NewFrontend(handler, d.clock, platform.FrontendSettings{
 		MaxBodyBytes: d.maxBodyBytes,
 		Stopping:     d.stopping.Load,
+		Intake:       d.intake,
+		Authorize:    d.authorize,
+		Refused:      d.recorder.Refused,
 	})
 	callers := &http.Server{
 		Handler:           frontend,
 		ReadHeaderTimeout: settings.Callers.HeaderTimeout,
 		IdleTimeout:       settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    settings.Callers.HeaderBytes,
+		ConnContext:       intake.WithConn,
 	}
 	listener, err := d.bind(ctx, settings.Callers.Address)
 	if err != nil {
 		return err
 	}
-	d.serveCallers(callers, listener)
+	d.serveCallers(callers, d.intake.Listen(listener))
 	readiness := &http.Server{Handler: platform.NewReadiness(d.Ready), ReadHeaderTimeout: settings.Callers.HeaderTimeout}
 	if err := d.serveInternal(ctx, readiness, settings.ReadinessAddress); err != nil {
 		return err
--- a/lib/drain/connections.go
+++ b/lib/drain/connections.go
@@ -285,6 +285,11 @@
 	return c.idles
 }
 
+// NetConn returns the connection that is tracked.
+func (c *trackedConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // CloseWrite closes the sending side, as net/http does before it closes a
 // connection whose caller may still be sending.
 func (c *trackedConn) CloseWrite() error {
--- a/models/refusal.go
+++ b/models/refusal.go
@@ -20,6 +20,7 @@
 	RefusalQuarantined      RefusalCode = "quarantined"
 	RefusalDeadline         RefusalCode = "deadline"
 	RefusalNoBackend        RefusalCode = "no-backend"
+	RefusalNoRoom           RefusalCode = "no-room"
 	RefusalDraining         RefusalCode = "draining"
 	RefusalStoreUnreachable RefusalCode = "store-unreachable"
 	RefusalClaimMismatch    RefusalCode = "idempotency-mismatch"
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -24,9 +24,10 @@
 	// elsewhere.
 	maxBufferedBytes = 1 << 20
 	// smallBytes is the size up to which a response is buffered at once.
-	smallBytes = 64 << 10
-	// maxLargeBuffers is the number of responses above smallBytes that are
-	// buffered at the same time; others wait with their backend server.
+	smallBytes = 16 << 10
+	// maxLargeBuffers is the number of responses above smallBytes that a sender
+	// without an AnswerMemory buffers at the same time; others wait with their
+	// backend server.
 	maxLargeBuffers = 32
 	// readBufferBytes is the size of the read buffer for streams and for bodies
 	// above maxBufferedBytes.
@@ -87,13 +88,13 @@
 	if buffer.Len() < smallBytes {
 		return buffer.Bytes(), nil
 	}
-	if err := d.takeLargeBuffer(ctx); err != nil {
-		return nil, err
-	}
 	size := int64(maxBufferedBytes + 1)
 	if answer.Length >= 0 {
 		size = min(answer.Length, size)
 	}
+	if err := d.takeLargeBuffer(ctx, int(max(size, smallBytes))); err != nil {
+		return nil, err
+	}
 	buffer.Grow(int(max(size-smallBytes, 0)) + bytes.MinRead)
 	if _, err := buffer.ReadFrom(io.LimitReader(answer.Body, maxBufferedBytes+1-smallBytes)); err != nil {
 		return nil, errors.Trace(err)
@@ -101,25 +102,24 @@
 	return buffer.Bytes(), nil
 }
 
-// takeLargeBuffer waits until the request may buffer a large response. It may
-// then until it ends, or until releaseLargeBuffer.
-func (d *delivery) takeLargeBuffer(ctx context.Context) error {
-	if d.largeBuffer {
+// takeLargeBuffer waits until the request may buffer a large response of a size in
+// bytes. It may then until it ends, or until releaseLargeBuffer.
+func (d *delivery) takeLargeBuffer(ctx context.Context, size int) error {
+	if size <= d.largeBuffer {
 		return nil
 	}
-	select {
-	case d.sender.largeBuffers <- struct{}{}:
-		d.largeBuffer = true
-		return nil
-	case <-ctx.Done():
-		return errors.Annotate(ctx.Err(), "too many large answers at the same time")
+	d.releaseLargeBuffer() // of an attempt before
+	if err := d.sender.memory.TakeAnswer(ctx, size); err != nil {
+		return errors.Annotate(err, "too many large answers at the same time")
 	}
+	d.largeBuffer = size
+	return nil
 }
 
 func (d *delivery) releaseLargeBuffer() {
-	if d.largeBuffer {
-		d.largeBuffer = false
-		<-d.sender.largeBuffers
+	if d.largeBuffer > 0 {
+		d.sender.memory.ReturnAnswer(d.largeBuffer)
+		d.largeBuffer = 0
 	}
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -24,6 +24,8 @@
 	CallerTimeout time.Duration // requested by the caller, 0 if it sets none
 	Reply         Reply
 
+	authorization authorization // by Authorize
+
 	// Set by Locate.
 	Routing   *models.Routing // snapshot in force when the request arrived
 	Route     models.PathRoute
--- a/relay/locate.go
+++ b/relay/locate.go
@@ -38,12 +38,7 @@
 			e.Key = ""
 			routing := view.Routing()
 			if routing == nil {
-				return &models.Refusal{
-					Code:       models.RefusalStoreUnreachable,
-					Message:    "this daemon has no configuration yet",
-					NotRun:     true,
-					RetryAfter: noConfigRetryAfter,
-				}
+				return noConfiguration()
 			}
 			e.Routing = routing
 			if err := locate(e, key); err != nil {
@@ -58,25 +53,68 @@
 	}
 }
 
-// locate sets the fields of an exchange that follow from its route and key.
-func locate(e *Exchange, key string) error {
-	route, ok := findRoute(e.Routing, e.Call.Host, e.Call.Target)
+func noConfiguration() error {
+	return &models.Refusal{
+		Code:       models.RefusalStoreUnreachable,
+		Message:    "this daemon has no configuration yet",
+		NotRun:     true,
+		RetryAfter: noConfigRetryAfter,
+	}
+}
+
+// Authorize returns the workspace of a request that has not been located, as Locate
+// would set it. Its error is a *models.Refusal.
+func Authorize(routing *models.Routing, e *Exchange) (models.Workspace, error) {
+	if routing == nil {
+		return "", noConfiguration()
+	}
+	e.authorization = authorize(routing, e, e.Key)
+	return e.authorization.grant.Workspace, e.authorization.err
+}
+
+// authorization is the route of a request, and what its key grants, if anything, under a
+// configuration.
+type authorization struct {
+	routing *models.Routing
+	route   models.PathRoute
+	grant   models.KeyGrant
+	err     error // a *models.Refusal
+}
+
+func authorize(routing *models.Routing, e *Exchange, key string) authorization {
+	a := authorization{routing: routing}
+	route, ok := findRoute(routing, e.Call.Host, e.Call.Target)
 	if !ok {
-		return &models.Refusal{Code: models.RefusalUnknownRoute, Message: "no route for host and path", NotRun: true}
+		a.err = &models.Refusal{Code: models.RefusalUnknownRoute, Message: "no route for host and path", NotRun: true}
+		return a
 	}
-	e.Route = route
-	e.Rank = route.Rank
-	holder, known := e.Routing.Keys[sha256.Sum256([]byte(key))]
+	a.route = route
+	grant, known := routing.Keys[sha256.Sum256([]byte(key))]
 	if known && key != "" {
-		e.Workspace = holder.Workspace
-		if holder.HasRank {
-			e.Rank = holder.Rank
-		}
-	} else if !route.Open && e.Routing.RequireKeys {
-		return &models.Refusal{Code: models.RefusalInvalidKey, Message: "the key is not valid", NotRun: true}
+		a.grant = grant
+	} else if !route.Open && routing.RequireKeys {
+		a.err = &models.Refusal{Code: models.RefusalInvalidKey, Message: "the key is not valid", NotRun: true}
+	}
+	return a
+}
+
+// locate sets the fields of an exchange that follow from its route and key.
+func locate(e *Exchange, key string) error {
+	a := e.authorization
+	if a.routing != e.Routing { // another is in force since
+		a = authorize(e.Routing, e, key)
+	}
+	e.Route = a.route
+	e.Rank = a.route.Rank
+	if a.err != nil {
+		return a.err
+	}
+	e.Workspace = a.grant.Workspace
+	if a.grant.HasRank {
+		e.Rank = a.grant.Rank
 	}
 	e.Call.Workspace = e.Workspace
-	e.Service = e.Routing.Services[chooseService(route.Targets, e.ID)]
+	e.Service = e.Routing.Services[chooseService(a.route.Targets, e.ID)]
 	return nil
 }
 
--- a/relay/record.go
+++ b/relay/record.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// Refused records a request that was refused before it was handled.
+func (r *Recorder) Refused(e *Exchange, err error) {
+	r.record(e, err)
+}
+
 func (r *Recorder) record(e *Exchange, err error) {
 	code := codeServed
 	fields := r.logFields(e)
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -126,24 +126,28 @@
 	guard     Guard
 	clock     peer.Clock
 	logger    *zap.Logger
-	// largeBuffers holds a value for each request that buffers a large response.
-	largeBuffers chan struct{}
+	memory    AnswerMemory
 }
 
 // NewSender returns a sender that sends requests where placer places them.
 func NewSender(upstreams peer.Upstreams, placer Placer, meter UsageMeter, origins Origins, guard Guard, clock peer.Clock, logger *zap.Logger) *Sender {
 	return &Sender{
-		upstreams:    upstreams,
-		placer:       placer,
-		meter:        meter,
-		origins:      origins,
-		guard:        guard,
-		clock:        clock,
-		logger:       logger,
-		largeBuffers: make(chan struct{}, maxLargeBuffers),
+		upstreams: upstreams,
+		placer:    placer,
+		meter:     meter,
+		origins:   origins,
+		guard:     guard,
+		clock:     clock,
+		logger:    logger,
+		memory:    make(bufferSlots, maxLargeBuffers),
 	}
 }
 
+// LimitAnswers charges large responses to memory, in place of a number of them.
+func (s *Sender) LimitAnswers(memory AnswerMemory) {
+	s.memory = memory
+}
+
 // Handle implements Handler.
 func (s *Sender) Handle(ctx context.Context, e *Exchange) error {
 	d := &delivery{sender: s, exchange: e, tried: map[models.EngineID]bool{}, identity: NewIdentity(&e.Call)}
@@ -169,7 +173,7 @@
 	headerWritten         bool            // the status and the header went to the caller
 	begun                 streamKind      // of the stream whose header went to the caller
 	billed                bool            // counted by the usage meter
-	largeBuffer           bool            // holds one of the sender's largeBuffers
+	largeBuffer           int             // bytes held of the sender's memory
 	events                eventSplitter
 	origin                Placement // of the run that began the stream; nil: none did in this answer
 	originUncertain       bool      // more than one version may have begun the stream
