--- a/config/rendered_test.go
+++ b/config/rendered_test.go
@@ -25,6 +25,8 @@
 	"bounds.budget_slack":       "54",
 	"bounds.quota_over":         "0.1",
 	"cloud_api.duty_per_s":      "50",
+	"limits.memory_mb":          "284",
+	"limits.max_fds":            "4100",
 }
 
 // neverZero are the bounds with which zero leaves nothing to do: periods, and the
@@ -125,6 +127,12 @@
 		// The section is rendered once for each entry; here there is one.
 		is.Equal(expectAccepted(t, map[string]string{"contracts": "pressure", ".": "pressure"}).Terms, []string{"pressure"})
 	})
+	t.Run("what the VM has", func(t *testing.T) {
+		is := is.New(t)
+		vm := expectAccepted(t, nil).VM
+		is.Equal(vm.MemoryBytes, 284_000_000)
+		is.Equal(vm.Descriptors, 4100)
+	})
 	t.Run("a fraction of a retry", func(t *testing.T) {
 		is.New(t).Equal(expectAccepted(t, map[string]string{"bounds.budget_slack": "35.5"}).Retries.Reserve, 35.5)
 	})
