balance: callers that come back told by what others of their route state

Cause: a caller counted as back after a refusal if it gave a request less than three quarters of the route's timeout. If operators raise that timeout beyond what callers state, all would count as back, and go last.

Change: the longest time that callers of the route stated in the last minute takes the place of the timeout, where requests are admitted by demand. The drain rate is summed from the engines' views that the placement has anyway. The load test checks that the largest tenth of each kind is served.

--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -85,7 +85,7 @@
 	}
 	request := admissionRequest(e, choice, now)
 	if b.settings.AdmitByDemand {
-		return b.placeByDemand(e, candidates, choice, request, now)
+		return b.placeByDemand(e, candidates, choice, request, drainRate(engines), now)
 	}
 	if err := b.admit(e, request, retried, now); err != nil {
 		return nil, err
@@ -95,10 +95,11 @@
 	return p, nil
 }
 
-// placeByDemand places a request for which engines are chosen, if there is room for it.
+// placeByDemand places a request for which engines are chosen, if there is room for it
+// at engines that prefill drain prompt tokens a second.
 // The caller must hold b.mu.
-func (b *Balancer) placeByDemand(e *relay.Exchange, candidates []*serverState, choice serving.Choice, request admission.Request, now time.Time) (relay.Placement, error) {
-	ticket, err := b.admitByDemand(e, request, b.drainRate(candidates, now), now)
+func (b *Balancer) placeByDemand(e *relay.Exchange, candidates []*serverState, choice serving.Choice, request admission.Request, drain float64, now time.Time) (relay.Placement, error) {
+	ticket, err := b.admitByDemand(e, request, drain, now)
 	if err != nil {
 		return nil, err
 	}
--- a/balance/room.go
+++ b/balance/room.go
@@ -8,7 +8,9 @@
 
 	"quincewinch/models"
 	"quincewinch/policy/admission"
+	"quincewinch/policy/fleet"
 	"quincewinch/policy/room"
+	"quincewinch/policy/serving"
 	"quincewinch/relay"
 )
 
@@ -16,17 +18,20 @@
 	// maxQueuedDemand bounds the workspaces and routes of a service whose demand is not
 	// shared yet.
 	maxQueuedDemand = 256
-	// fullTimeShare is the share of the route's timeout that callers who come for the
-	// first time give a request on average.
-	fullTimeShare = 0.925
+	// fullTimeWindow is how long the longest time that callers of a route state is
+	// remembered. Those who come for the first time state fullTimeShare of it on
+	// average; those who come back state what is left.
+	fullTimeWindow = time.Minute
+	fullTimeShare  = 0.925
 )
 
 // serviceRoom is what this daemon knows of the demand for a service.
 type serviceRoom struct {
 	controller *room.Controller
-	queued     [room.Urgencies]int // prompt tokens of this daemon at engines, by urgency
-	unshared   demandNews          // of this daemon
-	zone       demandNews          // of this zone's daemons, since its last sum
+	queued     [room.Urgencies]int         // prompt tokens of this daemon at engines, by urgency
+	unshared   demandNews                  // of this daemon
+	zone       demandNews                  // of this zone's daemons, since its last sum
+	fullTimes  map[string]*fleet.WindowMax // by route: the longest time that its callers state
 }
 
 // demandNews is demand that is not shared yet.
@@ -90,7 +95,7 @@
 func (b *Balancer) room(service models.ServiceName) *serviceRoom {
 	r, ok := b.rooms[service]
 	if !ok {
-		r = &serviceRoom{controller: room.NewController(), unshared: newDemandNews(), zone: newDemandNews()}
+		r = &serviceRoom{controller: room.NewController(), unshared: newDemandNews(), zone: newDemandNews(), fullTimes: map[string]*fleet.WindowMax{}}
 		b.rooms[service] = r
 	}
 	return r
@@ -123,7 +128,7 @@
 // hold b.mu.
 func (b *Balancer) admitByDemand(e *relay.Exchange, request admission.Request, drain float64, now time.Time) (*roomTicket, error) {
 	r := b.room(e.Service.Name)
-	t := &roomTicket{room: r, request: roomRequest(e, request, drain, now), again: e.Admitted || e.Origin != nil || e.Sends > 0}
+	t := &roomTicket{room: r, request: r.request(e, request, drain, now), again: e.Admitted || e.Origin != nil || e.Sends > 0}
 	if t.again || request.Target <= 0 {
 		t.decision = room.Decision{Send: true, Urgency: t.request.Urgency, Predicted: request.Predicted}
 		return t, nil
@@ -149,11 +154,13 @@
 	}
 }
 
-// roomRequest describes a request to package room.
-func roomRequest(e *relay.Exchange, request admission.Request, drain float64, now time.Time) room.Request {
-	waited := time.Duration(0)
-	if request.Returned {
-		waited = max(time.Duration(fullTimeShare*float64(e.Route.Timeout))-e.CallerTimeout, 0)
+// request describes a request to package room. A caller has come back if it gives the
+// request much less time than others of its route.
+func (r *serviceRoom) request(e *relay.Exchange, request admission.Request, drain float64, now time.Time) room.Request {
+	full, waited := r.fullTime(e, now), time.Duration(0)
+	returned := e.CallerTimeout > 0 && float64(e.CallerTimeout) < returnedShare*float64(full)
+	if returned {
+		waited = time.Duration(fullTimeShare*float64(full)) - e.CallerTimeout
 	}
 	return room.Request{
 		Workspace: e.Workspace,
@@ -165,20 +172,34 @@
 		Target:    request.Target,
 		Waited:    waited + now.Sub(e.Received),
 		Left:      request.Left,
-		Returned:  request.Returned,
+		Returned:  returned,
 		Drain:     drain,
 	}
 }
 
+// fullTime returns the longest time that callers of a request's route stated lately,
+// within the route's timeout.
+func (r *serviceRoom) fullTime(e *relay.Exchange, now time.Time) time.Duration {
+	longest, ok := r.fullTimes[e.Route.Name]
+	if !ok {
+		longest = fleet.NewWindowMax(fullTimeWindow)
+		r.fullTimes[e.Route.Name] = longest
+	}
+	stated := e.CallerTimeout
+	if e.Route.Timeout > 0 {
+		stated = min(stated, e.Route.Timeout)
+	}
+	return time.Duration(longest.Observe(now, float64(stated)))
+}
+
 // drainRate returns the prompt tokens that some engines prefill in a second: those for
-// prefill, if there are any. The caller must hold b.mu.
-func (b *Balancer) drainRate(engines []*serverState, now time.Time) float64 {
+// prefill, if there are any.
+func drainRate(engines []serving.Engine) float64 {
 	var prefill, all float64
-	for _, s := range engines {
-		rate := b.timings.prefill(s.upstream).TokensPerSecond() / b.speedFactor(s, now)
-		all += rate
-		if s.upstream.Role == models.RolePrefill {
-			prefill += rate
+	for _, engine := range engines {
+		all += engine.Rate
+		if engine.Role == models.RolePrefill {
+			prefill += engine.Rate
 		}
 	}
 	if prefill > 0 {
--- a/balance/room_test.go
+++ b/balance/room_test.go
@@ -14,6 +14,7 @@
 	"quincewinch/balance"
 	"quincewinch/models"
 	"quincewinch/peer/system"
+	"quincewinch/policy/room"
 	"quincewinch/relay"
 )
 
@@ -81,6 +82,35 @@
 	})
 }
 
+// Callers have come back if they give a request less time than others of its route do,
+// whatever the route allows.
+func TestCallersThatComeBack(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		timeout time.Duration // of the routes; callers state 5 s, each fifth 3 s
+		back    bool
+	}{{"at the route's timeout", 5 * time.Second, true}, {"far below the route's timeout", time.Minute, true}, {"all alike", 3 * time.Second, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newNetworkBy(t, 1, 1, true).daemon(0)
+				returned := 0
+				for i := range 400 {
+					e := offeredExchange(i, system.NewClock().Now())
+					e.Route.Timeout = test.timeout
+					_, err := b.Place(e, nil)
+					if err != nil && strings.Contains(err.Error(), string(room.ReasonLeft)) {
+						returned++
+					}
+				}
+				for _, s := range b.RoomStates()[0].Stats {
+					returned += s.Behind
+				}
+				is.New(t).Equal(returned > 0, test.back)
+			})
+		})
+	}
+}
+
 // hold places prompts that wait at engines, one at each daemon of some zones.
 func (n *network) hold(inZone func(zone int) bool, zones int) (placed []relay.Placement, tokens int) {
 	for i := range n.addresses {
--- a/policy/room/load_test.go
+++ b/policy/room/load_test.go
@@ -132,6 +132,7 @@
 	byRank    [len(kinds)]result
 	byPair    [loadDuration / time.Second]result // of this second and the next, by the first attempt
 	workspace [workspaces]result
+	large     result // of the largest tenth of each kind
 }
 
 // play plays a scenario until all callers have ended.
@@ -362,6 +363,10 @@
 		r.offered++
 		count(r)
 	}
+	if float64(c.tokens) > kinds[c.kind].tokens*math.Exp(spread*1.28-spread*spread/2) {
+		w.large.offered++
+		count(&w.large)
+	}
 }
 
 func prefillTime(tokens int) time.Duration {
@@ -406,6 +411,7 @@
 						is.True(urgent.served() > r.served()-0.05) // nor served less often than a less urgent one
 					}
 				}
+				is.True(after.large.served() > 0.7*after.total.served())
 				for _, r := range after.workspace {
 					is.True(r.served() > 0.5*after.total.served())
 				}
