balance: the test of a cut no longer depends on which share arrives first

Cause: TestDemandThroughCut placed prompts for which there is no room, and relied on daemons not yet knowing of each other's; in one of about 150 runs they did, and a request was refused. Change: the prompts have a latency target with which none is refused.

--- a/balance/room_test.go
+++ b/balance/room_test.go
@@ -115,7 +115,9 @@
 func (n *network) hold(inZone func(zone int) bool, zones int) (placed []relay.Placement, tokens int) {
 	for i := range n.addresses {
 		if inZone(i % zones) {
-			p := place(n.t, n.daemon(i), offeredExchange(0, system.NewClock().Now()))
+			e := offeredExchange(0, system.NewClock().Now())
+			e.Route.LatencyTarget = time.Minute // none is refused, whatever is known of the others
+			p := place(n.t, n.daemon(i), e)
 			placed = append(placed, p)
 			tokens += p.PrefillTokens()
 		}
