balance: work is learned also where requests are admitted by demand

Admission by demand and placement by cost were built beside each other: a prompt admitted by demand was placed without a record of its work, so that a service with both knew nothing of what its engines had left.

Both ways of admission now end in the same reservation. TestWorkIsLearnedWithAdmissionByDemand failed before (0 learned) and passes; go test ./balance -run 'Room|Demand|Work|Unchanged|Prompt|Place' passes.

--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -87,32 +87,26 @@
 		}
 	}
 	request := admissionRequest(e, choice, now)
+	var ticket *roomTicket
+	var err error
 	if b.settings.AdmitByDemand {
-		return b.placeByDemand(e, candidates, choice, request, drainRate(engines), now)
+		ticket, err = b.admitByDemand(e, request, drainRate(engines), now)
+	} else {
+		err = b.admit(e, request, retried, now)
 	}
-	if err := b.admit(e, request, retried, now); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	p := b.reservePrompt(e, candidates, choice, now)
+	p.urgency = min(admission.Urgency(request), maxUrgency)
+	if ticket != nil {
+		p.urgency = ticket.decision.Urgency
+		p.ticket = ticket
+		ticket.sent(e.Workspace, p.prefillTokens, now)
+	}
 	if p.target.work != nil {
 		p.beginWork(kindOf(e), own, choice.Predicted, now)
 	}
-	p.urgency = min(admission.Urgency(request), maxUrgency)
-	return p, nil
-}
-
-// placeByDemand places a request for which engines are chosen, if there is room for it
-// at engines that prefill drain prompt tokens a second.
-// The caller must hold b.mu.
-func (b *Balancer) placeByDemand(e *relay.Exchange, candidates []*serverState, choice serving.Choice, request admission.Request, drain float64, now time.Time) (relay.Placement, error) {
-	ticket, err := b.admitByDemand(e, request, drain, now)
-	if err != nil {
-		return nil, err
-	}
-	p := b.reservePrompt(e, candidates, choice, now)
-	p.urgency = ticket.decision.Urgency
-	p.ticket = ticket
-	ticket.sent(e.Workspace, p.prefillTokens, now)
 	return p, nil
 }
 
--- a/balance/work_test.go
+++ b/balance/work_test.go
@@ -99,3 +99,22 @@
 	}
 	is.Equal(found["c0"], "0.6")
 }
+
+// Work is learned of engines also where requests are admitted by demand.
+func TestWorkIsLearnedWithAdmissionByDemand(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Unix(1_000_000, 0)}
+	settings := workSettings("a")
+	settings.AdmitByDemand = true
+	learned := 0
+	settings.WorkListener = func(models.ServiceName, time.Duration, time.Duration) { learned++ }
+	b := balance.New(newFleet(engines(2, models.RoleDecode)...), clock, settings, 1)
+	for range 3 {
+		p := place(t, b, promptExchange("p", 100))
+		clock.now = clock.now.Add(50 * time.Millisecond)
+		p.ResponseStarted(&models.UpstreamLoad{Running: 1, Slots: 8, Pace: 1})
+		clock.now = clock.now.Add(50 * time.Millisecond)
+		p.End(relay.ResultServed)
+	}
+	is.Equal(learned, 2) // the first one showed that a pace is stated
+}
