--- a/balance/uses_test.go
+++ b/balance/uses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,9 @@
 // usesLog reports the number of a daemon as what it uses, and 1000 for its zone, and keeps
 // the latest report of each other sender.
 type usesLog struct {
-	daemon  int
+	daemon int
+
+	mu      sync.Mutex
 	learned map[models.DaemonID]float64
 }
 
@@ -28,13 +31,19 @@
 }
 
 func (u *usesLog) Learn(from models.DaemonID, uses map[models.Workspace]models.LimitUse) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	if u.learned == nil {
 		u.learned = map[models.DaemonID]float64{}
 	}
 	u.learned[from] = uses["w"].Amount
 }
 
-func (u *usesLog) Leave(from models.DaemonID) { delete(u.learned, from) }
+func (u *usesLog) Leave(from models.DaemonID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.learned, from)
+}
 
 func (u *usesLog) Urgent() bool { return false }
 
@@ -56,7 +65,10 @@
 							expected[daemonID(j)] = float64(j)
 						}
 					}
-					is.Equal(n.uses[self].learned, expected)
+					uses := n.uses[self]
+					uses.mu.Lock()
+					is.Equal(uses.learned, expected)
+					uses.mu.Unlock()
 				}
 			})
 		})
--- a/policy/limit/joint_test.go
+++ b/policy/limit/joint_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -205,11 +207,11 @@
 			continue
 		}
 		c.post(n, to, func() {
-			for from, uses := range relayed {
-				to.joint.Learn(from, uses, c.at())
+			for _, from := range slices.Sorted(maps.Keys(relayed)) {
+				to.joint.Learn(from, relayed[from], c.at())
 			}
-			for from, uses := range sums {
-				to.joint.Learn(from, uses, c.at())
+			for _, from := range slices.Sorted(maps.Keys(sums)) {
+				to.joint.Learn(from, sums[from], c.at())
 			}
 		})
 	}
