--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -95,9 +95,8 @@
 	return p, nil
 }
 
-// placeByDemand places a request for which engines are chosen, if there is room for it
-// at engines that prefill drain prompt tokens a second.
-// The caller must hold b.mu.
+// placeByDemand places a request for which engines are chosen, if there is room for it.
+// All engines together prefill drain prompt tokens a second. The caller must hold b.mu.
 func (b *Balancer) placeByDemand(e *relay.Exchange, candidates []*serverState, choice serving.Choice, request admission.Request, drain float64, now time.Time) (relay.Placement, error) {
 	ticket, err := b.admitByDemand(e, request, drain, now)
 	if err != nil {
--- a/balance/room.go
+++ b/balance/room.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxQueuedDemand bounds the workspaces and routes of a service whose demand is not
-	// shared yet.
+	// maxQueuedDemand bounds the workspaces and routes of a service whose demand, and
+	// whose errors of predictions, are not shared yet.
 	maxQueuedDemand = 256
 	// fullTimeWindow is how long the longest time that callers of a route state is
 	// remembered. Those who come for the first time state fullTimeShare of it on
@@ -70,7 +70,10 @@
 	}
 	for _, e := range news.Errors {
 		key := errorClass{e.Route, e.Wait}
-		sum := n.errors[key]
+		sum, ok := n.errors[key]
+		if !ok && len(n.errors) >= maxQueuedDemand {
+			continue
+		}
 		e.Count += sum.Count
 		e.Sum += sum.Sum
 		e.Squares += sum.Squares
@@ -383,8 +386,8 @@
 // RoomState is how a service is short of room.
 type RoomState struct {
 	Service models.ServiceName
-	Short   bool
-	Queued  int // prompt tokens that wait at engines, of all daemons
+	Short   bool // in RoomChanges only
+	Queued  int  // prompt tokens that wait at engines, of all daemons
 	Stats   []room.Stats
 	Served  map[string]float64 // share of the requests of a route that are answered, at all daemons
 }
