--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -43,6 +43,9 @@
 	Zone       models.Zone
 	Retries    retry.Settings // budget of all daemons together
 	FirstStart bool           // no daemon has run before: none can have spent the budget
+	// KeepMemory refuses requests for which no engine has the memory at their longest:
+	// engines crash if what they hold exceeds their memory.
+	KeepMemory bool
 	// WorkListener is told of each request of a service whose servers state a pace; nil: none.
 	WorkListener WorkListener
 }
@@ -81,7 +84,9 @@
 	references     map[timingKey]speedReference
 	lastings       map[timingKey]speedReference // of lasting differences
 	works          map[models.ServiceName]*serviceWork
-	prefilling     map[*placement]struct{} // prompts that this daemon waits for
+	others         map[models.ServiceName]*othersSeen
+	typicalHeld    map[models.ServiceName]float64 // tokens that a request of this daemon holds
+	prefilling     map[*placement]struct{}        // prompts that this daemon waits for
 
 	relaying     relayMode
 	changed      bool // the load has changed since the last share
@@ -120,6 +125,8 @@
 		references:     map[timingKey]speedReference{},
 		lastings:       map[timingKey]speedReference{},
 		works:          map[models.ServiceName]*serviceWork{},
+		others:         map[models.ServiceName]*othersSeen{},
+		typicalHeld:    map[models.ServiceName]float64{},
 		prefilling:     map[*placement]struct{}{},
 	}
 }
--- a/balance/compared.go
+++ b/balance/compared.go
@@ -26,11 +26,10 @@
 // prompt's rendezvous order, and in each zone the one with the longest cached prefix. The
 // caller must hold b.mu.
 func (b *Balancer) compared(e *relay.Exchange, candidates []*serverState, now time.Time) []*serverState {
-	service, ok := b.works[e.Service.Name]
-	if !ok {
+	if _, ok := b.works[e.Service.Name]; !ok {
 		return candidates
 	}
-	choices := service.others.choices(len(candidates), now)
+	choices := b.othersOf(e.Service.Name).choices(len(candidates), now)
 	if choices >= len(candidates) {
 		return candidates
 	}
@@ -127,35 +126,78 @@
 
 const (
 	// arrivalMemory is the time constant of the rate of requests of other daemons, and
-	// ageWeight the weight of the latest report in the average age of what they say.
+	// ageWeight the weight of the latest report in the average age of reports.
 	arrivalMemory = 2 * time.Second
-	ageWeight     = 0.05
+	// minCounted is the least time over which a rate is computed.
+	minCounted = 500 * time.Millisecond
+	// askedMemory is the same of the requests to this daemon, which gets few of them.
+	askedMemory = 10 * time.Second
+	ageWeight   = 0.05
 )
 
 // othersSeen is how much the other daemons do, and how old what they say of it is.
 type othersSeen struct {
-	rate float64 // observations per second as of at
-	at   time.Time
-	age  time.Duration // average of loads when they arrive
+	reported decayingRate  // observations of the others
+	asked    decayingRate  // requests to this daemon
+	age      time.Duration // average of reports when they arrive
+}
+
+// decayingRate counts events per second.
+type decayingRate struct {
+	value float64 // as of at
+	at    time.Time
+	since time.Time // of the first event
+}
+
+func (r *decayingRate) add(count float64, memory time.Duration, now time.Time) {
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.value = r.value*math.Exp(-now.Sub(r.at).Seconds()/memory.Seconds()) + count/memory.Seconds()
+	r.at = now
+}
+
+func (r *decayingRate) current(memory time.Duration, now time.Time) float64 {
+	if r.since.IsZero() {
+		return 0
+	}
+	seen := 1 - math.Exp(-max(now.Sub(r.since), minCounted).Seconds()/memory.Seconds())
+	return r.value * math.Exp(-now.Sub(r.at).Seconds()/memory.Seconds()) / seen
 }
 
 // observe records a report of another daemon.
 func (o *othersSeen) observe(report models.SpeedReport, now time.Time) {
-	o.rate = o.decayed(now) + report.Observations/arrivalMemory.Seconds()
-	o.at = now
-	if report.Load.Pace > 0 {
-		o.age += time.Duration(ageWeight * float64(report.LoadAge-o.age))
-	}
+	o.reported.add(report.Observations, arrivalMemory, now)
+	o.age += time.Duration(ageWeight * float64(report.LoadAge-o.age))
+}
+
+// unseen returns how many requests the other daemons are expected to have sent that are
+// not known yet.
+func (o *othersSeen) unseen(now time.Time) float64 {
+	return o.reported.current(arrivalMemory, now) * o.age.Seconds()
 }
 
-func (o *othersSeen) decayed(now time.Time) float64 {
-	return o.rate * math.Exp(-now.Sub(o.at).Seconds()/arrivalMemory.Seconds())
+// unseenAsked returns how many requests some other daemons are expected to have got that
+// are not known yet, if each gets as many as this one.
+func (o *othersSeen) unseenAsked(others int, now time.Time) float64 {
+	return o.asked.current(askedMemory, now) * float64(others) * o.age.Seconds()
+}
+
+// othersOf returns what is known of the other daemons' requests to a service. The caller
+// must hold b.mu.
+func (b *Balancer) othersOf(service models.ServiceName) *othersSeen {
+	o, ok := b.others[service]
+	if !ok {
+		o = &othersSeen{}
+		b.others[service] = o
+	}
+	return o
 }
 
 // choices returns how many of some engines a prompt is placed among: the fewer the more
 // requests to each other daemons are expected to have sent that are not known yet.
 func (o *othersSeen) choices(engines int, now time.Time) int {
-	unseen := o.decayed(now) * o.age.Seconds() / float64(engines)
+	unseen := o.unseen(now) / float64(engines)
 	if unseen*float64(engines) <= choicesPerUnseen {
 		return engines
 	}
--- a/balance/place_bench_test.go
+++ b/balance/place_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"quincewinch/models"
 	"quincewinch/relay"
@@ -67,3 +68,32 @@
 		})
 	}
 }
+
+// BenchmarkPlaceByWork measures the same where the engines state a pace, with loads that
+// are 200 ms old.
+func BenchmarkPlaceByWork(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("zone=%d/engines=%d", size.zoneVMs, size.engines), func(b *testing.B) {
+			balancer, _ := loadedBalancer(size.zoneVMs, size.otherZones, size.engines)
+			report := models.LoadShare{From: "other", Zone: "z", Sequence: 1}
+			for j := range size.engines {
+				report.Speeds = append(report.Speeds, models.SpeedReport{
+					Server: models.EngineID(fmt.Sprintf("decode%d", j)), Observations: 10,
+					Load: models.UpstreamLoad{Running: 3, Slots: 64, Pace: 1}, LoadAge: 200 * time.Millisecond,
+				})
+			}
+			e := promptExchange("catalogue", 100)
+			b.ReportAllocs()
+			for b.Loop() {
+				if report.Sequence++; report.Sequence%100 == 0 {
+					balancer.ReceiveShare(report)
+				}
+				p, err := balancer.Place(e, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.End(relay.ResultCancelled)
+			}
+		})
+	}
+}
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -31,6 +31,7 @@
 	prefillDone       bool
 	prefillerReleased bool // the prefiller no longer counts the request as in flight
 	work              placedWork
+	held              int // tokens of KV cache at the target, and at the prefiller
 	ended             bool
 }
 
@@ -248,6 +249,7 @@
 	p.balancer.changed = true
 	p.target.running--
 	p.endWork(result, now)
+	p.releaseMemory()
 	p.releasePrefill()
 	p.releasePrefiller()
 	p.recordFetch(result, now)
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -54,6 +54,11 @@
 // request was sent before, and KV cache is not fetched for it. The caller must
 // hold b.mu.
 func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*serverState, room time.Time, retried bool, now time.Time) (relay.Placement, error) {
+	usable := len(candidates)
+	candidates = b.withMemory(e.Service, e.Prompt, candidates, now)
+	if usable > 0 && len(candidates) == 0 {
+		return nil, memoryRefusal()
+	}
 	candidates = b.compared(e, candidates, now)
 	orders := rendezvousOrder(e.Prompt, candidates)
 	own := b.generation(e)
@@ -91,6 +96,7 @@
 		return nil, err
 	}
 	p := b.reservePrompt(e, candidates, choice, now)
+	p.holdMemory(e.Prompt)
 	if p.target.work != nil {
 		p.beginWork(kindOf(e), own, choice.Predicted, now)
 	}
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -210,8 +210,8 @@
 func (b *Balancer) ownLoads(now time.Time) map[models.EngineID]models.ServerLoad {
 	loads := map[models.EngineID]models.ServerLoad{}
 	for id, s := range b.states {
-		if s.running > 0 || s.prefillTokens > 0 {
-			load := models.ServerLoad{Running: s.running, PrefillTokens: s.prefillTokens}
+		if s.running > 0 || s.prefillTokens > 0 || s.heldTokens > 0 {
+			load := models.ServerLoad{Running: s.running, PrefillTokens: s.prefillTokens, HeldTokens: s.heldTokens}
 			if s.work != nil {
 				load.Work = s.work.own.Left(now)
 			}
@@ -345,6 +345,7 @@
 		total.Running += load.Running
 		total.PrefillTokens += load.PrefillTokens
 		total.Work += load.Work
+		total.HeldTokens += load.HeldTokens
 		sum[server] = total
 	}
 }
@@ -356,6 +357,7 @@
 		total.Running -= load.Running
 		total.PrefillTokens -= load.PrefillTokens
 		total.Work -= load.Work
+		total.HeldTokens -= load.HeldTokens
 		if total == (models.ServerLoad{}) {
 			delete(sum, server)
 			continue
--- a/balance/speeds.go
+++ b/balance/speeds.go
@@ -145,9 +145,7 @@
 		s := b.stateOf(upstream)
 		b.stateLoad(s, report.Load, now.Add(-report.LoadAge), now)
 		s.observe(sample, now)
-		if s.work != nil {
-			s.work.service.others.observe(report, now)
-		}
+		b.othersOf(upstream.Service).observe(report, now)
 		if b.relaying == relayAll && b.isZonePeer(share) {
 			queueSpeed(b.zoneSpeeds, report, now)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -39,6 +39,7 @@
 	upstream      models.Upstream
 	idHash        uint64 // of the server's ID
 	running       int    // requests of this daemon in flight there
+	heldTokens    int    // of KV cache that requests of this daemon hold there at their longest
 	prefillTokens int    // prompt tokens of this daemon to be prefilled there
 	cache         promptCache
 	limit         *serverLimit // nil: it has stated none
--- a/balance/work.go
+++ b/balance/work.go
@@ -28,7 +28,6 @@
 	costs   *work.Costs // of the time in a slot, without waiting
 	hold    *work.Hold
 	typical time.Duration // expected for all requests
-	others  othersSeen
 }
 
 // serverWork is what is known of the work at a server of such a service.
--- a/balance/work_test.go
+++ b/balance/work_test.go
@@ -19,6 +19,7 @@
 	for name, load := range workLoads(7, 9, 200*time.Millisecond) {
 		t.Run(name, func(t *testing.T) {
 			const seed = 3
+			load.short = true
 			counts := newWorkWorld(t, load, seed).play()
 			load.stated = true
 			work := newWorkWorld(t, load, seed).play()
@@ -99,3 +100,25 @@
 	}
 	is.Equal(found["c0"], "0.6")
 }
+
+// Engines never have to hold more than their memory, also where daemons know of each
+// other's requests 200 ms late and much more is asked than the engines have memory for.
+func TestEnginesMemoryIsKept(t *testing.T) {
+	const capacity = 100_000
+	load := workLoad{daemons: 86, servers: 12, delay: 200 * time.Millisecond, prompts: true, stated: true, answer: 5 * time.Second, capacity: capacity, short: true}
+	is := is.New(t)
+	before := newWorkWorld(t, load, 1).play()
+	is.True(before.fullest > capacity) // without it they would
+	load.keepMemory = true
+	r := newWorkWorld(t, load, 1).play()
+	t.Logf("without: %+v; with: %+v", before, r)
+	if r.fullest > capacity {
+		t.Errorf("an engine held %d tokens, its memory is %d", r.fullest, capacity)
+	}
+	// The memory is enough for 0.63 of the requests; two thirds of that are to be served.
+	if r.refused > 0.58 {
+		t.Errorf("%.2f of the requests were refused", r.refused)
+	}
+	load.answer, load.servers = 100*time.Millisecond, 24
+	is.Equal(newWorkWorld(t, load, 1).play().refused, 0.0) // where there is room nothing is
+}
--- a/models/share.go
+++ b/models/share.go
@@ -30,7 +30,7 @@
 	Observations float64
 	LogRatios    float64       // sum of the logarithms of the time taken over the time predicted
 	Load         UpstreamLoad  // a pace of 0: none
-	LoadAge      time.Duration // since it was stated
+	LoadAge      time.Duration // since it was stated, or else since the last observation
 }
 
 // StreamOrigin is the software that began the stream of a request.
@@ -66,6 +66,9 @@
 	// Work is the time that the requests still occupy a slot of a typical server, one
 	// after the other; 0 where the service's servers state no pace.
 	Work time.Duration
+	// HeldTokens are the tokens of KV cache that the requests hold at their longest; 0
+	// where engines' memory is not kept free.
+	HeldTokens int
 }
 
 // LimitReport is what a backend server stated of its limit in an answer.
--- a/peer/daemon/share.go
+++ b/peer/daemon/share.go
@@ -57,6 +57,7 @@
 			Running: int64(load.Running),
 			Reading: int64(load.PrefillTokens),
 			Work:    int64(load.Work),
+			Held:    int64(load.HeldTokens),
 		})
 	}
 	for _, sent := range share.Prompts {
@@ -94,6 +95,7 @@
 			Running:       int(load.GetRunning()),
 			PrefillTokens: int(load.GetReading()),
 			Work:          time.Duration(max(load.GetWork(), 0)),
+			HeldTokens:    int(max(load.GetHeld(), 0)),
 		}
 	}
 	for _, sent := range form.GetPrompts() {
--- a/peer/daemon/speeds.go
+++ b/peer/daemon/speeds.go
@@ -50,10 +50,11 @@
 // decodeStatedLoad drops what is malformed: nothing can be stated in the future.
 func decodeStatedLoad(form *proto.SpeedReport) (load models.UpstreamLoad, age time.Duration) {
 	pace := form.GetPace()
+	age = min(max(time.Duration(form.GetLoadAge()), 0), maxLoadAge)
 	malformed := form.GetRunning() < 0 || form.GetWaiting() < 0 || form.GetSlots() < 0 || form.GetLoadAge() < 0
 	if malformed || !(pace > 0) || math.IsInf(pace, 0) {
-		return models.UpstreamLoad{}, 0
+		return models.UpstreamLoad{}, age
 	}
 	load = models.UpstreamLoad{Running: int(form.GetRunning()), Waiting: int(form.GetWaiting()), Slots: int(form.GetSlots()), Pace: pace}
-	return load, min(time.Duration(form.GetLoadAge()), maxLoadAge)
+	return load, age
 }
