control: no tick is logged after the stop

quincewinch/commands panicked once in its tests: send on closed channel in lib/logfmt. A goroutine that waits for the next tick of a task may send it to an actor that has stopped; the actor library logs that, and a second later how often it did, while the log is closed right after the stop.

Stop waits for these goroutines before it stops the actors. Other packages were not run with it.

--- a/control/system.go
+++ b/control/system.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -29,6 +30,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	pids   []*actor.PID
+
+	mu    sync.Mutex
+	ticks sync.WaitGroup // goroutines that send a tick; none is added once ctx has ended
 }
 
 // NewSystem returns a system without tasks. The actor library logs to logger.
@@ -52,9 +56,13 @@
 	s.pids = append(s.pids, s.actors.Root.Spawn(props))
 }
 
-// Stop ends all tasks and waits for their last step.
+// Stop ends all tasks and waits for their last step. Nothing is logged after it.
 func (s *System) Stop() {
+	s.mu.Lock()
 	s.cancel()
+	s.mu.Unlock()
+	// The actor library logs a tick that comes after the end of its actor.
+	s.ticks.Wait()
 	for _, pid := range s.pids {
 		_ = s.actors.Root.StopFuture(pid).Wait()
 	}
@@ -79,9 +87,14 @@
 
 // scheduleTick sends the next tick after the interval, unless the system stops.
 func (s *stepper) scheduleTick(self *actor.PID) {
-	go func() {
+	s.system.mu.Lock()
+	defer s.system.mu.Unlock()
+	if s.system.ctx.Err() != nil {
+		return
+	}
+	s.system.ticks.Go(func() {
 		if s.system.clock.Sleep(s.system.ctx, s.interval) == nil {
 			s.system.actors.Root.Send(self, tick{})
 		}
-	}()
+	})
 }
