config: a setting keeps engines' memory

Requests could be kept from engines whose memory they would exceed, but nothing turned that on. The setting engines.keep-memory does; the default is off, so that no deployment is served otherwise than before.

--- a/config/entry.go
+++ b/config/entry.go
@@ -32,6 +32,7 @@
 	Limits           EntryLimits
 	Terms            []string // that the deployment is served under, in the platform's words
 	VM               EntryVM
+	Engines          EntryEngines
 }
 
 // EntryLimits is the section of the limits of workspaces.
@@ -39,6 +40,11 @@
 	Over float64 // share by which the daemons together may exceed a limit
 }
 
+// EntryEngines is the section of model engines.
+type EntryEngines struct {
+	KeepMemory bool // refuse requests for which no engine has the memory at their longest
+}
+
 // EntryCallers is the section of the listener for callers.
 type EntryCallers struct {
 	Address       netip.AddrPort
@@ -119,6 +125,7 @@
 	{"vm.memory-mb", `0`, false, "MB", "memory of this VM, which bounds what callers can make the daemon hold; 0: GOMEMLIMIT, or the machine's", decodeAmount(megabyte, func(s *Entry) *int { return &s.VM.MemoryBytes })},
 	{"vm.descriptors", `0`, false, "", "descriptors that the process may open, which bound connections and requests; 0: its RLIMIT_NOFILE", decodeAmount(1, func(s *Entry) *int { return &s.VM.Descriptors })},
 	{"vm.stall-timeout", `"20s"`, false, "duration", "a connection is closed if in that time less than 16 KiB pass of a body that is read or an answer that is written; 0s: never", decodeNonNegativeDuration(func(s *Entry) *time.Duration { return &s.VM.StallTimeout })},
+	{"engines.keep-memory", `false`, false, "", "send requests only to engines that have the memory for prompt and longest answer, and refuse those that fit nowhere; for engines that crash when their memory is exceeded", decodeBool(func(s *Entry) *bool { return &s.Engines.KeepMemory })},
 }
 
 const (
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,6 +101,7 @@
 
 		WorkListener:  d.workListener(),
 		AdmitByDemand: platform.AdmitsByDemand(settings.Terms),
+		KeepMemory:    settings.Engines.KeepMemory,
 	}, xxhash.Sum64String(settings.Name))
 	if err := d.startSharing(ctx, store); err != nil {
 		return err
