intake: faults found by its review

A review showed, with small tests: a kept connection could be closed as standing still, since two of its requests were compared as one; an answer that was complete but not yet written counted as idle, and could be cut for another connection; requests held their bodies while their answers waited for room in the same account, and could wait for each other; lines of a body read with its head were charged as lines of the head; on a VM below 64 MB the runtime's limit was above the VM's memory, and each further daemon in one process lowered it again.

A connection is idle once http.Server reads on after the answer. The mark of progress is cleared with each request, and the charge of a head settled once it is parsed.

TestNextBodyDoesNotStandStill, TestAnswerIsWrittenBeforeItsConnectionIsIdle and TestBodyIsNotChargedAsHead guard them. go test ./intake ./entry ./platform ./lib/drain passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -136,7 +136,7 @@
 func (d *Daemon) newHandler() relay.Handler {
 	upstreams := platform.NewUpstreams(platform.NewTransport(upstreamTransport))
 	sender := relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger)
-	sender.LimitAnswers(d.intake.Bytes())
+	sender.LimitAnswers(d.intake.Answers())
 	d.recorder = relay.NewRecorder(d.registry, d.clock, d.logger)
 	return relay.Chain(
 		sender,
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"runtime/debug"
+	"sync"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
@@ -18,7 +19,7 @@
 func (d *Daemon) limitIntake(vm config.EntryVM) {
 	memory, descriptors := vm.MemoryBytes, vm.Descriptors
 	if memory == 0 {
-		memory = processMemory()
+		memory = machineMemory()
 	}
 	if descriptors == 0 {
 		descriptors = processDescriptors()
@@ -34,11 +35,15 @@
 		zap.Int("descriptors", descriptors),
 		zap.Int("runtime-bytes", limits.RuntimeBytes),
 		zap.Int("held-bytes", limits.Bytes),
+		zap.Int("answer-bytes", limits.AnswerBytes),
 		zap.Int("requests", limits.Requests),
 		zap.Int("connections", limits.Connections),
 		zap.Duration("stall-timeout", limits.Stall))
 }
 
+// machineMemory is processMemory as it was before the daemon set a limit.
+var machineMemory = sync.OnceValue(processMemory)
+
 // processMemory returns the memory of the process in bytes: the limit that the
 // environment gives the Go runtime, or the machine's memory; 0 if neither is known.
 func processMemory() int {
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -34,6 +34,7 @@
 	phaseIdle    phase = iota // no request, or a head that is not complete
 	phaseBody                 // a request whose body is being read, or is not read at all
 	phaseRunning              // a request that is being answered
+	phaseDone                 // a request whose answer is complete, and may not be written yet
 	phaseClosed
 )
 
@@ -67,13 +68,19 @@
 }
 
 // Read implements net.Conn. It charges the bytes of a head before they are parsed.
+// http.Server reads on only once an answer is written. While it handles a request it
+// reads one byte ahead, which is not of a head that is being read.
 func (c *conn) Read(b []byte) (int, error) {
+	ahead := len(b) == 1
+	if !ahead && phase(c.phase.Load()) == phaseDone {
+		c.intake.setPhase(c, phaseIdle)
+	}
 	n, err := c.Conn.Read(b)
 	if n <= 0 {
 		return n, err
 	}
 	c.read.Add(int64(n))
-	if phase(c.phase.Load()) == phaseIdle {
+	if !ahead && phase(c.phase.Load()) == phaseIdle {
 		if refusal := c.countHead(b[:n]); refusal != "" {
 			return 0, c.refuse(refusal)
 		}
@@ -118,10 +125,27 @@
 	return true
 }
 
-// endRequest returns what the head was charged, before the next one begins.
+// settleHead returns what the head was charged beyond its cost: what was read with it may
+// be part of a body.
+func (c *conn) settleHead(cost int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	excess := c.headCharged - max(cost-freeHeadBytes, 0)
+	if excess <= 0 {
+		return
+	}
+	c.intake.bytes.Return(holderHeads, KindHead, excess)
+	c.headCharged -= excess
+}
+
+// endRequest returns what the head was charged, before the next one begins. The next
+// body and the next answer are not compared with this one's.
 func (c *conn) endRequest() {
 	c.headBytes, c.headLines = 0, 0
 	c.returnHead()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mark = progress{}
 }
 
 // returnHead returns what the head was charged.
--- a/intake/conn_test.go
+++ b/intake/conn_test.go
@@ -87,3 +87,58 @@
 		is.Equal(i.Connections(), 0)
 	})
 }
+
+// begin begins a request on a connection.
+func begin(t *testing.T, i *Intake, c *conn) *Request {
+	t.Helper()
+	is := is.New(t)
+	r, err := http.NewRequestWithContext(WithConn(t.Context(), c), http.MethodPost, "/", http.NoBody)
+	is.NoErr(err)
+	begun, err := i.Begin(r)
+	is.NoErr(err)
+	return begun
+}
+
+// TestNextBodyDoesNotStandStill guards against a kept connection that is closed because two
+// of its requests were taken for one that stands still.
+func TestNextBodyDoesNotStandStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		i := newIntake(Limits{Stall: 10 * time.Second})
+		c, _ := connect(t, i)
+		for range 2 {
+			request := begin(t, i, c)
+			i.Step(t.Context())
+			request.End()
+			is.NoErr(i.clock.Sleep(t.Context(), 25*time.Second))
+		}
+		is.Equal(i.Connections(), 1)
+	})
+}
+
+// TestAnswerIsWrittenBeforeItsConnectionIsIdle guards against a connection that is closed
+// for another while http.Server still has to write its answer.
+func TestAnswerIsWrittenBeforeItsConnectionIsIdle(t *testing.T) {
+	is := is.New(t)
+	i := newIntake(Limits{Connections: 1})
+	c, caller := connect(t, i)
+	begin(t, i, c).End()
+	other, _ := net.Pipe()
+	is.True(!i.add(&conn{Conn: other, intake: i})) // there is none to be closed for it
+	go func() { _, _ = caller.Write([]byte("GET")) }()
+	_, err := c.Read(make([]byte, 16)) // of the next request: the answer is written
+	is.NoErr(err)
+	is.True(i.add(&conn{Conn: other, intake: i}))
+}
+
+// TestBodyIsNotChargedAsHead guards against bodies of many lines that take the room for
+// heads.
+func TestBodyIsNotChargedAsHead(t *testing.T) {
+	is := is.New(t)
+	i := newIntake(Limits{Bytes: 10 << 20})
+	c, _ := connect(t, i)
+	is.Equal(c.countHead([]byte(strings.Repeat("\n", 4096))), "")
+	is.True(i.bytes.Held(KindHead) > 0)
+	begin(t, i, c)
+	is.Equal(i.bytes.Held(KindHead), 0)
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -52,7 +52,8 @@
 	clock        peer.Clock
 	logger       *zap.Logger
 	metrics      *metrics
-	bytes        *Account
+	bytes        *Account // of heads and bodies
+	answers      *Account // bytes
 	requests     *Account
 
 	mu   sync.Mutex
@@ -71,16 +72,16 @@
 	}
 	i := &Intake{
 		limits: limits, maxHeadBytes: maxHeadBytes, clock: clock, logger: logger,
-		bytes: NewAccount(amount(limits.Bytes)), requests: NewAccount(amount(limits.Requests)),
+		bytes: NewAccount(amount(limits.Bytes)), answers: NewAccount(amount(limits.AnswerBytes)), requests: NewAccount(amount(limits.Requests)),
 		open: map[*conn]*list.Element{}, idle: list.New(),
 	}
 	i.metrics = newMetrics(i)
 	return i
 }
 
-// Bytes returns the account of memory.
-func (i *Intake) Bytes() *Account {
-	return i.bytes
+// Answers returns the account of the bytes of answers.
+func (i *Intake) Answers() *Account {
+	return i.answers
 }
 
 // Listen returns a listener whose connections stay within the limits.
--- a/intake/metrics.go
+++ b/intake/metrics.go
@@ -25,11 +25,12 @@
 			Help: "Connections of callers closed because a limit of the VM was reached, by reason.",
 		}, []string{"reason"}),
 	}
-	for _, kind := range []Kind{KindHead, KindBody, KindAnswer} {
-		m.gauge("held_bytes", "Bytes held for others, by kind.", prometheus.Labels{"kind": string(kind)}, func() float64 { return float64(i.bytes.Held(kind)) })
+	for kind, account := range map[Kind]*Account{KindHead: i.bytes, KindBody: i.bytes, KindAnswer: i.answers} {
+		m.gauge("held_bytes", "Bytes held for others, by kind.", prometheus.Labels{"kind": string(kind)}, func() float64 { return float64(account.Held(kind)) })
 	}
-	m.gauge("held_bytes_peak", "Most bytes held for others at one time.", nil, func() float64 { return float64(i.bytes.Peak()) })
-	m.gauge("limit_bytes", "Bytes that may be held for others; 0: not limited.", nil, func() float64 { return float64(i.limits.Bytes) })
+	m.gauge("held_bytes_peak", "Most bytes of heads and bodies held at one time.", nil, func() float64 { return float64(i.bytes.Peak()) })
+	m.gauge("limit_bytes", "Bytes of heads and bodies that may be held; 0: not limited.", nil, func() float64 { return float64(i.limits.Bytes) })
+	m.gauge("limit_answer_bytes", "Bytes of answers that may be held; 0: not limited.", nil, func() float64 { return float64(i.limits.AnswerBytes) })
 	m.gauge("requests", "Requests between their head and their answer.", nil, func() float64 { return float64(i.requests.Held(KindRequest)) })
 	m.gauge("connections", "Open connections of callers.", nil, func() float64 { return float64(i.Connections()) })
 	return m
--- a/intake/request.go
+++ b/intake/request.go
@@ -42,9 +42,11 @@
 		return request, &models.Refusal{Code: models.RefusalCancelled, Message: "the connection was closed for another", NotRun: true}
 	}
 	// The head may have been read with the request before.
-	if !c.chargeHead(headCost(0, lineCount(r.Header))) {
+	lines := lineCount(r.Header)
+	if !c.chargeHead(headCost(0, lines)) {
 		return request, i.refusal(reasonHeads)
 	}
+	c.settleHead(headCost(c.headBytes, lines))
 	return request, nil
 }
 
@@ -126,7 +128,8 @@
 	}
 }
 
-// End returns what the request holds.
+// End returns what the request holds. The answer may still have to be written, so that its
+// connection is not idle yet.
 func (q *Request) End() {
 	q.intake.bytes.Return(q.holder, KindBody, q.body)
 	if q.placed {
@@ -135,7 +138,7 @@
 	if q.conn != nil {
 		q.conn.endRequest()
 		if !q.unread {
-			q.intake.setPhase(q.conn, phaseIdle)
+			q.intake.setPhase(q.conn, phaseDone)
 		}
 	}
 }
