balance, limit, check: faults found by the review of the joined parts

A review of the parts after they were joined showed, with small tests:

- Where servers state a pace and requests are admitted by demand, the queue of all engines was divided by the rate of the few engines that a request is placed among: of 100 requests beside 5,000 queued tokens an engine all were refused.
- One request that states 2^27 tokens took the limit of its workspace away at all daemons for seconds, and for minutes if it was admitted by chance.
What a limit does not allow within four seconds is refused and does not count as offered (TestRequestThatNeverFits).
- Load shares carried ages of observations where nothing uses them, 14% of a share with 90 reports; and up to 64 of 256 errors of predictions were read.

--- a/balance/held.go
+++ b/balance/held.go
@@ -1,9 +1,12 @@
 package balance
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"quincewinch/models"
+	"quincewinch/relay"
 )
 
 const (
@@ -61,11 +64,54 @@
 // expected to have sent that is not known yet. All daemons see the same room and would
 // take it at once; where that matters each takes its part of it by chance. It returns
 // none if there is no engine. The caller must hold b.mu.
-func (b *Balancer) withMemory(service models.RoutedService, prompt models.Prompt, candidates []*serverState, now time.Time) []*serverState {
+func (b *Balancer) withMemory(e *relay.Exchange, candidates []*serverState, now time.Time) []*serverState {
+	service := e.Service
 	if !b.settings.KeepMemory || service.Engine.Capacity <= 0 {
 		return candidates
 	}
-	held := heldTokens(prompt)
+	held := heldTokens(e.Prompt)
+	prefillers, targets := splitByRole(candidates)
+	if e.Sends > 0 || e.Origin != nil {
+		return slices.Concat(prefillers, b.roomiest(service, held, targets))
+	}
+	fitting := b.drawByMemory(service, held, targets, now)
+	if len(fitting) == 0 {
+		return nil
+	}
+	return slices.Concat(prefillers, fitting)
+}
+
+// splitByRole returns the engines that only prefill prompts, and the others.
+func splitByRole(candidates []*serverState) (prefillers, targets []*serverState) {
+	for _, s := range candidates {
+		if s.upstream.Role == models.RolePrefill {
+			prefillers = append(prefillers, s)
+		} else {
+			targets = append(targets, s)
+		}
+	}
+	return prefillers, targets
+}
+
+// roomiest returns the engines with room for a request that was sent before, which is not
+// refused for lack of it; all of them if none has room. The caller must hold b.mu.
+func (b *Balancer) roomiest(service models.RoutedService, held int, targets []*serverState) []*serverState {
+	room := b.memoryRoom(service, held, targets)
+	if room.total == 0 {
+		return targets
+	}
+	var fitting []*serverState
+	for i, s := range targets {
+		if room.requests[i] > 0 {
+			fitting = append(fitting, s)
+		}
+	}
+	return fitting
+}
+
+// drawByMemory implements withMemory for a request that was not sent before. The caller
+// must hold b.mu.
+func (b *Balancer) drawByMemory(service models.RoutedService, held int, candidates []*serverState, now time.Time) []*serverState {
 	typical, ok := b.typicalHeld[service.Name]
 	if !ok {
 		typical = float64(held)
@@ -78,7 +124,7 @@
 	if float64(room.total) < unseenFactor*unseen && b.random.Float64()*unseenFactor*unseen >= float64(room.total) {
 		return nil
 	}
-	ample := minAmple + int(unseen) // also if all of them went to the same engine
+	ample := minAmple + int(math.Ceil(unseenFactor*unseen/float64(max(len(candidates), 1))))
 	var fitting []*serverState
 	for i, s := range candidates {
 		if room.requests[i] > ample {
--- a/balance/prompt.go
+++ b/balance/prompt.go
@@ -54,8 +54,9 @@
 // request was sent before, and KV cache is not fetched for it. The caller must
 // hold b.mu.
 func (b *Balancer) placePrompt(e *relay.Exchange, candidates []*serverState, room time.Time, retried bool, now time.Time) (relay.Placement, error) {
+	drain := b.drainRate(candidates, now)
 	usable := len(candidates)
-	candidates = b.withMemory(e.Service, e.Prompt, candidates, now)
+	candidates = b.withMemory(e, candidates, now)
 	if usable > 0 && len(candidates) == 0 {
 		return nil, memoryRefusal()
 	}
@@ -95,7 +96,7 @@
 	var ticket *roomTicket
 	var err error
 	if b.settings.AdmitByDemand {
-		ticket, err = b.admitByDemand(e, request, drainRate(engines), now)
+		ticket, err = b.admitByDemand(e, request, drain, now)
 	} else {
 		err = b.admit(e, request, retried, now)
 	}
--- a/balance/room.go
+++ b/balance/room.go
@@ -10,7 +10,6 @@
 	"quincewinch/policy/admission"
 	"quincewinch/policy/fleet"
 	"quincewinch/policy/room"
-	"quincewinch/policy/serving"
 	"quincewinch/relay"
 )
 
@@ -195,14 +194,19 @@
 	return time.Duration(longest.Observe(now, float64(stated)))
 }
 
-// drainRate returns the prompt tokens that some engines prefill in a second: those for
-// prefill, if there are any.
-func drainRate(engines []serving.Engine) float64 {
+// drainRate returns the prompt tokens that all engines for a request prefill in a second:
+// those for prefill, if there are any. It is 0 where requests are not admitted by demand.
+// The caller must hold b.mu.
+func (b *Balancer) drainRate(candidates []*serverState, now time.Time) float64 {
+	if !b.settings.AdmitByDemand {
+		return 0
+	}
 	var prefill, all float64
-	for _, engine := range engines {
-		all += engine.Rate
-		if engine.Role == models.RolePrefill {
-			prefill += engine.Rate
+	for _, s := range candidates {
+		rate := b.timings.prefill(s.upstream).TokensPerSecond() / b.speedFactor(s, now)
+		all += rate
+		if s.upstream.Role == models.RolePrefill {
+			prefill += rate
 		}
 	}
 	if prefill > 0 {
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -46,7 +46,7 @@
 	var share models.LoadShare
 	share.Loads = b.ownLoads(now)
 	share.Limits = b.limitReports(originAnswer, now)
-	share.Speeds = takeSpeeds(b.unsharedSpeeds, now)
+	share.Speeds = b.takeSpeeds(b.unsharedSpeeds, now)
 	share.Uses = b.settings.Uses.Report(false)
 	share.Demand = b.nextDemand(false, now)
 	share.Prompts = b.unsharedPrompts
@@ -82,7 +82,7 @@
 		Loads:   b.ownLoads(now),
 		Prompts: b.zonePrompts,
 		Limits:  b.limitReports(originZone, now),
-		Speeds:  takeSpeeds(b.zoneSpeeds, now),
+		Speeds:  b.takeSpeeds(b.zoneSpeeds, now),
 		Uses:    b.settings.Uses.Report(true),
 		Demand:  b.nextDemand(true, now),
 	}
@@ -109,7 +109,7 @@
 		}
 		sum := r.share
 		sum.Limits = agedLimits(sum.Limits, now.Sub(r.receivedAt))
-		sum.Speeds = agedSpeeds(sum.Speeds, now.Sub(r.receivedAt))
+		sum.Speeds = b.agedSpeeds(sum.Speeds, now.Sub(r.receivedAt))
 		sums = append(sums, sum)
 		r.share.Prompts = nil
 		r.share.Speeds = nil
@@ -159,7 +159,7 @@
 		}
 		share := r.share
 		share.Limits = agedLimits(share.Limits, now.Sub(r.receivedAt))
-		share.Speeds = agedSpeeds(share.Speeds, now.Sub(r.receivedAt))
+		share.Speeds = b.agedSpeeds(share.Speeds, now.Sub(r.receivedAt))
 		shares = append(shares, share)
 		r.share.Prompts = nil
 		r.share.Speeds = nil
@@ -275,7 +275,7 @@
 	b.changed = b.changed || relays && b.relaying == relayDirect
 	if ok && (IsZoneSum(share.From) || relays) {
 		// Keep the prompts and speeds that have not been relayed yet.
-		share.Speeds = slices.Concat(agedSpeeds(previous.share.Speeds, now.Sub(previous.receivedAt)), share.Speeds)
+		share.Speeds = slices.Concat(b.agedSpeeds(previous.share.Speeds, now.Sub(previous.receivedAt)), share.Speeds)
 		share.Speeds = share.Speeds[max(0, len(share.Speeds)-maxQueuedSpeeds):]
 		share.Prompts = slices.Concat(previous.share.Prompts, share.Prompts)
 		share.Prompts = share.Prompts[max(0, len(share.Prompts)-maxQueuedPrompts):]
--- a/balance/speeds.go
+++ b/balance/speeds.go
@@ -176,21 +176,31 @@
 }
 
 // takeSpeeds empties a queue of reports. The caller must hold b.mu.
-func takeSpeeds(queue map[models.EngineID]queuedSpeed, now time.Time) []models.SpeedReport {
+func (b *Balancer) takeSpeeds(queue map[models.EngineID]queuedSpeed, now time.Time) []models.SpeedReport {
 	reports := make([]models.SpeedReport, 0, len(queue))
 	for _, queued := range queue {
-		queued.LoadAge += now.Sub(queued.at)
+		if b.agesMatter(queued.SpeedReport) {
+			queued.LoadAge += now.Sub(queued.at)
+		}
 		reports = append(reports, queued.SpeedReport)
 	}
 	clear(queue)
 	return reports
 }
 
+// agesMatter reports whether the age of a report is of use to other daemons. Where it is
+// not, it is left out of load shares.
+func (b *Balancer) agesMatter(report models.SpeedReport) bool {
+	return report.Load.Pace > 0 || b.settings.KeepMemory
+}
+
 // agedSpeeds returns reports as of some time later.
-func agedSpeeds(reports []models.SpeedReport, by time.Duration) []models.SpeedReport {
+func (b *Balancer) agedSpeeds(reports []models.SpeedReport, by time.Duration) []models.SpeedReport {
 	aged := make([]models.SpeedReport, 0, len(reports))
 	for _, report := range reports {
-		report.LoadAge += by
+		if b.agesMatter(report) {
+			report.LoadAge += by
+		}
 		aged = append(aged, report)
 	}
 	return aged
--- a/check/compare.go
+++ b/check/compare.go
@@ -6,6 +6,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"unicode"
 
@@ -135,6 +136,7 @@
 func (c *comparison) compareWorkspaces(before, after []Workspace) {
 	old, current := keysByWorkspace(before), keysByWorkspace(after)
 	limits, nextLimits := limitsByWorkspace(before), limitsByWorkspace(after)
+	ranks, nextRanks := ranksByWorkspace(before), ranksByWorkspace(after)
 	for _, name := range unionOfKeys(old, current) {
 		subject := Subject{Kind: KindWorkspace, Name: name}
 		was, existed := old[name]
@@ -148,11 +150,25 @@
 			if !maps.Equal(was, is) {
 				c.add(subject, ChangeField, "keys", keyCount(was, is, "withdrawn"), keyCount(is, was, "given"))
 			}
+			if before, after := ranks[name], nextRanks[name]; before != after {
+				c.add(subject, ChangeField, "rank", before, after)
+			}
 			c.compareFields(subject, limits[name], nextLimits[name])
 		}
 	}
 }
 
+func ranksByWorkspace(list []Workspace) map[string]string {
+	ranks := map[string]string{}
+	for _, w := range list {
+		ranks[string(w.Name)] = "none"
+		if w.Rank != nil {
+			ranks[string(w.Name)] = strconv.Itoa(*w.Rank)
+		}
+	}
+	return ranks
+}
+
 func limitsByWorkspace(list []Workspace) map[string]models.RateLimit {
 	limits := map[string]models.RateLimit{}
 	for _, w := range list {
--- a/peer/daemon/demand.go
+++ b/peer/daemon/demand.go
@@ -13,7 +13,7 @@
 	maxSharedServices   = 64
 	maxSharedUrgencies  = 16
 	maxSharedWorkspaces = 512
-	maxSharedErrors     = 64
+	maxSharedErrors     = 256
 	// maxLogRatio bounds the mean of the logarithms in a sum of observations.
 	maxLogRatio = 10
 )
--- a/policy/limit/joint.go
+++ b/policy/limit/joint.go
@@ -39,6 +39,10 @@
 	initialInterval = 200 * time.Millisecond
 )
 
+// MaxRequestPeriod is the time in which a limit has to allow, beside its burst, what a single
+// request counts.
+const MaxRequestPeriod = 4 * time.Second
+
 // Group is the daemons that share limits, as one of them hears of them.
 type Group struct {
 	// Sources are the numbers of daemons behind each sender of reports: one daemon, or
@@ -174,7 +178,8 @@
 }
 
 // Admit decides on a request of a workspace that counts an amount against its limit, and
-// counts it if admitted. A workspace without a limit is admitted.
+// counts it if admitted. A workspace without a limit is admitted. A request that counts more
+// than the limit allows in MaxRequestPeriod is refused, and not counted as offered.
 func (j *Joint) Admit(workspace models.Workspace, amount float64, now time.Time) Decision {
 	limit, limited := j.limits[workspace]
 	if !limited {
@@ -182,6 +187,10 @@
 	}
 	j.checkContacts(now)
 	r := j.rate(workspace, limit, now)
+	if amount > limit.PerSecond*MaxRequestPeriod.Seconds()+limit.Burst {
+		// Others of the workspace would be refused for long, whether it is admitted or not.
+		return Decision{Limit: limitName(limit), RetryAfter: maxJointRetryAfter}
+	}
 	r.own.offer(amount, now)
 	chance, wait := r.chance(j, now)
 	if chance < 1 && j.random.Float64() >= chance {
--- a/policy/limit/joint_test.go
+++ b/policy/limit/joint_test.go
@@ -415,3 +415,18 @@
 		}
 	}
 }
+
+// TestRequestThatNeverFits guards against one request of an absurd size that uses up the
+// limit of its workspace by being refused.
+func TestRequestThatNeverFits(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	j := limit.NewJoint(limit.JointSettings{Filled: true, Seed: 1}, now)
+	j.SetGroup(limit.Group{Listed: true}, now)
+	j.SetLimits(map[models.Workspace]models.RateLimit{"w": {PerSecond: 200_000, Burst: 200_000, Tokens: true}}, now)
+	is.True(!j.Admit("w", 1<<27, now).Admitted)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		is.True(j.Admit("w", 5000, now).Admitted)
+	}
+}
