--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,7 @@
 	clock           peer.Clock
 	wall            peer.Clock // wall-clock time, for billing windows
 	droppedLines    func() int64
+	transport       func(idle time.Duration) *http.Transport // to backend servers
 	registry        *prometheus.Registry
 	system          *control.System
 	configuration   *routing.Configuration
@@ -69,6 +70,7 @@
 		clock:        clock,
 		wall:         wall,
 		droppedLines: droppedLines,
+		transport:    upstreamTransport,
 		registry:     prometheus.NewRegistry(),
 		system:       control.NewSystem(clock, logfmt.Standard(logger)),
 	}
@@ -134,7 +136,7 @@
 
 // newHandler returns the chain of filters that handles each request.
 func (d *Daemon) newHandler() relay.Handler {
-	upstreams := platform.NewUpstreams(platform.NewTransport(upstreamTransport))
+	upstreams := platform.NewUpstreams(platform.NewTransport(d.transport))
 	sender := relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger)
 	sender.LimitAnswers(d.intake.Answers())
 	d.recorder = relay.NewRecorder(d.registry, d.clock, d.logger)
