--- a/peer/daemon/client.go
+++ b/peer/daemon/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -40,11 +41,15 @@
 	traffic     *Traffic
 	credentials credentials.TransportCredentials
 	timeout     time.Duration // of one call
+	dial        Dial          // nil: the dialer of grpc
 
 	mu          sync.Mutex
 	connections map[netip.AddrPort]*grpc.ClientConn
 }
 
+// Dial opens connections.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client without connections.
 func NewClient(credentials credentials.TransportCredentials, timeout time.Duration, traffic *Traffic) *Client {
 	return &Client{
@@ -55,6 +60,12 @@
 	}
 }
 
+// SetDial makes the client open its connections by a function. It must be called before
+// the first call.
+func (c *Client) SetDial(dial Dial) {
+	c.dial = dial
+}
+
 // Exchange implements peer.Daemons.
 func (c *Client) Exchange(ctx context.Context, to models.VM, message models.Gossip) (models.Gossip, error) {
 	connection, err := c.connection(to.Address)
@@ -123,8 +134,7 @@
 	if connection, ok := c.connections[address]; ok {
 		return connection, nil
 	}
-	connection, err := grpc.NewClient(
-		"passthrough:///"+address.String(),
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithStatsHandler(c.traffic),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -137,7 +147,13 @@
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
-	)
+	}
+	if c.dial != nil {
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return c.dial(ctx, "tcp", address)
+		}))
+	}
+	connection, err := grpc.NewClient("passthrough:///"+address.String(), options...)
 	if err != nil {
 		return nil, peer.NewFailure(peer.OutcomeNotDone, "connect to daemon "+address.String(), errors.Trace(err))
 	}
--- a/peer/daemon/server.go
+++ b/peer/daemon/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
@@ -11,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"quincewinch/models"
+	"quincewinch/peer"
 	"quincewinch/peer/daemon/proto"
 )
 
@@ -25,11 +27,14 @@
 // Server is the gRPC server for the other daemons.
 type Server struct {
 	proto.UnimplementedDaemonsServer
-	receiver Receiver
-	shares   ShareReceiver
-	changes  ChangeReader
-	rows     RowWriter
-	server   *grpc.Server
+	receiver   Receiver
+	shares     ShareReceiver
+	changes    ChangeReader
+	rows       RowWriter
+	forwarder  Forwarder
+	clock      peer.Clock
+	forwarding atomic.Int64
+	server     *grpc.Server
 }
 
 // NewServer returns a server for gossip and time lines. It does not listen
