--- a/peer/daemon/client.go
+++ b/peer/daemon/client.go
@@ -33,6 +33,10 @@
 	reconnectJitter = 0.2
 	// connectTimeout limits one connection attempt.
 	connectTimeout = time.Second
+	// unreadStreamBytes bounds what a client that limits it holds of an answer that is
+	// not read, and unreadConnectionBytes what is under way on a connection.
+	unreadStreamBytes     = 64 << 10
+	unreadConnectionBytes = 1 << 20
 )
 
 // Client calls the other daemons, over one connection to each. It implements
@@ -42,6 +46,7 @@
 	credentials credentials.TransportCredentials
 	timeout     time.Duration // of one call
 	dial        Dial          // nil: the dialer of grpc
+	limitUnread bool
 
 	mu          sync.Mutex
 	connections map[netip.AddrPort]*grpc.ClientConn
@@ -66,6 +71,12 @@
 	c.dial = dial
 }
 
+// LimitUnread makes the client hold little of answers that are not read. Otherwise grpc
+// lets it grow with the speed of the network. It must be called before the first call.
+func (c *Client) LimitUnread() {
+	c.limitUnread = true
+}
+
 // Exchange implements peer.Daemons.
 func (c *Client) Exchange(ctx context.Context, to models.VM, message models.Gossip) (models.Gossip, error) {
 	connection, err := c.connection(to.Address)
@@ -153,6 +164,9 @@
 			return c.dial(ctx, "tcp", address)
 		}))
 	}
+	if c.limitUnread {
+		options = append(options, grpc.WithStaticStreamWindowSize(unreadStreamBytes), grpc.WithStaticConnWindowSize(unreadConnectionBytes))
+	}
 	connection, err := grpc.NewClient("passthrough:///"+address.String(), options...)
 	if err != nil {
 		return nil, peer.NewFailure(peer.OutcomeNotDone, "connect to daemon "+address.String(), errors.Trace(err))
--- a/peer/daemon/forward.go
+++ b/peer/daemon/forward.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return models.KVSource{}, peer.UpstreamResponse{}, err
 	}
-	defer forwarded.Close()
+	defer forwarded.cancel(nil)
 	answer, source, err := forwarded.answer()
 	if err != nil {
 		return models.KVSource{}, peer.UpstreamResponse{}, err
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	defer forwarded.Close()
+	defer forwarded.cancel(nil)
 	return forwarded.end()
 }
 
@@ -102,7 +102,8 @@
 		defer cancel(nil)
 		return nil, c.failure(peer.OutcomeNotDone, err)
 	}
-	// grpc repeats a stream on its own only before the first message of its answer.
+	// From here on the call may run. grpc repeats a stream on its own only before the first
+	// message of its answer, so that the call runs once.
 	if err := c.stream.CloseSend(); err != nil {
 		defer cancel(nil)
 		return nil, c.failure(peer.OutcomeUnknown, err)
--- a/peer/daemon/fuzz_test.go
+++ b/peer/daemon/fuzz_test.go
@@ -58,3 +58,28 @@
 		}
 	})
 }
+
+// FuzzForwardedCall checks that any message accepted by protobuf can be decoded, and that
+// what is accepted survives another round trip.
+func FuzzForwardedCall(f *testing.F) {
+	raw, err := gproto.Marshal(encodeCall(proto.ForwardKind_FORWARD_KIND_SEND, target(), fullCall()))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte{0x12, 0x00, 0x7a, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var form proto.ForwardedCall
+		if err := gproto.Unmarshal(raw, &form); err != nil {
+			return
+		}
+		to, call, err := decodeCall(&form)
+		if err != nil {
+			return
+		}
+		toAgain, again, err := decodeCall(encodeCall(form.GetKind(), to, call))
+		if err != nil || !reflect.DeepEqual(to, toAgain) || !reflect.DeepEqual(call, again) {
+			t.Errorf("round trip changed %+v %+v to %+v %+v: %v", to, call, toAgain, again, err)
+		}
+	})
+}
