--- a/peer/daemon/client.go
+++ b/peer/daemon/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -32,6 +33,10 @@
 	reconnectJitter = 0.2
 	// connectTimeout limits one connection attempt.
 	connectTimeout = time.Second
+	// unreadStreamBytes bounds what a client that limits it holds of an answer that is
+	// not read, and unreadConnectionBytes what is under way on a connection.
+	unreadStreamBytes     = 64 << 10
+	unreadConnectionBytes = 1 << 20
 )
 
 // Client calls the other daemons, over one connection to each. It implements
@@ -40,11 +45,16 @@
 	traffic     *Traffic
 	credentials credentials.TransportCredentials
 	timeout     time.Duration // of one call
+	dial        Dial          // nil: the dialer of grpc
+	limitUnread bool
 
 	mu          sync.Mutex
 	connections map[netip.AddrPort]*grpc.ClientConn
 }
 
+// Dial opens connections.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client without connections.
 func NewClient(credentials credentials.TransportCredentials, timeout time.Duration, traffic *Traffic) *Client {
 	return &Client{
@@ -55,6 +65,18 @@
 	}
 }
 
+// SetDial makes the client open its connections by a function. It must be called before
+// the first call.
+func (c *Client) SetDial(dial Dial) {
+	c.dial = dial
+}
+
+// LimitUnread makes the client hold little of answers that are not read. Otherwise grpc
+// lets it grow with the speed of the network. It must be called before the first call.
+func (c *Client) LimitUnread() {
+	c.limitUnread = true
+}
+
 // Exchange implements peer.Daemons.
 func (c *Client) Exchange(ctx context.Context, to models.VM, message models.Gossip) (models.Gossip, error) {
 	connection, err := c.connection(to.Address)
@@ -123,8 +145,7 @@
 	if connection, ok := c.connections[address]; ok {
 		return connection, nil
 	}
-	connection, err := grpc.NewClient(
-		"passthrough:///"+address.String(),
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithStatsHandler(c.traffic),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -137,7 +158,16 @@
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
-	)
+	}
+	if c.dial != nil {
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return c.dial(ctx, "tcp", address)
+		}))
+	}
+	if c.limitUnread {
+		options = append(options, grpc.WithStaticStreamWindowSize(unreadStreamBytes), grpc.WithStaticConnWindowSize(unreadConnectionBytes))
+	}
+	connection, err := grpc.NewClient("passthrough:///"+address.String(), options...)
 	if err != nil {
 		return nil, peer.NewFailure(peer.OutcomeNotDone, "connect to daemon "+address.String(), errors.Trace(err))
 	}
