--- a/balance/statements.go
+++ b/balance/statements.go
@@ -12,6 +12,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, ok := b.states[server.ID]
+	if !ok && b.registered(server) {
+		s, ok = b.stateOf(server), true // called for another daemon only
+	}
 	if !ok || !s.upstream.SameIncarnation(server) {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"quincewinch/balance"
 	"quincewinch/config"
 	"quincewinch/control"
+	"quincewinch/detour"
 	"quincewinch/intake"
 	"quincewinch/lib/drain"
 	"quincewinch/lib/logfmt"
@@ -54,6 +55,8 @@
 	balancer        *balance.Balancer
 	limits          *ratelimit.Limits // of workspaces
 	intake          *intake.Intake
+	reach           *detour.Reach
+	upstreams       *detour.Upstreams
 	recorder        *relay.Recorder
 	callers         *drain.Server
 	sharing         sharing
@@ -105,17 +108,19 @@
 		AdmitByDemand: platform.AdmitsByDemand(settings.Terms),
 		KeepMemory:    settings.Engines.KeepMemory,
 	}, xxhash.Sum64String(settings.Name))
+	d.limitIntake(settings.VM)
+	d.prepareUpstreams()
 	if err := d.startSharing(ctx, store); err != nil {
 		return err
 	}
 	d.startDuties(store)
-	d.limitIntake(settings.VM)
 	if err := d.listen(ctx, d.newHandler()); err != nil {
 		return err
 	}
 	d.system.Spawn(d.balancer, pruneInterval)
 	d.system.Spawn(d.limits, ratelimit.Interval)
 	d.system.Spawn(d.intake, intake.SweepInterval)
+	d.system.Spawn(d.reach, detour.CheckInterval)
 	d.system.Spawn(slowWatch{d.balancer, d.logger}, slowInterval)
 	d.system.Spawn(roomWatch{d.balancer, d.logger}, roomInterval)
 	d.registry.MustRegister(newRoomCollector(d.balancer))
@@ -136,8 +141,7 @@
 
 // newHandler returns the chain of filters that handles each request.
 func (d *Daemon) newHandler() relay.Handler {
-	upstreams := platform.NewUpstreams(platform.NewTransport(d.transport))
-	sender := relay.NewSender(upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger)
+	sender := relay.NewSender(d.upstreams, d.balancer, d.duties.counter, d.origins, d.quarantine, d.clock, d.logger)
 	sender.LimitAnswers(d.intake.Answers())
 	d.recorder = relay.NewRecorder(d.registry, d.clock, d.logger)
 	return relay.Chain(
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -49,11 +49,14 @@
 	traffic peerdaemon.Traffic
 	members *membership.Members
 	client  *peerdaemon.Client
-	server  *peerdaemon.Server
-	sharer  *balance.Sharer
-	reader  *feed.Reader
-	source  *feed.Source // of changes in the store
-	writer  *feed.Writer // of rows of the store
+	// forwards has connections of its own: client closes those to a daemon that misses
+	// load shares, which would break off calls that it makes for this daemon.
+	forwards *peerdaemon.Client
+	server   *peerdaemon.Server
+	sharer   *balance.Sharer
+	reader   *feed.Reader
+	source   *feed.Source // of changes in the store
+	writer   *feed.Writer // of rows of the store
 }
 
 // Reader returns the address of the daemon that reads the store for this zone.
@@ -95,6 +98,8 @@
 func (d *Daemon) prepareSharing(store *platform.Store) {
 	s := &d.sharing
 	s.client = peerdaemon.NewClient(insecure.NewCredentials(), shareTimeout, &s.traffic)
+	s.forwards = peerdaemon.NewClient(insecure.NewCredentials(), shareTimeout, &s.traffic)
+	s.forwards.SetDial(dialReset(upstreamDialTimeout))
 	s.reader = feed.NewReader(store)
 	s.source = feed.NewSource(s.reader, s.client, s, d.clock, d.logger)
 	s.writer = feed.NewWriter(store, s.client, s, d.clock)
@@ -112,6 +117,7 @@
 	self := table.Member{ID: models.DaemonID(settings.Name), Zone: settings.Zone, Address: settings.DaemonsAddress}
 	s.members = membership.New(self, store, d.clock, d.logger)
 	s.server = peerdaemon.NewEntryServer(shareReceiver{d}, s.reader, s.writer, insecure.NewCredentials(), &s.traffic)
+	s.server.SetForwarder(d.upstreams.NewForwarder(d.balancer, d.intake, d.stopping.Load), d.clock)
 	sender := models.LoadShare{From: self.ID, Zone: self.Zone, Address: self.Address}
 	d.quarantine = quarantine.New(self.ID, s.members, d.clock, d.logger)
 	d.gauge("prompt_parts_blocked", "Prompt parts that are blocked because engines crash on them.", func() float64 {
@@ -140,6 +146,7 @@
 	d.sharing.members.Leave(ctx)
 	d.sharing.server.Stop()
 	d.sharing.client.Close()
+	d.sharing.forwards.Close()
 }
 
 // shareReceiver passes the load shares of other daemons to the membership and
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -83,6 +83,7 @@
 	if err := d.stopCallers(finishing); err != nil {
 		d.logger.Warn("connections still active at the end of the grace time", zap.Error(err))
 	}
+	d.finishForwarded(finishing)
 	for _, server := range d.internalServers {
 		if err := server.Shutdown(finishing); err != nil {
 			d.logger.Warn("internal server not shut down", zap.Error(err))
--- a/intake/request.go
+++ b/intake/request.go
@@ -112,6 +112,26 @@
 	return grown, nil
 }
 
+// holderForwarded holds the requests that other daemons received.
+const holderForwarded = "\x00forwarded"
+
+// TakeForwarded takes a place and memory for a request that another daemon has received,
+// with a body of a size in bytes. It reports false if there is no room; otherwise release
+// returns both.
+func (i *Intake) TakeForwarded(bodyBytes int) (release func(), ok bool) {
+	if !i.requests.Take(holderForwarded, KindRequest, 1) {
+		return nil, false
+	}
+	if !i.bytes.Take(holderForwarded, KindBody, bodyBytes) {
+		i.requests.Return(holderForwarded, KindRequest, 1)
+		return nil, false
+	}
+	return func() {
+		i.bytes.Return(holderForwarded, KindBody, bodyBytes)
+		i.requests.Return(holderForwarded, KindRequest, 1)
+	}, true
+}
+
 // bodyRead marks the body as read: from now on the request is being answered.
 func (q *Request) bodyRead() {
 	if q.conn != nil {
--- a/membership/members.go
+++ b/membership/members.go
@@ -321,6 +321,20 @@
 	return peers
 }
 
+// Live returns the other daemons that have sent a message within liveTimeout.
+func (m *Members) Live() map[models.DaemonID]models.Peer {
+	now := m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	peers := map[models.DaemonID]models.Peer{}
+	for id, other := range m.others {
+		if now.Sub(other.lastHeardAt) < liveTimeout {
+			peers[id] = models.Peer{Address: other.address, Zone: other.zone}
+		}
+	}
+	return peers
+}
+
 // Listed reports whether the registrations have been read since the start.
 func (m *Members) Listed() bool {
 	m.mu.Lock()
--- a/peer/daemon/forward.go
+++ b/peer/daemon/forward.go
@@ -141,8 +141,8 @@
 		return errors.Trace(err)
 	}
 	if failure := response.GetFailure(); failure != nil {
-		_, err := decodeFailure(failure)
-		return err
+		outcome, err := decodeFailure(failure)
+		return peer.NewFailure(outcome, "not accepted", err)
 	}
 	if response.GetAccepted() == nil {
 		return errors.New("neither accepted nor refused")
--- a/peer/daemon/forward_codec.go
+++ b/peer/daemon/forward_codec.go
@@ -222,8 +222,9 @@
 // decodeFailure returns the outcome of a failed call at a backend server, and its error.
 func decodeFailure(form *proto.ForwardFailure) (peer.Outcome, error) {
 	outcome := peer.OutcomeUnknown
-	if peer.Outcome(form.GetOutcome()) == peer.OutcomeNotDone {
-		outcome = peer.OutcomeNotDone
+	switch stated := peer.Outcome(form.GetOutcome()); stated {
+	case peer.OutcomeNotDone, peer.OutcomeRefused:
+		outcome = stated
 	}
 	return outcome, &forwardError{cause: errors.New(form.GetMessage()), timeout: form.GetTimeout()}
 }
--- a/peer/daemon/forwarder.go
+++ b/peer/daemon/forwarder.go
@@ -27,7 +27,8 @@
 type Forwarder interface {
 	// Accept reports whether the daemon makes a call at a backend server whose body has a
 	// size in bytes, and takes the memory for it. Its error is a *peer.Failure that gives
-	// the reason. The caller calls release at the end of the call.
+	// the reason: OutcomeRefused if only this server is not called, OutcomeNotDone
+	// otherwise. The caller calls release at the end of the call.
 	Accept(to models.Upstream, bodyBytes int) (release func(), err error)
 	peer.Upstreams
 }
@@ -67,7 +68,7 @@
 	length := int(first.GetCall().GetBodyLength())
 	release, err := s.forwarder.Accept(to, length)
 	if err != nil {
-		return endWithFailure(stream, peer.OutcomeNotDone, err)
+		return endWithFailure(stream, peer.OutcomeOf(err), err)
 	}
 	defer release()
 	if err := stream.Send(&proto.ForwardResponse{Part: &proto.ForwardResponse_Accepted{Accepted: &proto.ForwardAccepted{}}}); err != nil {
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -36,6 +36,7 @@
 	WrongInstance bool                 // another backend server has the address
 	Load          *models.UpstreamLoad // nil if not reported
 	Statement     models.ServerStatement
+	Via           models.DaemonID // the daemon that made the call; empty: this one
 }
 
 // ChangeSource watches the rows of a store.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -65,6 +65,7 @@
 	EngineVersion      string          // of the software of Engine
 	Prefiller          models.EngineID // ran the prefill for Engine; empty if Engine did
 	CopiedFrom         models.EngineID // cached parts were copied from there; empty: none were
+	Via                models.DaemonID // made the call at Engine; empty: this daemon
 	PrefillTokens      int             // prompt tokens to prefill, as predicted
 	PrefillDuration    time.Duration   // of the call to Prefiller, 0 if there was none
 	Status             int
--- a/relay/record.go
+++ b/relay/record.go
@@ -118,6 +118,7 @@
 		zap.String("version", e.Trace.EngineVersion),
 		zap.String("prefiller", string(e.Trace.Prefiller)),
 		zap.String("copied-from", string(e.Trace.CopiedFrom)),
+		zap.String("via", string(e.Trace.Via)),
 		zap.Int("sends", e.Sends),
 		zap.Int("rejections", e.Trace.Rejections),
 		zap.Int("status", e.Trace.Status),
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -288,7 +288,7 @@
 	trace.EngineVersion = placement.Target().Version
 	trace.Predicted = placement.Predicted()
 	trace.PrefillTokens = placement.PrefillTokens()
-	trace.Prefiller = ""
+	trace.Prefiller, trace.Via = "", ""
 	trace.Statement, trace.PrefillerStatement = models.ServerStatement{}, models.ServerStatement{}
 	source, _ := placement.CopyFrom()
 	trace.CopiedFrom = source.ID
@@ -296,6 +296,7 @@
 
 // handleResponse handles a response whose header has arrived.
 func (d *delivery) handleResponse(ctx context.Context, placement Placement, answer peer.UpstreamResponse) (Result, error) {
+	d.exchange.Trace.Via = answer.Via
 	if !answer.WrongInstance {
 		d.exchange.Trace.Statement = answer.Statement
 		d.sender.placer.Answered(placement.Target(), answer.Statement, d.current.SentAt)
