--- a/standin/raw/raw.go
+++ b/standin/raw/raw.go
@@ -15,6 +15,15 @@
 	Reset bool // the connection is reset, otherwise closed
 }
 
+// Cuts returns an answer cut short at each byte, closed and reset.
+func Cuts(whole string) []Answer {
+	var cuts []Answer
+	for end := range len(whole) {
+		cuts = append(cuts, Answer{Bytes: whole[:end]}, Answer{Bytes: whole[:end], Reset: true})
+	}
+	return cuts
+}
+
 // Handler gives each request the next of its answers. It may serve at several
 // addresses. A request for which none is left gets a closed connection.
 type Handler struct {
