--- a/entry/cut_head_test.go
+++ b/entry/cut_head_test.go
@@ -76,3 +76,13 @@
 		t.Run(test.name, func(t *testing.T) { expectNoAnswer(t, test.cut) })
 	}
 }
+
+// Guards against a status that is none of an answer and reaches the caller.
+func TestStatusOfNoAnswerIsNotPassedOn(t *testing.T) {
+	const named = "Request-Id: r1\r\nUpstream-Signature: s1\r\n"
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			expectNoAnswer(t, raw.Answer{Bytes: "HTTP/1.1 " + status + " x\r\n" + named + "\r\n" + eventOfOther})
+		})
+	}
+}
