--- a/entry/broken_stream_test.go
+++ b/entry/broken_stream_test.go
@@ -38,6 +38,7 @@
 		{"error in JSON as a success", ok + "Content-Type: application/json\r\n\r\n{\"error\": \"out of memory\"}\n\n"},
 		{"error text in a stream", ok + event + "\r\nInternal Server Error\n\n"},
 		{"head of an error in a stream", ok + event + "\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\noops\n"},
+		{"success without a signature", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + event + "\r\nid: 2\ndata: b\n\n"},
 		{"nothing", ""},
 	}
 	for _, test := range tests {
--- a/entry/cut_head_test.go
+++ b/entry/cut_head_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// Guards against a success that no engine vouches for, as when its head ended too early.
+func TestSuccessWithoutSignatureIsNoAnswer(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+	tests := []struct {
+		name, answer string
+	}{
+		{"length", ok + "Content-Length: 15\r\n\r\n" + eventOfOther},
+		{"chunks", ok + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + eventOfOther + "\r\n0\r\n\r\n"},
+		{"neither", ok + "\r\n" + eventOfOther},
+		{"neither, no body", ok + "\r\n"},
+		{"status only", "HTTP/1.1 200 OK\r\n\r\n"},
+		{"empty signature", ok + "Upstream-Signature: \r\n\r\n" + eventOfOther},
+		{"no content", "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { expectNoAnswer(t, raw.Answer{Bytes: test.answer}) })
+	}
+}
+
 // Guards against a status that is none of an answer and reaches the caller.
 func TestStatusOfNoAnswerIsNotPassedOn(t *testing.T) {
 	const named = "Request-Id: r1\r\nUpstream-Signature: s1\r\n"
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -307,6 +307,9 @@
 	}
 	d.prefilled = nil
 	d.countExecution()
+	if answer.Unsigned {
+		return ResultFailed, errors.Errorf("the backend server answered %d without its signature", answer.Status)
+	}
 	if kind := kindOf(answer); d.headerWritten && kind != d.begun {
 		return ResultFailed, errors.Errorf("the stream of %s cannot be resumed: the backend server answered with %s", d.begun, kind)
 	}
