--- a/peer/service/client.go
+++ b/peer/service/client.go
@@ -72,12 +72,22 @@
 	if len(raw) > MaxResponseBytes {
 		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service's answer is too large", nil)
 	}
+	if len(raw) == 0 && endsWithConnection(response) && response.StatusCode/100 == 2 {
+		// A service that crashes after its head closes its connection in the same way.
+		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service's answer ended before its body", nil)
+	}
 	if response.StatusCode < http.StatusOK {
 		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service answered "+response.Status, nil)
 	}
 	return models.ServiceResponse{Status: response.StatusCode, Header: response.Header, Body: raw}, nil
 }
 
+// endsWithConnection reports whether a response with a body states neither its length
+// nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // transportOutcome returns the outcome of a call without a response: without a
 // connection the service cannot have run it.
 func transportOutcome(connected bool) peer.Outcome {
--- a/peer/service/cut_test.go
+++ b/peer/service/cut_test.go
@@ -5,6 +5,8 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/service"
@@ -48,3 +50,31 @@
 		})
 	}
 }
+
+// Guards against a service that crashes before its body and looks as if it had none.
+func TestSuccessThatEndsBeforeItsBodyIsLost(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	tests := []struct {
+		name, method, answer string
+		lost                 bool
+	}{
+		{"neither length nor chunks", http.MethodPost, ok + "\r\n", true},
+		{"neither, HTTP/1.0", http.MethodPost, "HTTP/1.0 200 OK\r\n\r\n", true},
+		{"neither, with a body", http.MethodPost, ok + "\r\nanswer", false},
+		{"length of zero", http.MethodPost, ok + "Content-Length: 0\r\n\r\n", false},
+		{"no chunk", http.MethodPost, ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{"HEAD", http.MethodHead, ok + "\r\n", false},
+		{"no content", http.MethodPost, "HTTP/1.1 204 No Content\r\n\r\n", false},
+		{"a failure", http.MethodPost, "HTTP/1.1 404 Not Found\r\n\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := call(t, test.method, raw.NewHandler(raw.Answer{Bytes: test.answer}))()
+			is.Equal(err != nil, test.lost)
+			if test.lost {
+				is.Equal(peer.OutcomeOf(err), peer.OutcomeUnknown)
+			}
+		})
+	}
+}
