--- a/peer/daemon/forward_test.go
+++ b/peer/daemon/forward_test.go
@@ -17,7 +17,9 @@
 	"github.com/juju/errors"
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"quincewinch/models"
 	"quincewinch/peer"
@@ -435,6 +437,8 @@
 			response, err = stream.Recv()
 			is.NoErr(err)
 			is.Equal(response.GetFailure().GetOutcome(), string(peer.OutcomeNotDone))
+			_, err = stream.Recv()
+			is.Equal(status.Code(err), codes.Aborted)
 			<-forwarder.released
 			is.Equal(forwarder.calls.Load(), int64(0))
 		})
@@ -548,6 +552,7 @@
 		{"filled", source, reason, nil, ""},
 		{"rejected", models.KVSource{}, reason, nil, ""},
 		{"handle broke off", models.KVSource{}, reason, peer.NewFailure(peer.OutcomeUnknown, "why", nil), peer.OutcomeUnknown},
+		{"not done after an answer", models.KVSource{}, reason, peer.NewFailure(peer.OutcomeNotDone, "why", nil), peer.OutcomeUnknown},
 		{"not sent", models.KVSource{}, peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeNotDone, "why", nil), peer.OutcomeNotDone},
 	}
 	for _, test := range tests {
