--- a/relay/answer.go
+++ b/relay/answer.go
@@ -58,6 +58,11 @@
 		d.runBroken(ctx, err)
 		return ResultFailed, errors.Annotate(err, "the answer broke off")
 	}
+	if len(body) == 0 && answer.Unframed && answer.Status < minFailureStatus {
+		// An engine that crashes closes its connection in the same way.
+		d.runBroken(ctx, io.EOF)
+		return ResultFailed, errors.New("the answer ended with its connection before its body")
+	}
 	if len(body) > maxBufferedBytes && answer.Length < 0 {
 		return ResultFailed, errors.Errorf("the answer states no length and has no end within %d bytes", maxBufferedBytes)
 	}
