--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -100,6 +100,7 @@
 	s.client = peerdaemon.NewClient(insecure.NewCredentials(), shareTimeout, &s.traffic)
 	s.forwards = peerdaemon.NewClient(insecure.NewCredentials(), shareTimeout, &s.traffic)
 	s.forwards.SetDial(dialReset(upstreamDialTimeout))
+	s.forwards.LimitUnread()
 	s.reader = feed.NewReader(store)
 	s.source = feed.NewSource(s.reader, s.client, s, d.clock, d.logger)
 	s.writer = feed.NewWriter(store, s.client, s, d.clock)
--- a/peer/daemon/forward_codec.go
+++ b/peer/daemon/forward_codec.go
@@ -92,6 +92,7 @@
 		Unframed:      answer.Unframed,
 		NotRun:        answer.NotRun,
 		WrongInstance: answer.WrongInstance,
+		Unsigned:      answer.Unsigned,
 		Statement: &proto.ServerStatement{
 			LimitNamed:      answer.Statement.Limit.Named,
 			LimitUnreadable: answer.Statement.Limit.Unreadable,
@@ -128,6 +129,7 @@
 		Unframed:      form.GetUnframed(),
 		NotRun:        form.GetNotRun(),
 		WrongInstance: form.GetWrongInstance(),
+		Unsigned:      form.GetUnsigned(),
 		Statement: models.ServerStatement{
 			Limit: models.StatedLimit{
 				Named:      statement.GetLimitNamed(),
--- a/peer/daemon/forward_test.go
+++ b/peer/daemon/forward_test.go
@@ -154,7 +154,7 @@
 func fullAnswer() peer.UpstreamResponse {
 	return peer.UpstreamResponse{
 		Status: http.StatusServiceUnavailable, Header: http.Header{"Set-Cookie": {"b\xff", "a"}, "X-Empty": {""}},
-		Length: 7, Unframed: true, NotRun: true, WrongInstance: true,
+		Length: 7, Unframed: true, Unsigned: true, NotRun: true, WrongInstance: true,
 		Load: &models.UpstreamLoad{Running: 1, Waiting: 2, Slots: 3, Pace: 1.5},
 		Statement: models.ServerStatement{
 			Limit: models.StatedLimit{Named: true, Unreadable: true, PerSecond: 0.5}, Leaving: true, RetryAfter: time.Second,
