--- a/entry/cutoff_test.go
+++ b/entry/cutoff_test.go
@@ -21,6 +21,7 @@
 	"quincewinch/entry"
 	"quincewinch/peer/system"
 	"quincewinch/platform/emulator"
+	"quincewinch/standin/silence"
 )
 
 const (
@@ -99,7 +100,9 @@
 		server.ServeHTTP(w, r)
 	}))
 	f.is.NoErr(listening.Listener.Close())
-	listening.Listener = listenPlain(f.t)
+	listener, err := silence.Listen(f.t.Context())
+	f.is.NoErr(err)
+	listening.Listener = listener
 	listening.Config.ConnState = f.partition.watch
 	listening.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, servedKey{}, &atomic.Int64{})
@@ -248,6 +251,7 @@
 }
 
 func TestDaemonsCutOffFromBackendServersAreServed(t *testing.T) {
+	t.Parallel()
 	for _, how := range []outage{outageHang, outageReset, outageRefuseNew} {
 		t.Run(string(how), func(t *testing.T) {
 			t.Parallel()
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -5,12 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
 
 	"quincewinch/entry"
+	"quincewinch/standin/silence"
 )
 
 // outage is what a network partition does to the connections to backend servers.
@@ -42,38 +43,16 @@
 func newPartition(t *testing.T) *partition {
 	t.Helper()
 	is := is.New(t)
-	listener := listenPlain(t)
-	t.Cleanup(func() { is.NoErr(listener.Close()) })
-	raw, err := listener.(*net.TCPListener).SyscallConn()
+	listener, err := silence.Listen(t.Context())
 	is.NoErr(err)
-	is.NoErr(raw.Control(func(fd uintptr) { is.NoErr(dropPackets(int(fd))) }))
+	t.Cleanup(func() { is.NoErr(listener.Close()) })
+	is.NoErr(silence.Begin(listener))
 	return &partition{
 		t: t, refused: freeAddress(t), silent: listener.Addr().String(),
 		accepted: map[string]*net.TCPConn{}, links: map[string]*link{},
 	}
 }
 
-// listenPlain listens without Multipath TCP, whose sockets take no filters.
-func listenPlain(t *testing.T) net.Listener {
-	t.Helper()
-	var plain net.ListenConfig
-	plain.SetMultipathTCP(false)
-	listener, err := plain.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	return listener
-}
-
-// dropPackets makes a socket ignore all packets that arrive, without acknowledging them.
-func dropPackets(fd int) error {
-	none := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-	return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &none})
-}
-
-// passPackets undoes dropPackets.
-func passPackets(fd int) error {
-	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-}
-
 // watch tracks the connections of a backend server. It implements
 // http.Server.ConnState.
 func (p *partition) watch(connection net.Conn, state http.ConnState) {
@@ -149,8 +128,8 @@
 			server := p.accepted[connection.LocalAddr().String()]
 			switch {
 			case how == outageHang:
-				p.setFilter(connection, dropPackets)
-				p.setFilter(server, dropPackets)
+				p.set(connection, silence.Begin)
+				p.set(server, silence.Begin)
 			case how == outageReset && server != nil:
 				_ = server.SetLinger(0) // it may be closed already
 				_ = server.Close()
@@ -166,26 +145,20 @@
 	for _, l := range p.links {
 		if l.outage == outageHang {
 			for connection := range l.open {
-				p.setFilter(connection, passPackets)
-				p.setFilter(p.accepted[connection.LocalAddr().String()], passPackets)
+				p.set(connection, silence.End)
+				p.set(p.accepted[connection.LocalAddr().String()], silence.End)
 			}
 		}
 		l.outage = ""
 	}
 }
 
-// setFilter calls set with the descriptor of a connection that may be nil or closed.
-func (p *partition) setFilter(connection *net.TCPConn, set func(fd int) error) {
+// set begins or ends the silence of a connection that may be nil.
+func (p *partition) set(connection *net.TCPConn, change func(syscall.Conn) error) {
 	if connection == nil {
 		return
 	}
-	raw, err := connection.SyscallConn()
-	if err != nil {
-		return
+	if err := change(connection); err != nil {
+		p.t.Error(err)
 	}
-	_ = raw.Control(func(fd uintptr) { // fails only if it is closed
-		if err := set(int(fd)); err != nil {
-			p.t.Error(err)
-		}
-	})
 }
