--- a/entry/transport.go
+++ b/entry/transport.go
@@ -21,8 +21,11 @@
 	// storeDialTimeout bounds opening a connection to the store or the platform.
 	storeDialTimeout = 500 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed.
-	unackedTimeout = 1500 * time.Millisecond
+	// connection is closed. As TCP_USER_TIMEOUT, it also decides when keep-alive gives
+	// up, before the number of probes does: at the first probe that is due later than
+	// this after the last packet. More than two intervals let a sound server miss a
+	// probe.
+	unackedTimeout = 2200 * time.Millisecond
 	// keepAliveInterval and keepAliveProbes detect dead connections on which
 	// nothing is being sent.
 	keepAliveInterval = time.Second
