--- a/entry/transport.go
+++ b/entry/transport.go
@@ -23,9 +23,9 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed. As TCP_USER_TIMEOUT, it also decides when keep-alive gives
 	// up, before the number of probes does: at the first probe that is due later than
-	// this after the last packet. More than two intervals let a sound server miss a
-	// probe.
-	unackedTimeout = 2200 * time.Millisecond
+	// this after the last packet. More than three intervals let a sound server miss two
+	// probes: it may be silent for a second or two.
+	unackedTimeout = 3200 * time.Millisecond
 	// keepAliveInterval and keepAliveProbes detect dead connections on which
 	// nothing is being sent.
 	keepAliveInterval = time.Second
--- a/entry/transport_test.go
+++ b/entry/transport_test.go
@@ -107,7 +107,7 @@
 func TestSilenceOfSoundServerBreaksNoConnection(t *testing.T) {
 	t.Parallel()
 	const (
-		silent = 800 * time.Millisecond
+		silent = 1500 * time.Millisecond
 		phases = 4 // of the keep-alive interval in which the silence begins
 	)
 	for to, newClient := range clients() {
@@ -121,7 +121,7 @@
 				c.change(silence.Begin)
 				wait(silent)
 				c.change(silence.End)
-				wait(keepAliveInterval + keepAliveInterval/4)
+				wait(keepAliveInterval + keepAliveInterval/4) // until the next probe is due
 				c.pass(c.server, c.client)
 			})
 		}
