--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -31,6 +31,8 @@
 	Length int64 // of the body; -1: unknown
 	// The answer ends with its connection: it states neither length nor chunks.
 	Unframed bool
+	// The connection had carried other requests before.
+	Reused bool
 	// The backend server states that it has not run the request.
 	NotRun        bool
 	WrongInstance bool                 // another backend server has the address
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 
 	"github.com/juju/errors"
 
@@ -95,7 +96,8 @@
 	if err != nil {
 		return err.Error()
 	}
-	return "status " + statusText(answer.Status)
+	return "status " + statusText(answer.Status) + ", not run " + strconv.FormatBool(answer.NotRun) +
+		", reused connection " + strconv.FormatBool(answer.Reused)
 }
 
 // releasePrefilled releases KV cache that no target has taken over. It runs even
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -351,9 +351,9 @@
 	d.rejections++
 	d.exchange.Trace.Rejections++
 	if answer.WrongInstance {
-		return ResultMoved, errors.New("another backend server has the address")
+		return ResultMoved, errors.Errorf("another backend server has the address, reused connection %t", answer.Reused)
 	}
-	return ResultRejected, errors.Errorf("the backend server turned the request away with status %d", answer.Status)
+	return ResultRejected, errors.Errorf("the backend server turned the request away with status %d, reused connection %t", answer.Status, answer.Reused)
 }
 
 // mayRetry reports whether the request may be sent again. Where the retry
