--- a/entry/reset_test.go
+++ b/entry/reset_test.go
@@ -11,13 +11,16 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"quincewinch/platform"
 )
 
 // Guards against requests that arrive after they were given up: only a reset
 // discards what a partition holds up.
 func TestGivenUpRequestResetsItsConnection(t *testing.T) {
 	clients := map[string]*http.Client{
-		"backend servers": {Transport: upstreamTransport(time.Second)},
+		"backend servers": {Transport: platform.NewTransport(upstreamTransport)},
+		"their transport": {Transport: upstreamTransport(time.Second)},
 		"duties":          dutyClient(),
 	}
 	for to, client := range clients {
