--- a/entry/transport.go
+++ b/entry/transport.go
@@ -104,11 +104,12 @@
 
 // dutyClient returns the client for the calls of a lease holder. A call that a
 // network partition has held up must not arrive after the calls of the next holder.
+// Answers name no call, so that each call has a connection of its own.
 func dutyClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:            dialReset(storeDialTimeout),
 		DisableCompression:     true,
+		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-		IdleConnTimeout:        storeIdleTimeout,
 	}}
 }
