--- a/peer/service/client.go
+++ b/peer/service/client.go
@@ -65,6 +65,10 @@
 		return models.ServiceResponse{}, peer.NewFailure(transportOutcome(connected), "the service did not answer", err)
 	}
 	defer response.Body.Close()
+	// Services need not repeat the ID.
+	if echoed := response.Header.Get(RequestIDHeader); echoed != "" && echoed != string(call.ID) {
+		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service answered another request", nil)
+	}
 	raw, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
 		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service's answer broke off", err)
--- a/peer/service/client_test.go
+++ b/peer/service/client_test.go
@@ -144,3 +144,18 @@
 	_, err = client.Call(t.Context(), models.ServiceCall{Method: http.MethodPost, Path: "/"})
 	is.Equal(peer.OutcomeOf(err), peer.OutcomeNotDone)
 }
+
+// Guards against an answer to an earlier caller that goes to the next one.
+func TestAnswerThatNamesAnotherRequestIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(service.RequestIDHeader, "r1")
+	}))
+	t.Cleanup(server.Close)
+	client := service.NewClients(server.Client()).Service(models.ServiceBackend{URL: server.URL})
+	_, err := client.Call(t.Context(), models.ServiceCall{ID: "r1", Method: http.MethodPost, Path: "/"})
+	is.NoErr(err)
+	_, err = client.Call(t.Context(), models.ServiceCall{ID: "r2", Method: http.MethodPost, Path: "/"})
+	is.True(err != nil)
+	is.Equal(peer.OutcomeOf(err), peer.OutcomeUnknown) // it may run
+}
