--- a/peer/engine/client.go
+++ b/peer/engine/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -138,13 +139,16 @@
 			return nil, peer.NewFailure(peer.OutcomeNotDone, "cannot encode a call of the engine", err)
 		}
 	}
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	connected, reused := false, false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(encoded))
 	if err != nil {
 		return nil, peer.NewFailure(peer.OutcomeNotDone, "cannot form a call of the engine", err)
 	}
+	// A request may be sent to an engine again, a call never is.
+	call := rand.Text()
 	request.Header.Set("Content-Type", contentType)
+	request.Header.Set(wire.HeaderCallID, call)
 	response, err := c.client.Do(request)
 	if err != nil {
 		if !connected {
@@ -152,6 +156,10 @@
 		}
 		return nil, peer.NewFailure(peer.OutcomeUnknown, "the engine did not answer", err)
 	}
+	if !answersCall(response, call, reused) {
+		_ = response.Body.Close()
+		return nil, peer.NewFailure(peer.OutcomeUnknown, "the engine answered another call", nil)
+	}
 	if response.StatusCode/100 != 2 {
 		defer response.Body.Close()
 		return nil, responseFailure(response)
@@ -159,6 +167,16 @@
 	return response, nil
 }
 
+// answersCall reports whether a response belongs to a call. One that names no call is
+// trusted only if it is a success, or if the connection was not used before or separates
+// calls itself.
+func answersCall(response *http.Response, call string, reused bool) bool {
+	if named := response.Header.Get(wire.HeaderCallID); named != "" {
+		return named == call
+	}
+	return response.StatusCode/100 == 2 || !reused || response.ProtoMajor > 1
+}
+
 // responseFailure returns the failure that an unsuccessful response reports.
 func responseFailure(response *http.Response) error {
 	var problem wire.Problem
--- a/peer/engine/wire/wire.go
+++ b/peer/engine/wire/wire.go
@@ -17,6 +17,9 @@
 	PathCacheEvents = "/v1/cache-events"
 )
 
+// HeaderCallID names a call. The answer repeats it.
+const HeaderCallID = "X-Call-Id"
+
 // Generation is the JSON message for models.Generation.
 type Generation struct {
 	ID          string    `json:"id"`
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -33,6 +33,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderCallID, r.Header.Get(wire.HeaderCallID))
 	h.mux.ServeHTTP(w, r)
 }
 
