--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -33,6 +33,8 @@
 	Unframed bool
 	// The answer is a success without the signature that backend servers give each.
 	Unsigned bool
+	// The connection had carried other requests before.
+	Reused bool
 	// The backend server states that it has not run the request.
 	NotRun        bool
 	WrongInstance bool                 // another backend server has the address
