--- a/entry/copies_test.go
+++ b/entry/copies_test.go
@@ -13,7 +13,7 @@
 func TestRequestIDThatReturnsIsNotRefusedByACopy(t *testing.T) {
 	is := is.New(t)
 	d := prepare(t)
-	handler := copies.NewHandler(copies.Refusal{Status: http.StatusServiceUnavailable, Header: http.Header{"Not-Executed": {"1"}}})
+	handler := copies.NewHandler(copies.Refusal{Status: http.StatusServiceUnavailable, Header: http.Header{"Not-Executed": {"1"}}}, http.Header{"Upstream-Signature": {"s"}})
 	d.register("i-trouble", "trouble", "", handler)
 	d.startDaemon("vm-1", d.callerAddress)
 	status, _ := d.post("/trouble/x", "r1", "key-1")
--- a/relay/copies_test.go
+++ b/relay/copies_test.go
@@ -51,7 +51,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			handler := copies.NewHandler(test.refusal)
+			handler := copies.NewHandler(test.refusal, http.Header{"Upstream-Signature": {"s"}})
 			server := httptest.NewServer(handler)
 			t.Cleanup(server.Close)
 			address := netip.MustParseAddrPort(server.Listener.Addr().String())
--- a/standin/copies/copies.go
+++ b/standin/copies/copies.go
@@ -4,14 +4,12 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 )
 
-const (
-	headerRequestID = "Request-Id"
-	headerSignature = "Upstream-Signature"
-)
+const headerRequestID = "Request-Id"
 
 // Refusal is an answer which states that the request was not run.
 type Refusal struct {
@@ -25,15 +23,17 @@
 // that.
 type Handler struct {
 	refusal Refusal
+	success http.Header
 
 	mu        sync.Mutex
 	refusedOn map[string]map[string]bool // connections by request ID
 	runs      map[string]int             // by request ID
 }
 
-// NewHandler returns a handler that refuses with a refusal.
-func NewHandler(refusal Refusal) *Handler {
-	return &Handler{refusal: refusal, refusedOn: map[string]map[string]bool{}, runs: map[string]int{}}
+// NewHandler returns a handler that refuses with a refusal, and gives its other answers a
+// header.
+func NewHandler(refusal Refusal, success http.Header) *Handler {
+	return &Handler{refusal: refusal, success: success, refusedOn: map[string]map[string]bool{}, runs: map[string]int{}}
 }
 
 // Runs returns how often a request has run.
@@ -51,13 +51,11 @@
 	id := r.Header.Get(headerRequestID)
 	w.Header().Set(headerRequestID, id)
 	if !h.refuses(id, r.RemoteAddr) {
-		w.Header().Set(headerSignature, "s-"+id)
+		maps.Copy(w.Header(), h.success)
 		_, _ = io.WriteString(w, "answer")
 		return
 	}
-	for name, values := range h.refusal.Header {
-		w.Header()[name] = values
-	}
+	maps.Copy(w.Header(), h.refusal.Header)
 	w.WriteHeader(h.refusal.Status)
 	_, _ = io.WriteString(w, h.refusal.Body)
 }
