--- a/peer/daemon/server.go
+++ b/peer/daemon/server.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"quincewinch/models"
@@ -16,6 +18,14 @@
 	"quincewinch/peer/daemon/proto"
 )
 
+const (
+	// pingInterval is how long nothing arrives on a connection until its client is asked for
+	// a sign of life, and pingTimeout how long that may take. grpc sets TCP_USER_TIMEOUT to
+	// the latter, so that it has to be longer than a daemon may be silent.
+	pingInterval = 5 * time.Second
+	pingTimeout  = 3200 * time.Millisecond
+)
+
 // Receiver handles calls of the other daemons.
 type Receiver interface {
 	// Receive processes another daemon's message and returns the reply.
@@ -61,6 +71,7 @@
 			grpc.Creds(credentials),
 			grpc.MaxRecvMsgSize(MaxMessageBytes),
 			grpc.StatsHandler(traffic),
+			grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		),
 	}
 	proto.RegisterDaemonsServer(s.server, s)
