--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -26,6 +26,9 @@
 // networkFaults are the faults that a proxy can inject.
 var networkFaults = []fault{faultDelay, faultReset, faultSilence, faultOneWay}
 
+// cutFaults are the ways in which daemons lose their paths to all backend servers.
+var cutFaults = []fault{faultSilence, faultReset, faultNoNew}
+
 // storeFaults are the faults that the store itself can inject.
 var storeFaults = []struct {
 	kind  string
@@ -71,7 +74,7 @@
 	f := networkFaults[w.random.IntN(len(networkFaults))]
 	daemon := w.daemons[w.random.IntN(len(w.daemons))]
 	b := w.backends[w.random.IntN(len(w.backends))]
-	switch w.random.IntN(10) {
+	switch w.random.IntN(11) {
 	case 0:
 		return func() { in.failStorePath(f, d, daemon) }
 	case 1:
@@ -89,6 +92,9 @@
 	case 8:
 		chosen := storeFaults[w.random.IntN(len(storeFaults))]
 		return func() { in.failStore(chosen.kind, chosen.fault, d) }
+	case 9:
+		how, cut := cutFaults[w.random.IntN(len(cutFaults))], w.drawDaemons()
+		return func() { in.cutOff(how, d, cut...) }
 	}
 	step := 1 + w.random.IntN(maxVersionStep)
 	return func() { in.runOperation(b, step, d) }
@@ -117,6 +123,24 @@
 	b.proxy.setFault(faultNone)
 }
 
+// cutOff injects a network fault between daemons and all backend servers.
+func (in *injector) cutOff(f fault, d time.Duration, daemons ...*process) {
+	w := in.world
+	w.countInjected("cut-off-" + string(f))
+	for _, daemon := range daemons {
+		w.markSuspect(processOf(daemon.name), d)
+		for _, b := range w.backends {
+			b.proxy.cut(daemon.name, f)
+		}
+	}
+	in.wait(d)
+	for _, daemon := range daemons {
+		for _, b := range w.backends {
+			b.proxy.cut(daemon.name, faultNone)
+		}
+	}
+}
+
 // pause suspends a daemon with SIGSTOP.
 func (in *injector) pause(daemon *process, d time.Duration) {
 	w := in.world
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -36,6 +36,7 @@
 	failures      []string      // recorded while it ran
 }
 
+// newProcess returns a daemon that has not been started.
 func newProcess(t *testing.T, binary, name, zone, store, duties string, stalled func() time.Duration) *process {
 	t.Helper()
 	p := &process{t: t, binary: binary, name: name, callerAddress: freeAddress(t), storeProxy: newProxy(t, store), stalled: stalled}
@@ -52,8 +53,6 @@
 	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.start()
-	t.Cleanup(p.kill)
 	return p
 }
 
@@ -85,6 +84,16 @@
 	}()
 }
 
+// pid returns the ID of the process that was started last; ok is false before the first.
+func (p *process) pid() (id int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0, false
+	}
+	return p.command.Process.Pid, true
+}
+
 // signal sends a signal to the running process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -18,6 +18,7 @@
 	faultReset   fault = "reset"   // open and new connections are reset
 	faultSilence fault = "silence" // no data passes in either direction
 	faultOneWay  fault = "one-way" // requests pass, answers are held back
+	faultNoNew   fault = "no-new"  // open connections live on, new ones are reset
 )
 
 const (
@@ -35,9 +36,11 @@
 	target   string
 
 	mu      sync.Mutex
-	fault   fault
-	changed chan struct{} // closed at the next change of the fault
-	open    map[*net.TCPConn]bool
+	owner   func(connection *net.TCPConn) string // names who opened a connection; nil: not told apart
+	fault   fault                                // for all
+	cuts    map[string]fault                     // by owner, for that one alone
+	changed chan struct{}                        // closed at the next change of a fault
+	open    map[*net.TCPConn]string              // to the owner
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -46,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{listener: listener.(*net.TCPListener), target: target, fault: faultNone, changed: make(chan struct{}), open: map[*net.TCPConn]bool{}}
+	p := &proxy{listener: listener.(*net.TCPListener), target: target, fault: faultNone, cuts: map[string]fault{}, changed: make(chan struct{}), open: map[*net.TCPConn]string{}}
 	t.Cleanup(func() { p.listener.Close() })
 	go p.accept()
 	return p
@@ -71,6 +74,31 @@
 	}
 }
 
+// tellApart sets the function that names who opened a connection.
+func (p *proxy) tellApart(owner func(connection *net.TCPConn) string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owner = owner
+}
+
+// cut sets the fault of the connections of one owner, which applies while there is none
+// for all.
+func (p *proxy) cut(owner string, f fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cuts[owner] = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if f != faultReset {
+		return
+	}
+	for connection, opened := range p.open {
+		if opened == owner {
+			reset(connection)
+		}
+	}
+}
+
 func (p *proxy) accept() {
 	for {
 		connection, err := p.listener.AcceptTCP()
@@ -82,7 +110,14 @@
 }
 
 func (p *proxy) forward(caller *net.TCPConn) {
-	if p.currentFault() == faultReset {
+	p.mu.Lock()
+	tell := p.owner
+	p.mu.Unlock()
+	owner := ""
+	if tell != nil {
+		owner = tell(caller)
+	}
+	if f, _ := p.currentFault(owner); f == faultReset || f == faultNoNew {
 		reset(caller)
 		return
 	}
@@ -92,20 +127,20 @@
 		return
 	}
 	callee := connection.(*net.TCPConn)
-	p.track(caller, callee)
+	p.track(owner, caller, callee)
 	defer p.release(caller, callee)
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(callee, caller, true) })
-	both.Go(func() { p.copy(caller, callee, false) })
+	both.Go(func() { p.copy(callee, caller, owner, true) })
+	both.Go(func() { p.copy(caller, callee, owner, false) })
 	both.Wait()
 }
 
 // copy forwards one direction of a connection until it ends.
-func (p *proxy) copy(to, from *net.TCPConn, request bool) {
+func (p *proxy) copy(to, from *net.TCPConn, owner string, request bool) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		p.waitToPass(request)
+		p.waitToPass(owner, request)
 		if n > 0 {
 			if _, failed := to.Write(buffer[:n]); failed != nil {
 				reset(from)
@@ -121,12 +156,10 @@
 
 // waitToPass blocks until the current fault lets data pass in the given
 // direction.
-func (p *proxy) waitToPass(request bool) {
+func (p *proxy) waitToPass(owner string, request bool) {
 	clock := system.NewClock()
 	for {
-		p.mu.Lock()
-		f, changed := p.fault, p.changed
-		p.mu.Unlock()
+		f, changed := p.currentFault(owner)
 		switch {
 		case f == faultSilence, f == faultOneWay && !request:
 			<-changed
@@ -139,17 +172,22 @@
 	}
 }
 
-func (p *proxy) currentFault() fault {
+// currentFault returns the fault of the connections of an owner, and a channel that is
+// closed at the next change.
+func (p *proxy) currentFault(owner string) (fault, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault
+	if f, ok := p.cuts[owner]; ok && p.fault == faultNone {
+		return f, p.changed
+	}
+	return p.fault, p.changed
 }
 
-func (p *proxy) track(connections ...*net.TCPConn) {
+func (p *proxy) track(owner string, connections ...*net.TCPConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, connection := range connections {
-		p.open[connection] = true
+		p.open[connection] = owner
 	}
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -32,6 +32,7 @@
 
 const (
 	daemonCount       = 4
+	zoneCount         = 2
 	engineCount       = 4
 	plainServiceCount = 2
 )
@@ -92,9 +93,16 @@
 	duties := httptest.NewServer(w.duties)
 	t.Cleanup(duties.CloseClientConnections)
 	for i := range daemonCount {
-		name, zone := fmt.Sprintf("vm-%d", i), string(rune('a'+i%2))
+		name, zone := fmt.Sprintf("vm-%d", i), string(rune('a'+i%zoneCount))
 		w.daemons = append(w.daemons, newProcess(t, binary, name, zone, store.Listener.Addr().String(), duties.Listener.Addr().String(), w.stalledTime))
 	}
+	for _, b := range w.backends {
+		b.proxy.tellApart(w.daemonOf)
+	}
+	for _, daemon := range w.daemons {
+		daemon.start()
+		t.Cleanup(daemon.kill)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go w.watchStalls(ctx)
@@ -169,6 +177,24 @@
 	minStall = 200 * time.Millisecond
 )
 
+// drawDaemons draws one daemon, those of one zone, or all.
+func (w *world) drawDaemons() []*process {
+	first := w.random.IntN(len(w.daemons))
+	switch w.random.IntN(3) {
+	case 0:
+		return w.daemons[first : first+1]
+	case 1:
+		var zone []*process
+		for i, daemon := range w.daemons {
+			if i%zoneCount == first%zoneCount {
+				zone = append(zone, daemon)
+			}
+		}
+		return zone
+	}
+	return w.daemons
+}
+
 // watchStalls records, until ctx ends, when this machine did not run the test
 // and so probably not the daemons either. Time limits are extended accordingly.
 func (w *world) watchStalls(ctx context.Context) {
