--- a/detour/reach_test.go
+++ b/detour/reach_test.go
@@ -47,6 +47,7 @@
 	servers map[models.ServiceName][]models.Upstream
 	cut     map[netip.AddrPort]cutMode
 	dials   int
+	open    bool // connections that live on are used
 	sent    []models.UpstreamCall
 }
 
@@ -109,6 +110,9 @@
 	case resets:
 		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeUnknown, "reset", nil)
 	case newFail, newHang:
+		if n.open {
+			break
+		}
 		return peer.UpstreamResponse{}, peer.NewFailure(peer.OutcomeNotDone, "not connected", nil)
 	}
 	n.mu.Lock()
--- a/detour/upstreams.go
+++ b/detour/upstreams.go
@@ -46,11 +46,14 @@
 		return u.direct.Send(ctx, to, call)
 	}
 	var response peer.UpstreamResponse
-	err := u.detour(ctx, call, func(through peer.Upstreams, via models.DaemonID, call models.UpstreamCall) (err error) {
+	made, err := u.detour(ctx, &call, func(through peer.Upstreams, via models.DaemonID, call models.UpstreamCall) (err error) {
 		response, err = through.Send(ctx, to, call)
 		response.Via = via
 		return err
 	})
+	if !made {
+		return u.direct.Send(ctx, to, call)
+	}
 	return response, err
 }
 
@@ -61,11 +64,14 @@
 	}
 	var source models.KVSource
 	var response peer.UpstreamResponse
-	err := u.detour(ctx, call, func(through peer.Upstreams, via models.DaemonID, call models.UpstreamCall) (err error) {
+	made, err := u.detour(ctx, &call, func(through peer.Upstreams, via models.DaemonID, call models.UpstreamCall) (err error) {
 		source, response, err = through.Prefill(ctx, to, call)
 		response.Via = via
 		return err
 	})
+	if !made {
+		return u.direct.Prefill(ctx, to, call)
+	}
 	return source, response, err
 }
 
@@ -74,40 +80,44 @@
 	if u.reach.Reached(to.Service) {
 		return u.direct.Free(ctx, to, source)
 	}
-	return u.detour(ctx, models.UpstreamCall{}, func(through peer.Upstreams, _ models.DaemonID, _ models.UpstreamCall) error {
+	made, err := u.detour(ctx, &models.UpstreamCall{}, func(through peer.Upstreams, _ models.DaemonID, _ models.UpstreamCall) error {
 		return through.Free(ctx, to, source)
 	})
+	if !made {
+		return u.direct.Free(ctx, to, source)
+	}
+	return err
 }
 
-// detour makes a call by way of the first daemon that can. Its error leaves open whether
-// the call was made only if a daemon may have made it.
-func (u *Upstreams) detour(ctx context.Context, call models.UpstreamCall, do func(through peer.Upstreams, via models.DaemonID, call models.UpstreamCall) error) error {
+// detour makes a call by way of the first daemon that can. It reports false if there is
+// none; then the call is tried directly, as connections that were open before may live on.
+// The time that this takes is taken from that of the call. The error leaves open whether the
+// call was made only if a daemon may have made it.
+func (u *Upstreams) detour(ctx context.Context, call *models.UpstreamCall, do func(through peer.Upstreams, via models.DaemonID, call models.UpstreamCall) error) (made bool, err error) {
 	begun := u.clock.Now()
 	timeLeft := call.TimeLeft
-	var last error
 	for _, c := range u.daemons.choose() {
+		err := do(u.by(c.Address), c.id, *call)
 		call.TimeLeft = timeLeft - u.clock.Now().Sub(begun)
-		err := do(u.by(c.Address), c.id, call)
 		if err == nil {
 			u.made.Add(1)
 			u.daemons.proved(c.id)
-			return nil
+			return true, nil
 		}
 		if ctx.Err() != nil {
-			return err
+			return true, err
 		}
-		last = err
 		switch peer.OutcomeOf(err) {
 		case peer.OutcomeRefused: // it can call other servers
 			u.daemons.proved(c.id)
-			return peer.NewFailure(peer.OutcomeNotDone, "the backend server is not called by way of another daemon", err)
+			return true, peer.NewFailure(peer.OutcomeNotDone, "the backend server is not called by way of another daemon", err)
 		case peer.OutcomeNotDone:
 			u.daemons.failed(c.id)
 		default:
 			u.daemons.failed(c.id)
-			return err
+			return true, err
 		}
 	}
 	u.none.Add(1)
-	return peer.NewFailure(peer.OutcomeNotDone, "the backend server is not reached, nor by way of another daemon", last)
+	return false, nil
 }
