--- a/peer/service/client.go
+++ b/peer/service/client.go
@@ -22,6 +22,7 @@
 // Clients creates clients for plain services.
 type Clients struct {
 	client *http.Client
+	sent   *sentIDs
 }
 
 // NewClients returns clients that share one HTTP client's connections. They do
@@ -29,18 +30,19 @@
 func NewClients(client *http.Client) Clients {
 	shared := *client
 	shared.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return Clients{client: &shared}
+	return Clients{client: &shared, sent: newSentIDs()}
 }
 
 // Service implements peer.Services.
 func (c Clients) Service(backend models.ServiceBackend) peer.Service {
-	return &Client{base: backend.URL, client: c.client}
+	return &Client{base: backend.URL, client: c.client, sent: c.sent}
 }
 
 // Client calls one plain service. Each call is sent once.
 type Client struct {
 	base   string
 	client *http.Client
+	sent   *sentIDs
 }
 
 // Call implements peer.Service.
@@ -60,13 +62,13 @@
 		request.Header[name] = values
 	}
 	request.Header.Set(RequestIDHeader, string(call.ID))
+	c.sent.add(call.ID)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return models.ServiceResponse{}, peer.NewFailure(transportOutcome(connected), "the service did not answer", err)
 	}
 	defer response.Body.Close()
-	// Services need not repeat the ID.
-	if echoed := response.Header.Get(RequestIDHeader); echoed != "" && echoed != string(call.ID) {
+	if echoed := models.RequestID(response.Header.Get(RequestIDHeader)); echoed != call.ID && c.sent.contains(echoed) {
 		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service answered another request", nil)
 	}
 	raw, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
--- a/peer/service/client_test.go
+++ b/peer/service/client_test.go
@@ -159,3 +159,16 @@
 	is.True(err != nil)
 	is.Equal(peer.OutcomeOf(err), peer.OutcomeUnknown) // it may run
 }
+
+func TestServiceWithRequestIDsOfItsOwnIsServed(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(service.RequestIDHeader, "own-17")
+	}))
+	t.Cleanup(server.Close)
+	client := service.NewClients(server.Client()).Service(models.ServiceBackend{URL: server.URL})
+	for _, id := range []models.RequestID{"r1", "r2"} {
+		_, err := client.Call(t.Context(), models.ServiceCall{ID: id, Method: http.MethodPost, Path: "/"})
+		is.NoErr(err)
+	}
+}
