--- a/detour/daemons.go
+++ b/detour/daemons.go
@@ -21,9 +21,7 @@
 
 // Members are the other daemons.
 type Members interface {
-	// Others returns all that are known, live or not.
-	Others() map[models.DaemonID]models.Peer
-	// Live returns those that have sent a message lately.
+	// Live returns those that are in contact with this daemon.
 	Live() map[models.DaemonID]models.Peer
 }
 
@@ -46,7 +44,7 @@
 type candidate struct {
 	id models.DaemonID
 	models.Peer
-	live, proven bool
+	proven bool
 }
 
 // choose returns the daemons to ask, in order: those that have made calls lately, those
@@ -55,7 +53,7 @@
 func (d *daemons) choose() []candidate {
 	list := d.usable()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	neighbour := slices.IndexFunc(list, func(c candidate) bool { return c.live && !c.proven && c.Zone == d.zone })
+	neighbour := slices.IndexFunc(list, func(c candidate) bool { return !c.proven && c.Zone == d.zone })
 	rank := func(i int) int {
 		c := list[i]
 		switch {
@@ -65,12 +63,10 @@
 			return 1
 		case i == neighbour:
 			return 2
-		case c.live && c.Zone != d.zone:
+		case c.Zone != d.zone:
 			return 3
-		case c.live:
-			return 4
 		}
-		return 5
+		return 4
 	}
 	order := make([]int, len(list))
 	for i := range order {
@@ -87,8 +83,7 @@
 // usable returns the other daemons that may make a call.
 func (d *daemons) usable() []candidate {
 	now := d.clock.Now()
-	live := d.members.Live()
-	others := d.members.Others()
+	others := d.members.Live()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id := range d.provenAt {
@@ -106,9 +101,8 @@
 		if now.Before(d.unusableTil[id]) {
 			continue
 		}
-		_, ok := live[id]
 		proven, made := d.provenAt[id]
-		list = append(list, candidate{id: id, Peer: other, live: ok, proven: made && now.Sub(proven) < provenFor})
+		list = append(list, candidate{id: id, Peer: other, proven: made && now.Sub(proven) < provenFor})
 	}
 	return list
 }
--- a/detour/reach_test.go
+++ b/detour/reach_test.go
@@ -180,8 +180,7 @@
 
 type noMembers struct{}
 
-func (noMembers) Others() map[models.DaemonID]models.Peer { return nil }
-func (noMembers) Live() map[models.DaemonID]models.Peer   { return nil }
+func (noMembers) Live() map[models.DaemonID]models.Peer { return nil }
 
 // expectReached waits and checks which services are reached.
 func (w *world) expectReached(after time.Duration, service models.ServiceName, reached bool) {
--- a/detour/upstreams.go
+++ b/detour/upstreams.go
@@ -4,11 +4,15 @@
 	"context"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"quincewinch/models"
 	"quincewinch/peer"
 )
 
+// maxAsking is how long other daemons are asked for one call before it is tried directly.
+const maxAsking = 500 * time.Millisecond
+
 // Upstreams makes the calls of this daemon: directly, or by way of another daemon while
 // the servers of the service are not reached. The other daemon only makes the call; what
 // is decided about the request stays here. It implements peer.Upstreams.
@@ -97,6 +101,9 @@
 	begun := u.clock.Now()
 	timeLeft := call.TimeLeft
 	for _, c := range u.daemons.choose() {
+		if u.clock.Now().Sub(begun) > maxAsking {
+			break
+		}
 		err := do(u.by(c.Address), c.id, *call)
 		call.TimeLeft = timeLeft - u.clock.Now().Sub(begun)
 		if err == nil {
--- a/detour/upstreams_test.go
+++ b/detour/upstreams_test.go
@@ -53,7 +53,6 @@
 	return o.daemons[address]
 }
 
-func (o *others) Others() map[models.DaemonID]models.Peer      { return o.peers }
 func (o *others) Live() map[models.DaemonID]models.Peer        { return o.peers }
 func (o *others) client(address netip.AddrPort) peer.Upstreams { return o.daemons[address] }
 
--- a/entry/detour.go
+++ b/entry/detour.go
@@ -65,11 +65,6 @@
 	daemon *Daemon
 }
 
-// Others implements detour.Members.
-func (o otherDaemons) Others() map[models.DaemonID]models.Peer {
-	return o.daemon.sharing.members.Others()
-}
-
 // Live implements detour.Members.
 func (o otherDaemons) Live() map[models.DaemonID]models.Peer {
 	return o.daemon.sharing.members.Live()
--- a/membership/members.go
+++ b/membership/members.go
@@ -321,14 +321,18 @@
 	return peers
 }
 
-// Live returns the other daemons that have sent a message within liveTimeout.
+// Live returns the other daemons that have sent a message within liveTimeout. In large
+// fleets, where nothing is heard of single daemons of other zones, these count if anything
+// was heard of their zone.
 func (m *Members) Live() map[models.DaemonID]models.Peer {
 	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	peers := map[models.DaemonID]models.Peer{}
 	for id, other := range m.others {
-		if now.Sub(other.lastHeardAt) < liveTimeout {
+		contact := m.zones[other.zone]
+		summed := other.zone != m.self.Zone && now.Sub(contact.daemonAt) >= liveTimeout && now.Sub(contact.sumAt) < liveTimeout
+		if summed || now.Sub(other.lastHeardAt) < liveTimeout {
 			peers[id] = models.Peer{Address: other.address, Zone: other.zone}
 		}
 	}
