--- a/detour/direct.go
+++ b/detour/direct.go
@@ -43,12 +43,13 @@
 }
 
 // ended records the end of a call without a body that is still to be read. What ends
-// because its caller has gone, or its time is over, says nothing of the server.
+// because its caller has gone, or its time is over, says nothing of the server, and what
+// breaks off may have been broken off by it.
 func (d *direct) ended(ctx context.Context, to models.Upstream, err error) {
 	switch {
 	case err == nil:
 		d.reach.heard(to)
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && peer.OutcomeOf(err) == peer.OutcomeNotDone:
 		d.reach.failed(to)
 	}
 	d.reach.end(to)
--- a/detour/reach.go
+++ b/detour/reach.go
@@ -58,7 +58,7 @@
 type serviceReach struct {
 	heardAt time.Time                       // when something last came from any of them
 	owing   map[netip.AddrPort]*owedAnswers // servers that have calls to answer
-	failing map[netip.AddrPort]bool         // not connected to, or lost, since the last check
+	failing map[netip.AddrPort]bool         // not connected to since the last check
 	cut     bool
 	cutAt   time.Time
 	checkAt time.Time // no check before
@@ -146,7 +146,7 @@
 	}
 }
 
-// failed records that a server was not connected to, or that the connection was lost.
+// failed records that a server was not connected to.
 func (r *Reach) failed(to models.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
