--- a/detour/daemons.go
+++ b/detour/daemons.go
@@ -31,13 +31,13 @@
 	zone    models.Zone // of this daemon
 	clock   peer.Clock
 
-	mu          sync.Mutex
-	provenAt    map[models.DaemonID]time.Time
-	unusableTil map[models.DaemonID]time.Time
+	mu            sync.Mutex
+	provenAt      map[models.DaemonID]time.Time
+	unusableUntil map[models.DaemonID]time.Time
 }
 
 func newDaemons(members Members, zone models.Zone, clock peer.Clock) *daemons {
-	return &daemons{members: members, zone: zone, clock: clock, provenAt: map[models.DaemonID]time.Time{}, unusableTil: map[models.DaemonID]time.Time{}}
+	return &daemons{members: members, zone: zone, clock: clock, provenAt: map[models.DaemonID]time.Time{}, unusableUntil: map[models.DaemonID]time.Time{}}
 }
 
 // candidate is a daemon that may make a call.
@@ -91,14 +91,14 @@
 			delete(d.provenAt, id)
 		}
 	}
-	for id, until := range d.unusableTil {
+	for id, until := range d.unusableUntil {
 		if !now.Before(until) {
-			delete(d.unusableTil, id)
+			delete(d.unusableUntil, id)
 		}
 	}
 	list := make([]candidate, 0, len(others))
 	for id, other := range others {
-		if now.Before(d.unusableTil[id]) {
+		if now.Before(d.unusableUntil[id]) {
 			continue
 		}
 		proven, made := d.provenAt[id]
@@ -119,5 +119,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.provenAt, id)
-	d.unusableTil[id] = d.clock.Now().Add(unusablePause)
+	d.unusableUntil[id] = d.clock.Now().Add(unusablePause)
 }
