--- a/resume/journal_test.go
+++ b/resume/journal_test.go
@@ -59,6 +59,22 @@
 	})
 }
 
+// Guards against streams that go on at the version which served before, on the ground
+// that the lost daemons had not recorded the other one: a daemon that does not reach the
+// store uses new servers all the same.
+func TestStreamOfAVersionThatJoinedUnrecordedIsNotContinuedByTheOther(t *testing.T) {
+	runVersions(t, func(f *versionFixture) {
+		f.follow(registered("v1"), 0)
+		f.table.setAway(true)
+		f.follow(registered("v2"), 0)
+		f.begin("s", v2, lifetime)
+		f.restart()
+		f.table.setAway(false)
+		f.follow(registered("v1", "v2"), 0)
+		f.expectNotFound("s")
+	})
+}
+
 // The rows of streams that no caller can resume are deleted, also those of processes
 // that have ended.
 func TestOriginsAreDeletedFromTheStore(t *testing.T) {
