--- a/routing/departure.go
+++ b/routing/departure.go
@@ -81,17 +81,6 @@
 	f.departed[id] = left
 }
 
-// postponeProofs restarts the time that proves departures, unless it is over: the copy that
-// was found now lacks what was registered again since the last one.
-func (f *Fleet) postponeProofs() {
-	for id, left := range f.departed {
-		if f.answeredAt.Before(left.provenAt) {
-			left.provenAt = f.foundAt.Add(departureProof)
-			f.departed[id] = left
-		}
-	}
-}
-
 // forgetDepartures forgets the departures that no copy of the store can be older
 // than.
 func (f *Fleet) forgetDepartures(now time.Time) {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -106,9 +106,6 @@
 	if restored || f.failing {
 		f.foundAt = now
 	}
-	if restored {
-		f.postponeProofs()
-	}
 	f.failing = false
 	f.apply(changes, restored, now)
 	f.answeredAt = now
