--- a/billing/closer.go
+++ b/billing/closer.go
@@ -22,10 +22,11 @@
 	// is closed even if counts are missing. The remainder is left for the report.
 	forceFraction = 0.8
 	// earlyFraction is the fraction of the report deadline after which a window is
-	// closed without the counts of at most fewMissing of the VMs: they change little,
-	// and another daemon still has the time to take over and report.
+	// closed if few counts are missing: they change little, and another daemon still
+	// has the time to take over and report.
 	earlyFraction = 0.5
-	fewMissing    = 0.04
+	// fewMissing is the largest share of the VMs whose counts may be missing then.
+	fewMissing = 0.04
 	// retryInterval is the pause after a window could not be closed or reported,
 	// for instance because counts are missing.
 	retryInterval = time.Second
--- a/detour/daemons.go
+++ b/detour/daemons.go
@@ -54,7 +54,7 @@
 	list := d.usable()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	neighbour := slices.IndexFunc(list, func(c candidate) bool { return !c.proven && c.Zone == d.zone })
-	rank := func(i int) int {
+	rank := func(i int) int { // the lowest is asked first
 		c := list[i]
 		switch {
 		case c.proven && c.Zone == d.zone:
--- a/policy/fleet/recent.go
+++ b/policy/fleet/recent.go
@@ -5,9 +5,11 @@
 // WindowMax tracks the maximum of the values observed within a sliding time
 // window.
 type WindowMax struct {
-	window     time.Duration
-	firstAt    time.Time
-	candidates []sample // in descending order of value
+	window  time.Duration
+	firstAt time.Time
+	// In order of time, and of descending value: a value is dropped once a later one is as
+	// large.
+	candidates []sample
 }
 
 type sample struct {
