review: the stand-ins of the new cases pass the linter

The linter found two unchecked results and a function that no case uses any more (draining, of an earlier form of case 7). What the cases send and check is as before.

--- a/review/second/case6_test.go
+++ b/review/second/case6_test.go
@@ -96,9 +96,7 @@
 			served++
 		}
 	}
-	result := fmt.Sprintf("%d reservations, %d served; %d unanswered at the route's timeout, %d of these half a second later too; half of them are allowed", len(plain), served, late, unanswered)
-	l.note("%s", result)
-	fmt.Println(result) //nolint:forbidigo // the result of the script
+	l.result("%d reservations, %d served; %d unanswered at the route's timeout, %d of these half a second later too; half of them are allowed", len(plain), served, late, unanswered)
 	switch {
 	case len(plain) < 100:
 		return notRun
--- a/review/second/case7_test.go
+++ b/review/second/case7_test.go
@@ -111,8 +111,7 @@
 			l.note("mixed: %s", r.id)
 		}
 	}
-	l.note("%d streams, %d with events, %d with events of two versions; 2 are allowed", len(replies), begun, mixed)
-	fmt.Printf("%d streams, %d with events, %d with events of two versions; 2 are allowed\n", len(replies), begun, mixed) //nolint:forbidigo // the result of the script
+	l.result("%d streams, %d with events, %d with events of two versions; 2 are allowed", len(replies), begun, mixed)
 	switch {
 	case begun < 30:
 		return notRun
--- a/review/second/case8_test.go
+++ b/review/second/case8_test.go
@@ -72,8 +72,7 @@
 			late++
 		}
 	}
-	l.note("%d requests reached servers later than %s after the third crash; %d are allowed", late, contact, allowed)
-	fmt.Printf("%d requests reached servers later than %s after the third crash; %d are allowed\n", late, contact, allowed) //nolint:forbidigo // the result of the script
+	l.result("%d requests reached servers later than %s after the third crash; %d are allowed", late, contact, allowed)
 	if late > allowed {
 		return broken
 	}
--- a/review/second/engine_test.go
+++ b/review/second/engine_test.go
@@ -27,7 +27,6 @@
 
 	mu       sync.Mutex
 	version  string
-	state    string
 	born     int64
 	sequence int
 	server   *http.Server
@@ -61,7 +60,7 @@
 	}
 	must(err)
 	e.mu.Lock()
-	e.version, e.state, e.born, e.sequence = version, "ready", clock.Now().UnixMilli(), 0
+	e.version, e.born, e.sequence = version, clock.Now().UnixMilli(), 0
 	server := &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: 10 * time.Second}
 	e.server = server
 	e.mu.Unlock()
@@ -75,7 +74,7 @@
 	e.mu.Lock()
 	row := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": 64,
-		"state": e.state, "cold_left_ms": 0, "sequence": e.sequence, "born": e.born,
+		"state": "ready", "cold_left_ms": 0, "sequence": e.sequence, "born": e.born,
 	}
 	e.mu.Unlock()
 	if e.events > 0 {
@@ -85,15 +84,6 @@
 	e.lab.store.Put("servers", e.id, encode(row))
 }
 
-// drain registers that the engine leaves. It goes on serving.
-func (e *engine) drain() {
-	e.mu.Lock()
-	e.state = "draining"
-	e.mu.Unlock()
-	e.register()
-	e.lab.note("%s drains", e.id)
-}
-
 // crash ends the process: its connections break off.
 func (e *engine) crash() {
 	e.mu.Lock()
@@ -109,7 +99,7 @@
 // serve answers as the pages say.
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	version, leaving, born := e.version, e.state == "draining", e.born
+	version, born := e.version, e.born
 	e.mu.Unlock()
 	id := r.Header.Get("Request-Id")
 	header := w.Header()
@@ -118,9 +108,6 @@
 	}
 	header.Set("Instance-Id", e.id)
 	header.Set("Keep-Alive", "timeout=5")
-	if leaving {
-		header.Set("Server-Leaving", "1")
-	}
 	turnAway := func(status int) {
 		header.Set("Not-Executed", "1")
 		w.WriteHeader(status)
@@ -155,7 +142,7 @@
 		return
 	}
 	sleep(e.pace)
-	fmt.Fprintf(w, "answer of %s to %s, %d bytes", e.id, id, len(body))
+	_, _ = fmt.Fprintf(w, "answer of %s to %s, %d bytes", e.id, id, len(body))
 }
 
 // crashOn crashes the process, which is back some seconds later.
--- a/review/second/lab_test.go
+++ b/review/second/lab_test.go
@@ -69,7 +69,13 @@
 func (l *lab) note(format string, values ...any) {
 	l.recordMu.Lock()
 	defer l.recordMu.Unlock()
-	fmt.Fprintf(l.record, "%8.3f  %s\n", clock.Now().Sub(l.began).Seconds(), fmt.Sprintf(format, values...))
+	_, _ = fmt.Fprintf(l.record, "%8.3f  %s\n", clock.Now().Sub(l.began).Seconds(), fmt.Sprintf(format, values...))
+}
+
+// result writes what the case found, to the record and for who started it.
+func (l *lab) result(format string, values ...any) {
+	l.note(format, values...)
+	_, _ = fmt.Fprintf(os.Stdout, format+"\n", values...)
 }
 
 // close ends all that the case started.
