review: case 6 keeps to the head limit of the platform's examples

Now 1,250 parts of 16 tokens, one and a half prompts a second at each daemon, and the other limits of the examples.

--- a/review/second/case6_test.go
+++ b/review/second/case6_test.go
@@ -18,12 +18,12 @@
 		engines     = 9
 		servers     = 4
 		blockTokens = 16
-		blocks      = 2300 // of a prompt: 36,800 tokens
-		longEach    = 1.0  // long prompts a second at each daemon
+		blocks      = 1250 // of a prompt: 20,000 tokens, 15 KB of its head
+		longEach    = 1.5  // long prompts a second at each daemon
 		quotesEach  = 1.5  // quotes a second at each daemon
 		plainEach   = 3.0  // reservations a second at each daemon
 		calm        = 5 * time.Second
-		length      = 40 * time.Second
+		length      = 50 * time.Second
 		timeout     = 1200 * time.Millisecond // of the route of reservations
 		slack       = 500 * time.Millisecond
 	)
--- a/review/second/config_test.go
+++ b/review/second/config_test.go
@@ -29,7 +29,7 @@
 			}},
 			map[string]any{"name": "desk", "health_check": "/healthz", "max_connections": 100},
 		},
-		"limits": map[string]any{"max_header_bytes": 65536, "max_body_bytes": 4194304, "header_timeout_ms": 10000, "idle_timeout_ms": 60000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{
 			map[string]any{"name": "sales", "api_keys": []any{"key-of-sales"}},
 			map[string]any{"name": "stock", "api_keys": []any{"key-of-stock"}},
