--- a/review/second/case7_test.go
+++ b/review/second/case7_test.go
@@ -19,8 +19,8 @@
 		step      = 1400 * time.Millisecond // between two crashes
 		downTime  = 300 * time.Millisecond
 		awayTime  = 9 * time.Second
-		longEach  = 1.5 // long streams that begin at each daemon a second
-		shortEach = 5.0 // short ones
+		longEach  = 2.0 // long streams that begin at each daemon a second
+		shortEach = 8.5 // short ones
 		events    = 76  // of a long stream, 7.6 s
 	)
 	l.startDuties(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
