review: no stream is taken up after the loss of all daemons beside a newer version

All daemons are killed while a newer version of the engines joins; no stream of before goes on, although its four engines serve without a break.

--- a/review/second/caller_test.go
+++ b/review/second/caller_test.go
@@ -22,8 +22,9 @@
 	prompt   string // the parts of the prompt; empty: no generation
 	tokens   string
 	body     string
-	resumes  string // the request that brought the first event; empty: a new stream
-	after    int    // the last event that the caller has
+	resumes  string        // the request that brought the first event; empty: a new stream
+	after    int           // the last event that the caller has
+	leave    time.Duration // after which the caller closes the connection; 0: at the deadline
 }
 
 // reply is what a caller saw.
@@ -46,7 +47,11 @@
 // send sends a request to a daemon and waits for the end of its answer.
 func (d *daemon) send(c call) reply {
 	result := reply{id: fmt.Sprintf("r%07d", lastRequest.Add(1)), sentAt: clock.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
+	stay := c.deadline
+	if c.leave > 0 {
+		stay = min(stay, c.leave)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stay)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+d.callers+c.path, strings.NewReader(c.body))
 	must(err)
--- a/review/second/lab_test.go
+++ b/review/second/lab_test.go
@@ -150,6 +150,9 @@
 	name       string
 	zone       string
 	settings   string
+	own        []string // addresses
+	storeAt    string
+	firstStart bool
 	callers    string
 	ready      string
 	mu         sync.Mutex
@@ -170,14 +173,15 @@
 func (l *lab) addDaemons(zones ...string) {
 	addresses := freeAddresses(4 * len(zones))
 	for i, zone := range zones {
-		d := &daemon{lab: l, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, calls: map[net.Conn]bool{}}
-		own := addresses[4*i : 4*i+4]
-		d.callers, d.ready = own[0], own[1]
-		listener, store := listen()
+		d := &daemon{lab: l, name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, calls: map[net.Conn]bool{}, firstStart: true}
+		d.own = addresses[4*i : 4*i+4]
+		d.callers, d.ready = d.own[0], d.own[1]
+		var listener net.Listener
+		listener, d.storeAt = listen()
 		server := &http.Server{Handler: http.HandlerFunc(d.serveStore), ReadHeaderTimeout: 10 * time.Second, ConnState: d.storeConnection}
 		go server.Serve(listener) //nolint:errcheck // ends with the case
 		d.settings = filepath.Join(l.folder, d.name+".json")
-		must(os.WriteFile(d.settings, settingsOf(d, own, store, l.dutiesAt), 0o600))
+		must(d.writeSettings())
 		l.daemons = append(l.daemons, d)
 	}
 	for _, d := range l.daemons {
@@ -185,23 +189,26 @@
 	}
 }
 
-// settingsOf renders the template of the deploy file with the figures of a small deployment.
-func settingsOf(d *daemon, own []string, store, duties string) []byte {
+// writeSettings renders the template of the deploy file with the figures of a small
+// deployment, as at each start.
+func (d *daemon) writeSettings() error {
 	raw, err := json.MarshalIndent(map[string]any{
-		"name": d.name, "zone": d.zone, "zones": []string{"a", "b", "c", "d"}, "first-start": true,
-		"callers":   map[string]any{"grace": "8s", "address": own[0]},
-		"readiness": map[string]any{"address": own[1]},
-		"daemons":   map[string]any{"address": own[2]},
-		"metrics":   map[string]any{"address": own[3]},
-		"store":     map[string]any{"notice": "3000ms", "leave": "2000ms", "address": store},
-		"duties":    map[string]any{"usage-window": "5s", "usage-latest": "10s", "address": duties, "calls-a-second": 50, "usage": true, "supply": true},
+		"name": d.name, "zone": d.zone, "zones": []string{"a", "b", "c", "d"}, "first-start": d.firstStart,
+		"callers":   map[string]any{"grace": "8s", "address": d.own[0]},
+		"readiness": map[string]any{"address": d.own[1]},
+		"daemons":   map[string]any{"address": d.own[2]},
+		"metrics":   map[string]any{"address": d.own[3]},
+		"store":     map[string]any{"notice": "3000ms", "leave": "2000ms", "address": d.storeAt},
+		"duties":    map[string]any{"usage-window": "5s", "usage-latest": "10s", "address": d.lab.dutiesAt, "calls-a-second": 50, "usage": true, "supply": true},
 		"lease":     map[string]any{"duration": "3000ms"},
 		"retries":   map[string]any{"ratio": 0.2, "reserve": 54, "window": "10s"},
 		"terms":     []string{"base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "tenants", "leader", "platform"},
 		"vm":        map[string]any{"descriptors": 4100, "memory-mb": 284},
 	}, "", "  ")
-	must(err)
-	return raw
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.settings, raw, 0o600)
 }
 
 func (d *daemon) start() {
@@ -210,7 +217,7 @@
 	if d.lab.oneCore {
 		command.Env = append(command.Env, "GOMAXPROCS=1")
 	}
-	log, err := os.Create(d.settings + ".log")
+	log, err := os.OpenFile(d.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	command.Stdout, command.Stderr = log, log
 	must(command.Start())
