resume, balance: streams are taken up when another version joins after a loss

Streams of before were in memory alone. Once a second version is recorded the record does not tell, and the only version of before must not be assumed: a daemon that does not reach the store uses servers of a new version all the same (two tests show it).

Change: origins are always written, each half second while one version serves, each 50 ms as before while there may be several. The form of the rows is the same, so an earlier build reads and deletes them. The first two daemons in touch (the first leader above 12 others) write for all, so that the streams of daemons that do not reach the store, or run an earlier build, are there too. A return from an older copy has all origins written again. Rows of streams that last for hours are merged; rows of ended processes are looked for each minute.

Tests: six subtests of TestStreamsAreTakenUpAfterTheLossOfAllDaemons failed before, and TestRowsOfLongStreamsAreMerged. The listed subtest began a stream and lost all daemons at the same instant. TestSteadyVersionsCostNoCalls held a stream to no call; now to one row, written and deleted, and no read, and TestOriginsAreWrittenTogetherWhileOneVersionServes bounds the rows a second.

--- a/balance/leader.go
+++ b/balance/leader.go
@@ -7,6 +7,13 @@
 	"quincewinch/resume"
 )
 
+// The first daemons in touch write the origins of all streams to the store: directOriginWriters
+// of those that are all direct peers, else zoneOriginWriters of the leaders of zones.
+const (
+	directOriginWriters = 2
+	zoneOriginWriters   = 1
+)
+
 // chooseReceivers returns the daemons that the next load share goes to, and whether this
 // daemon leads its zone. It sets the leader that is followed.
 func (s *Sharer) chooseReceivers(others map[models.DaemonID]models.Peer) (peers map[models.DaemonID]models.Peer, leads bool) {
@@ -78,12 +85,20 @@
 
 // OriginDuty returns the scope of the origins of streams that this daemon keeps in the
 // store: those of its zone if it leads one, and its own if all daemons are direct peers. ok
-// is false if the leader of its zone does so.
+// is false if the leader of its zone does so. The first daemons in touch also write for
+// those that do not reach the store or run a version that does not write.
 func (s *Sharer) OriginDuty() (scope resume.Scope, ok bool) {
-	if len(s.members.Others()) <= fullMeshLimit {
+	rank, leads := s.StandbyRank()
+	direct := len(s.members.Others()) <= fullMeshLimit
+	switch {
+	case !leads && !direct:
+		return resume.ScopeOwn | resume.ScopeZone, false
+	case direct && rank < directOriginWriters, !direct && rank < zoneOriginWriters:
+		return resume.ScopeAll, true
+	case direct:
 		return resume.ScopeOwn, true
 	}
-	return resume.ScopeOwn | resume.ScopeZone, s.LeadsZone()
+	return resume.ScopeOwn | resume.ScopeZone, true
 }
 
 // StandbyRank returns how many daemons that are in touch come before this one as
--- a/balance/origins_test.go
+++ b/balance/origins_test.go
@@ -10,6 +10,7 @@
 
 	"quincewinch/models"
 	"quincewinch/relay"
+	"quincewinch/resume"
 )
 
 const (
@@ -157,3 +158,31 @@
 	defer n.mu.Unlock()
 	return n.messages[models.DaemonID(n.addresses[i].String())]
 }
+
+// Guards against streams of daemons that do not write origins to the store, or do not
+// reach it, which none could take up after the loss of all daemons.
+func TestFirstDaemonsWriteTheOriginsOfAll(t *testing.T) {
+	for name, size := range map[string]struct{ daemons, zones, own, zone, all int }{
+		"all direct peers":        {daemons: 7, zones: 4, own: 5, all: 2},
+		"above the direct limit":  {daemons: 20, zones: 4, zone: 3, all: 1},
+		"a daemon alone":          {daemons: 1, zones: 1, all: 1},
+		"two daemons in one zone": {daemons: 2, zones: 1, all: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork(t, size.daemons, size.zones)
+				n.load(4 * warmUp)
+				counts := map[resume.Scope]int{}
+				for _, sharer := range n.sharers {
+					if scope, ok := sharer.OriginDuty(); ok {
+						counts[scope]++
+					}
+				}
+				is.Equal(counts[resume.ScopeOwn], size.own)
+				is.Equal(counts[resume.ScopeOwn|resume.ScopeZone], size.zone)
+				is.Equal(counts[resume.ScopeAll], size.all)
+			})
+		})
+	}
+}
--- a/balance/share_test.go
+++ b/balance/share_test.go
@@ -27,6 +27,7 @@
 	t         *testing.T
 	fleet     *fleet
 	stop      map[netip.AddrPort]context.CancelFunc // ends the sharer of a daemon
+	sharers   []*balance.Sharer                     // of all daemons, in order of their start
 	mu        sync.Mutex
 	daemons   map[netip.AddrPort]*balance.Balancer
 	origins   map[netip.AddrPort]*resume.Origins
@@ -184,6 +185,7 @@
 	clock := system.NewClock()
 	self := models.LoadShare{From: daemonID(i), Zone: member.Zone, Address: member.Address}
 	sharer := balance.NewSharer(self, n.daemons[member.Address], others{n, daemonID(i)}, n, n.origins[member.Address], n.evidence[member.Address], clock, zap.NewNop())
+	n.sharers = append(n.sharers, sharer)
 	ctx, cancel := context.WithCancel(n.t.Context())
 	n.stop[member.Address] = cancel
 	go func() {
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -38,7 +38,8 @@
 	// that callers can no longer resume.
 	originInterval = time.Second
 	// journalInterval is the shortest time between two writes of the origins of streams to
-	// the store. A stream that began later before the loss of all daemons is not known.
+	// the store, while several versions serve. A stream that began later before the loss of
+	// all daemons is not known.
 	journalInterval = 50 * time.Millisecond
 	// journalIdleInterval is the time between two looks whether any are to be written.
 	journalIdleInterval = 250 * time.Millisecond
@@ -77,13 +78,13 @@
 	return s.sharer.OriginDuty()
 }
 
-// originWriter writes the origins of streams to the store while they are needed.
+// originWriter writes the origins of streams to the store.
 type originWriter struct {
 	journal *resume.Journal
 	clock   peer.Clock
 }
 
-// Step implements control.Task. It goes on while origins are needed.
+// Step implements control.Task. It goes on while only origins tell streams apart.
 func (w originWriter) Step(ctx context.Context) {
 	for {
 		w.journal.Step(ctx)
--- a/resume/journal.go
+++ b/resume/journal.go
@@ -25,11 +25,20 @@
 	minScanInterval = 500 * time.Millisecond
 	// deleteMargin is how long after the end of its origins a row is deleted.
 	deleteMargin = 5 * time.Second
+	// calmInterval is the shortest time between two writes of origins that no daemon
+	// needs unless all are lost and another version joins.
+	calmInterval = 500 * time.Millisecond
+	// maxWrittenRows is the number of rows from which the origins that have not expired
+	// are written anew, together: streams may last for hours.
+	maxWrittenRows = 1024
+	// sweepInterval is the time between two searches for the rows of processes that have
+	// ended, by daemons that write the origins of all others.
+	sweepInterval = time.Minute
 )
 
-// Journal keeps, in the platform's store, the origins of streams that cannot be told
-// from the record of versions: while more than one version may have begun them, or for
-// a route that leads to several services. They outlive the loss of all daemons.
+// Journal keeps the origins of streams in the platform's store, where they outlive the
+// loss of all daemons: the record of versions does not tell which version began a stream
+// once another one has joined.
 type Journal struct {
 	origins  *Origins
 	versions *Versions
@@ -39,10 +48,15 @@
 	logger   *zap.Logger
 
 	// Used only by Step.
-	position  uint64                      // of the last origin that is written
-	contested map[models.ServiceName]bool // at the last step
-	rows      int                         // written so far; numbers the next one
-	written   []storedRow                 // not deleted yet
+	position   uint64      // of the last origin that is written
+	scope      Scope       // of the origins that are written up to there
+	era        uint64      // of the store to which they are written
+	contested  bool        // at the last step
+	steppedAt  time.Time   // the last look for origins to write
+	rows       int         // written so far; numbers the next one
+	written    []storedRow // not deleted yet
+	superseded int         // of the written rows: the first ones, whose origins are being written anew
+	sweptAt    time.Time
 
 	scanning  turn
 	scannedAt time.Time // guarded by scanning
@@ -63,53 +77,65 @@
 func NewJournal(origins *Origins, versions *Versions, table Table, duty func() (scope Scope, ok bool), clock peer.Clock, logger *zap.Logger) *Journal {
 	return &Journal{
 		origins: origins, versions: versions, table: table, duty: duty, clock: clock, logger: logger,
-		contested: map[models.ServiceName]bool{}, scanning: newTurn(),
+		scanning: newTurn(), sweptAt: clock.Now(),
 	}
 }
 
-// Step writes the origins that are needed, and deletes rows that are not any more.
+// Step writes the origins that are not in the store, and deletes rows that are not needed
+// any more.
 func (j *Journal) Step(ctx context.Context) {
 	j.deleteExpired(ctx)
 	scope, writes := j.duty()
 	if !writes {
 		return
 	}
-	contested := j.origins.contestedServices()
-	for service := range contested {
-		if !j.contested[service] {
-			// The streams that have begun so far are needed too.
-			j.position = 0
-		}
-	}
-	j.contested = contested
-	if len(contested) == 0 && !j.origins.dividedSince(j.position) {
+	now := j.clock.Now()
+	j.contested = len(j.origins.contestedServices()) > 0
+	urgent := j.contested || j.origins.dividedSince(j.position)
+	if !urgent && !j.steppedAt.IsZero() && now.Sub(j.steppedAt) < calmInterval {
 		return
 	}
+	j.steppedAt = now
+	if era := j.table.Era(); era != j.era || scope != j.scope {
+		// A copy of the store may lack rows, and a larger scope has earlier origins.
+		j.position, j.era, j.scope = 0, era, scope
+	}
+	if len(j.written) >= maxWrittenRows && j.superseded == 0 {
+		j.position, j.superseded = 0, len(j.written)
+	}
 	for range maxRowsPerStep {
-		if !j.writeRow(ctx, scope) {
+		switch result := j.writeRow(ctx, scope); result {
+		case rowFailed:
+			return
+		case rowsComplete:
+			j.dropSuperseded()
+			j.sweep(ctx, scope)
 			return
 		}
 	}
 }
 
-// Active reports whether the last step found origins that are needed, so that more may
-// be soon. It must not be called during a step.
+// Active reports whether the last step found streams that only their origins tell apart,
+// so that more may begin soon. It must not be called during a step.
 func (j *Journal) Active() bool {
-	return len(j.contested) > 0
+	return j.contested
 }
 
-// writeRow writes one row of origins that are needed. It reports whether there may be
-// more.
-func (j *Journal) writeRow(ctx context.Context, scope Scope) (more bool) {
-	divided := j.origins.dividedSince(j.position)
+// rowResult is what became of a row that was to be written.
+type rowResult int
+
+const (
+	rowFailed rowResult = iota
+	rowWritten
+	rowsComplete // written or not needed, and no further origins are known
+)
+
+// writeRow writes one row of origins.
+func (j *Journal) writeRow(ctx context.Context, scope Scope) rowResult {
 	origins, next := j.origins.Since(j.position, scope, maxRowOrigins)
-	full := len(origins) == maxRowOrigins
-	origins = slices.DeleteFunc(origins, func(origin models.StreamOrigin) bool {
-		return !divided && !j.contested[origin.Software.Service]
-	})
 	if len(origins) == 0 {
 		j.position = next
-		return full
+		return rowsComplete
 	}
 	var left time.Duration
 	for _, origin := range origins {
@@ -118,7 +144,7 @@
 	now := j.clock.Now()
 	until, known := j.versions.storeTime(now.Add(left))
 	if !known {
-		return false
+		return rowFailed
 	}
 	j.rows++
 	key := models.RowKey{Partition: models.PartitionOrigins, Name: strconv.FormatUint(j.origins.Instance(), 36) + "-" + strconv.Itoa(j.rows)}
@@ -128,10 +154,32 @@
 	}
 	j.report("origins of streams not written", err)
 	if err != nil {
-		return false
+		return rowFailed
 	}
 	j.position = next
-	return full
+	if len(origins) < maxRowOrigins {
+		return rowsComplete
+	}
+	return rowWritten
+}
+
+// dropSuperseded makes the rows whose origins were written anew expire.
+func (j *Journal) dropSuperseded() {
+	now := j.clock.Now()
+	for i := range j.superseded {
+		j.written[i].expires = now.Add(-deleteMargin)
+	}
+	j.superseded = 0
+}
+
+// sweep deletes rows of processes that have ended, from time to time.
+func (j *Journal) sweep(ctx context.Context, scope Scope) {
+	now := j.clock.Now()
+	if scope != ScopeAll || now.Sub(j.sweptAt) < sweepInterval {
+		return
+	}
+	j.sweptAt = now
+	_ = j.Scan(ctx) // reports its errors
 }
 
 // deleteExpired deletes the rows of origins that have expired.
@@ -146,6 +194,11 @@
 	if len(expired) == 0 || j.delete(ctx, expired) != nil {
 		return
 	}
+	for _, row := range j.written[:j.superseded] {
+		if slices.Contains(expired, row) {
+			j.superseded--
+		}
+	}
 	j.written = slices.DeleteFunc(j.written, func(row storedRow) bool { return slices.Contains(expired, row) })
 }
 
--- a/resume/journal_test.go
+++ b/resume/journal_test.go
@@ -1,11 +1,13 @@
 package resume_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"quincewinch/models"
 	"quincewinch/peer/system"
+	"quincewinch/resume"
 )
 
 // Guards against streams that none can take up after the loss of all daemons.
@@ -17,7 +19,7 @@
 			f.restart()
 			f.follow(registered("v1"), 0)
 			f.expectFound("s", v1)
-			f.is.Equal(f.table.count(models.PartitionOrigins), 0) // nothing is written for each stream
+			f.is.Equal(f.table.count(models.PartitionOrigins), 0) // it was lost before it was written
 		})
 	})
 	t.Run("two versions", func(t *testing.T) {
@@ -36,15 +38,73 @@
 			f.expectNotFound("not written yet")
 		})
 	})
-	t.Run("another version joined meanwhile", func(t *testing.T) {
+	// Guards against streams that none can take up once another version has joined.
+	for name, joins := range map[string]func(f *versionFixture){
+		"another version joined meanwhile": func(f *versionFixture) {
+			f.restart()
+			f.follow(registered("v1", "v2"), 0)
+		},
+		"another version joined just before": func(f *versionFixture) {
+			f.follow(registered("v2"), 0)
+			f.restart()
+			f.follow(registered("v1", "v2"), 0)
+		},
+		"another version joined after the return": func(f *versionFixture) {
+			f.restart()
+			f.follow(registered("v1"), time.Second)
+			f.follow(registered("v2"), 0)
+		},
+		"two others joined meanwhile": func(f *versionFixture) {
+			f.restart()
+			f.follow(registered("v1", "v2", "v3"), 0)
+		},
+		"another replaced it meanwhile, and all were lost once more": func(f *versionFixture) {
+			f.restart()
+			f.follow(registered("v2"), time.Second)
+			f.restart()
+			f.follow(registered("v2"), 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runVersions(t, func(f *versionFixture) {
+				f.follow(registered("v1"), 0)
+				f.begin("s", v1, lifetime)
+				f.follow(models.UpstreamChanges{}, 0)
+				f.begin("not written yet", v1, lifetime)
+				joins(f)
+				f.expectFound("s", v1)
+				_, err := f.finder.Find(f.t.Context(), "not written yet", []models.ServiceName{"llm"})
+				if err == nil {
+					f.expectFound("not written yet", v1)
+				}
+			})
+		})
+	}
+	t.Run("older copy of the store before", func(t *testing.T) {
 		runVersions(t, func(f *versionFixture) {
 			f.follow(registered("v1"), 0)
 			f.begin("s", v1, lifetime)
+			f.follow(models.UpstreamChanges{}, 0)
+			f.table.restore()
+			f.follow(models.UpstreamChanges{}, 0)
 			f.restart()
 			f.follow(registered("v1", "v2"), 0)
 			f.expectFound("s", v1)
 		})
 	})
+	t.Run("daemon that did not reach the store", func(t *testing.T) {
+		runVersions(t, func(f *versionFixture) {
+			f.follow(registered("v1", "v2"), 0)
+			f.learn("of another daemon", v2)
+			f.scope = resume.ScopeOwn
+			f.follow(models.UpstreamChanges{}, 0)
+			f.is.Equal(f.table.count(models.PartitionOrigins), 0)
+			f.scope = resume.ScopeAll // this daemon writes for the others now
+			f.follow(models.UpstreamChanges{}, 0)
+			f.restart()
+			f.expectFound("of another daemon", v2)
+		})
+	})
 	t.Run("store that was away when streams began", func(t *testing.T) {
 		runVersions(t, func(f *versionFixture) {
 			f.follow(registered("v1", "v2"), 0)
@@ -95,3 +155,38 @@
 		f.is.Equal(f.table.count(models.PartitionOrigins), 0)
 	})
 }
+
+// What is written does not grow with the streams that begin, while one version serves.
+func TestOriginsAreWrittenTogetherWhileOneVersionServes(t *testing.T) {
+	runVersions(t, func(f *versionFixture) {
+		const seconds, perSecond, writesPerSecond = 10, 20, 2
+		f.follow(registered("v1"), 0)
+		writes := f.table.writes
+		for i := range seconds * perSecond {
+			f.begin(models.RequestID(strconv.Itoa(i)), v1, lifetime)
+			_, err := f.versions.Follow(f.t.Context(), 0, 0)
+			f.is.NoErr(err)
+			f.journal.Step(f.t.Context())
+			f.is.NoErr(system.NewClock().Sleep(f.t.Context(), time.Second/perSecond))
+		}
+		f.is.True(f.table.writes-writes <= seconds*writesPerSecond)
+	})
+}
+
+// Streams that last for hours do not fill the store with small rows.
+func TestRowsOfLongStreamsAreMerged(t *testing.T) {
+	runVersions(t, func(f *versionFixture) {
+		const streams, rows = 3000, 1100
+		f.follow(registered("v1"), 0)
+		for i := range streams {
+			f.begin(models.RequestID(strconv.Itoa(i)), v1, 10*time.Hour)
+			f.follow(models.UpstreamChanges{}, 0)
+			f.is.True(f.table.count(models.PartitionOrigins) <= rows)
+		}
+		f.restart()
+		f.follow(registered("v1", "v2"), 0)
+		for i := range streams {
+			f.expectFound(models.RequestID(strconv.Itoa(i)), v1)
+		}
+	})
+}
--- a/resume/schedule_test.go
+++ b/resume/schedule_test.go
@@ -40,7 +40,6 @@
 	eventGap         = 30 * time.Millisecond
 	callerTimeout    = 4 * time.Second
 	maxTries         = 4
-	joinTime         = 250 * time.Millisecond // until all daemons have stored what they know, if they look each 50 ms
 	contactTime      = time.Second
 	connectTimeout   = time.Second
 	storeDelay       = 4 * time.Millisecond
@@ -165,11 +164,8 @@
 	chance := func(perSecond float64) bool { return s.random.Float64() < perSecond*scheduleTick.Seconds() }
 	list := s.registered()
 	engine := s.engines[list[s.random.IntN(len(list))].ID]
-	// A new version that joins while all daemons are lost is a case of its own, in
-	// TestStreamsAreTakenUpAfterTheLossOfAllDaemons.
 	now := s.clock.Now()
-	joins := !s.joinedAt.IsZero() || s.lostAt.IsZero() || now.Sub(s.lostAt) > callerTimeout
-	if chance(0.8) && s.started < 2*scheduleEngines && joins {
+	if chance(0.8) && s.started < 2*scheduleEngines {
 		if s.joinedAt.IsZero() {
 			s.joinedAt = now
 		}
@@ -190,7 +186,7 @@
 		d.killLocked()
 		s.after(500*time.Millisecond, d.startLocked)
 	}
-	if s.outages && chance(0.1) && s.lostAt.IsZero() && (s.joinedAt.IsZero() || now.Sub(s.joinedAt) > joinTime) {
+	if s.outages && chance(0.1) && s.lostAt.IsZero() {
 		s.lostAt = now
 		for _, other := range s.daemons {
 			if other.alive {
--- a/resume/table_test.go
+++ b/resume/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,7 +16,8 @@
 	mu      sync.Mutex
 	rows    map[models.RowKey]models.Row
 	version uint64
-	away    bool // fails all calls
+	era     uint64 // beyond the first
+	away    bool   // fails all calls
 	delay   time.Duration
 	reads   int
 	writes  int // rows
@@ -36,7 +38,7 @@
 	if t.away {
 		return models.Changes{}, peer.NewFailure(peer.OutcomeNotDone, "away", nil)
 	}
-	changes := models.Changes{Through: models.NewRevision(1, t.version), PlatformTime: system.NewClock().Now()}
+	changes := models.Changes{Through: models.NewRevision(t.era+1, t.version), PlatformTime: system.NewClock().Now()}
 	for key, row := range t.rows {
 		if key.Partition == partition {
 			changes.Rows = append(changes.Rows, row)
@@ -58,7 +60,7 @@
 		}
 	}
 	t.version++
-	revision := models.NewRevision(1, t.version)
+	revision := models.NewRevision(t.era+1, t.version)
 	for _, write := range transaction.Writes {
 		t.writes++
 		if write.Delete {
@@ -71,7 +73,19 @@
 }
 
 // Era implements resume.Table.
-func (t *table) Era() uint64 { return 1 }
+func (t *table) Era() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era + 1
+}
+
+// restore replaces the store by a copy without rows of origins.
+func (t *table) restore() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.era++
+	maps.DeleteFunc(t.rows, func(key models.RowKey, _ models.Row) bool { return key.Partition == models.PartitionOrigins })
+}
 
 func (t *table) setAway(away bool) {
 	t.mu.Lock()
--- a/resume/versions_test.go
+++ b/resume/versions_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -49,11 +50,12 @@
 	t     *testing.T
 	is    *is.I
 	table *table
+	scope resume.Scope // of the origins that the daemon writes
 }
 
 func runVersions(t *testing.T, test func(f *versionFixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &versionFixture{t: t, is: is.New(t), table: newTable()}
+		f := &versionFixture{t: t, is: is.New(t), table: newTable(), scope: resume.ScopeOwn}
 		f.restart()
 		test(f)
 	})
@@ -64,7 +66,7 @@
 	d := &daemon{}
 	d.versions = resume.NewVersions(&d.source, f.table, system.NewClock(), zap.NewNop())
 	d.origins = resume.NewOrigins(d.versions, system.NewClock())
-	duty := func() (resume.Scope, bool) { return resume.ScopeOwn, true }
+	duty := func() (resume.Scope, bool) { return f.scope, true }
 	d.journal = resume.NewJournal(d.origins, d.versions, f.table, duty, system.NewClock(), zap.NewNop())
 	d.finder = resume.NewFinder(d.origins, d.versions, d.journal)
 	return d
@@ -95,6 +97,12 @@
 	f.origins.Record(id, software, 1, false, system.NewClock().Now().Add(keep))
 }
 
+// learn adds a stream of another daemon.
+func (f *versionFixture) learn(id models.RequestID, software models.Software) {
+	origin := models.StreamOrigin{Stream: models.StreamID(xxhash.Sum64String(string(id))), Software: software, Revision: 1, TimeLeft: lifetime}
+	f.origins.Learn([]models.StreamOrigin{origin}, resume.ScopeRemote)
+}
+
 func (f *versionFixture) expectFound(id models.RequestID, software models.Software) {
 	f.t.Helper()
 	found, err := f.finder.Find(f.t.Context(), id, []models.ServiceName{"llm"})
@@ -118,14 +126,18 @@
 
 var v1Removed = models.UpstreamChanges{Removed: []models.EngineID{"e-v1"}}
 
-// While nothing changes, nothing is called.
+// While nothing changes, nothing is called. A stream costs the row that tells its origin,
+// which is written and deleted.
 func TestSteadyVersionsCostNoCalls(t *testing.T) {
 	runVersions(t, func(f *versionFixture) {
 		f.follow(registered("v1"), 10*time.Second)
 		reads, writes := f.table.reads, f.table.writes
-		f.begin("s", v1, time.Second)
 		f.follow(models.UpstreamChanges{}, time.Hour)
 		f.is.Equal(f.table.reads, reads)
 		f.is.Equal(f.table.writes, writes)
+		f.begin("s", v1, 2*time.Second)
+		f.follow(models.UpstreamChanges{}, time.Hour)
+		f.is.Equal(f.table.reads, reads)
+		f.is.Equal(f.table.writes, writes+2)
 	})
 }
