quarantine: crashes and blocks outlive the loss of all daemons

Callers saw: a request that crashes the servers that run it was blocked after its third crash.

Cause: crashes and blocks were in the memory of the daemons alone, so the second life started to count anew. A block alone would not do: two crashes before the loss and two after it would pass the bound as well. Of the evidence the sum over both lives needs the crashes, what was answered since (or a block that was lifted would come back with them), and how often and until when is blocked.

A daemon reads them when it starts, before it is ready, and after a return of the store from an older copy. One daemon after the other writes what all know and the store lacks, so an earlier build, which neither reads nor writes the table, costs a delay of half a second each. Rows that a build cannot read stay as they are.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	origins         *resume.Origins
 	journal         *resume.Journal // of origins
 	quarantine      *quarantine.Quarantine
+	crashes         *quarantine.Journal
 	balancer        *balance.Balancer
 	limits          *ratelimit.Limits // of workspaces
 	intake          *intake.Intake
@@ -128,6 +129,7 @@
 	d.system.Spawn(d.origins, originInterval)
 	d.system.Spawn(d.versions, originInterval)
 	d.system.Spawn(originWriter{d.journal, d.clock}, journalIdleInterval)
+	d.system.Spawn(d.crashes, crashInterval)
 	d.system.Spawn(d.configuration, followInterval)
 	d.system.Spawn(d.fleet, followInterval)
 	d.logger.Info("daemon started", zap.String("vm", settings.Name), zap.String("zone", string(settings.Zone)), zap.Bool("first-start", settings.FirstStart))
@@ -240,10 +242,10 @@
 }
 
 // Ready reports whether the load balancer in front of the daemons should send
-// requests here: the daemon is not stopping and has read the configuration and
-// the registrations.
+// requests here: the daemon is not stopping, has read the configuration and
+// the registrations, and has tried to read the crashes of before its start.
 func (d *Daemon) Ready() bool {
-	return !d.stopping.Load() && d.configuration.Routing() != nil && d.fleet.Snapshot() != nil
+	return !d.stopping.Load() && d.configuration.Routing() != nil && d.fleet.Snapshot() != nil && d.crashes.Tried()
 }
 
 func (d *Daemon) maxBodyBytes() int {
--- a/entry/sharing.go
+++ b/entry/sharing.go
@@ -41,6 +41,9 @@
 	// the store, while several versions serve. A stream that began later before the loss of
 	// all daemons is not known.
 	journalInterval = 50 * time.Millisecond
+	// crashInterval is the time between two looks whether crashes are to be written to the
+	// store.
+	crashInterval = 250 * time.Millisecond
 	// journalIdleInterval is the time between two looks whether any are to be written.
 	journalIdleInterval = 250 * time.Millisecond
 )
@@ -78,6 +81,12 @@
 	return s.sharer.OriginDuty()
 }
 
+// standbyRank returns how many daemons in touch come before this one in writing what all
+// know; ok is false if the leader of its zone writes.
+func (s *sharing) standbyRank() (rank int, ok bool) {
+	return s.sharer.StandbyRank()
+}
+
 // originWriter writes the origins of streams to the store.
 type originWriter struct {
 	journal *resume.Journal
@@ -130,6 +139,7 @@
 		_, requests := d.quarantine.Blocked()
 		return float64(requests)
 	})
+	d.crashes = quarantine.NewJournal(d.quarantine, store, s.standbyRank, d.clock, d.logger)
 	s.sharer = balance.NewSharer(sender, d.balancer, s.members, s.client, d.origins, d.quarantine, d.clock, d.logger)
 	go func() {
 		if err := s.server.Serve(listener); err != nil {
--- a/models/table.go
+++ b/models/table.go
@@ -20,6 +20,7 @@
 	PartitionMarkers  Partition = "markers"  // IDs of committed transactions
 	PartitionVersions Partition = "versions" // software versions that may have begun streams
 	PartitionOrigins  Partition = "origins"  // origins of streams
+	PartitionCrashes  Partition = "crashes"  // crashes of backend servers, and what is blocked for them
 )
 
 const (
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,8 +2,8 @@
 // part that is found to crash engines, or a request that crashes backend servers each
 // time that it comes, is blocked at all daemons, for a while and then until a single
 // request with it, a probe, has been answered. A request as a whole counts as one more
-// part of its own. What the daemons have seen travels with their load shares and is kept
-// in memory only.
+// part of its own. What the daemons have seen travels with their load shares. Crashes and
+// blocks are also kept in the platform's store, for the loss of all daemons.
 package quarantine
 
 import (
