lib/strict: answers that HTTP does not have, or that were reset, are none

Besides, answers with "Content-Length : 2" were taken with a body of another length, "Transfer-Encoding : chunked" with the framing as the body, fields such as "X Y: 1" and two Request-Id were taken, and statuses of 600 to 999 passed on. The calls of a lease holder took 000 for done.

Where a write is blocked at that time, net/http's writer gets ECONNRESET, and its reader then reads an end of the stream, which ends an answer without a length. Of the others: net/http's client accepts any three digits as a status, a sign included, and blanks in names, and Header.Get returns the first of several values.

Change: lib/strict. Its connections remember that a write was broken off, and fail a read that would end the stream. ECONNRESET and a time-out count, EPIPE does not: the peer had ended its side in order before. A write that is still under way is waited for only if the kernel has given the connection up, so a peer that ends its side and reads on is answered for at once. Its transport refuses malformed answers and trailers. Both are used wherever answers are read: backend servers (sends, prefills, handles), the store, the calls of a lease holder, plain services, engines, the platform's own protocol, the operators' client, and answers that another daemon, perhaps of an earlier build, passes on. Names of two requests, or of two calls, are none. Folded values and a length that is stated twice are still taken.

--- a/daemon/transport.go
+++ b/daemon/transport.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"quincewinch/lib/certificates"
+	"quincewinch/lib/strict"
 )
 
 const (
@@ -39,7 +40,7 @@
 func (d *Daemon) transport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            strict.Dial(dialer.DialContext),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"quincewinch/lib/strict"
 )
 
 const (
@@ -97,7 +99,7 @@
 // storeClient returns the client for calls to the store.
 func storeClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:            dialer(storeDialTimeout).DialContext,
+		DialContext:            strict.Dial(dialer(storeDialTimeout).DialContext),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
@@ -110,7 +112,7 @@
 // Answers name no call, so that each call has a connection of its own.
 func dutyClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:            dialReset(storeDialTimeout),
+		DialContext:            strict.Dial(dialReset(storeDialTimeout)),
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
--- a/peer/daemon/forward.go
+++ b/peer/daemon/forward.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 
+	"quincewinch/lib/strict"
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/daemon/proto"
@@ -194,6 +195,10 @@
 	if err != nil {
 		return peer.UpstreamResponse{}, models.KVSource{}, c.failure(peer.OutcomeUnknown, err)
 	}
+	// A daemon of an earlier version passes on what it should not have accepted.
+	if err := strict.Check(answer.Status, answer.Header); err != nil {
+		return peer.UpstreamResponse{}, models.KVSource{}, c.failure(peer.OutcomeUnknown, &forwardError{cause: err})
+	}
 	c.answered = true
 	return answer, source, nil
 }
--- a/peer/engine/client.go
+++ b/peer/engine/client.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"strconv"
 
+	"quincewinch/lib/strict"
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/engine/wire"
@@ -31,7 +32,7 @@
 // NewClients returns clients that share one HTTP client's connections. They do
 // not follow redirects, because following one would send the call twice.
 func NewClients(client *http.Client) Clients {
-	shared := *client
+	shared := *strict.Client(client)
 	shared.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return Clients{client: &shared}
 }
@@ -49,7 +50,7 @@
 
 // NewClient returns a client for the engine at a base URL.
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: base, client: client}
+	return &Client{base: base, client: strict.Client(client)}
 }
 
 // Generate implements peer.Engine.
@@ -171,8 +172,8 @@
 // trusted only if it is a success, or if the connection was not used before or separates
 // calls itself.
 func answersCall(response *http.Response, call string, reused bool) bool {
-	if named := response.Header.Get(wire.HeaderCallID); named != "" {
-		return named == call
+	if named, ok := strict.Value(response.Header, wire.HeaderCallID); !ok || named != "" {
+		return ok && named == call
 	}
 	return response.StatusCode/100 == 2 || !reused || response.ProtoMajor > 1
 }
--- a/peer/operator/client.go
+++ b/peer/operator/client.go
@@ -9,6 +9,8 @@
 	"net/url"
 
 	"github.com/juju/errors"
+
+	"quincewinch/lib/strict"
 )
 
 const maxResponseBytes = 64 << 20
@@ -23,7 +25,7 @@
 // NewClient returns a client for the daemon at a base URL that authenticates
 // with the operators' key.
 func NewClient(base, key string, client *http.Client) *Client {
-	return &Client{base: base, key: key, client: client}
+	return &Client{base: base, key: key, client: strict.Client(client)}
 }
 
 // ResponseError is an unsuccessful response of a daemon.
--- a/peer/platform/client.go
+++ b/peer/platform/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 
+	"quincewinch/lib/strict"
 	"quincewinch/models"
 	"quincewinch/peer"
 	"quincewinch/peer/platform/wire"
@@ -30,7 +31,7 @@
 
 // NewClient returns a client for the platform at a base URL.
 func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: base, client: client}
+	return &Client{base: base, client: strict.Client(client)}
 }
 
 // Read implements peer.Table.
--- a/peer/service/client.go
+++ b/peer/service/client.go
@@ -8,7 +8,9 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 
+	"quincewinch/lib/strict"
 	"quincewinch/models"
 	"quincewinch/peer"
 )
@@ -28,7 +30,7 @@
 // NewClients returns clients that share one HTTP client's connections. They do
 // not follow redirects, because following one would send the call twice.
 func NewClients(client *http.Client) Clients {
-	shared := *client
+	shared := *strict.Client(client)
 	shared.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return Clients{client: &shared, sent: newSentIDs()}
 }
@@ -68,7 +70,7 @@
 		return models.ServiceResponse{}, peer.NewFailure(transportOutcome(connected), "the service did not answer", err)
 	}
 	defer response.Body.Close()
-	if echoed := models.RequestID(response.Header.Get(RequestIDHeader)); echoed != call.ID && c.sent.contains(echoed) {
+	if c.answersOther(response.Header.Values(RequestIDHeader), call.ID) {
 		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service answered another request", nil)
 	}
 	raw, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
@@ -82,12 +84,17 @@
 		// A service that crashes after its head closes its connection in the same way.
 		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service's answer ended before its body", nil)
 	}
-	if response.StatusCode < http.StatusOK {
-		return models.ServiceResponse{}, peer.NewFailure(peer.OutcomeUnknown, "the service answered "+response.Status, nil)
-	}
 	return models.ServiceResponse{Status: response.StatusCode, Header: response.Header, Body: raw}, nil
 }
 
+// answersOther reports whether an answer that names some requests names another than the
+// one that was sent: services may use the header for IDs of their own.
+func (c *Client) answersOther(named []string, id models.RequestID) bool {
+	return slices.ContainsFunc(named, func(name string) bool {
+		return models.RequestID(name) != id && c.sent.contains(models.RequestID(name))
+	})
+}
+
 // endsWithConnection reports whether a response with a body states neither its length
 // nor chunks.
 func endsWithConnection(response *http.Response) bool {
--- a/standin/raw/raw.go
+++ b/standin/raw/raw.go
@@ -24,6 +24,32 @@
 	return cuts
 }
 
+// Malformed returns answers that are none in HTTP and that net/http's client does not
+// all refuse: with the fields of a header, each a line with its end, and the body "answer".
+func Malformed(fields string) map[string]Answer {
+	answer := func(status, field string) Answer {
+		return Answer{Bytes: "HTTP/1.1 " + status + "\r\n" + fields + field + "\r\nanswer"}
+	}
+	const length = "Content-Length: 6\r\n"
+	answers := map[string]Answer{
+		"status 000":                     answer("000 OK", length),
+		"status 099":                     answer("099 OK", length),
+		"status +99":                     answer("+99 OK", length),
+		"status 600":                     answer("600 OK", length),
+		"status 999":                     answer("999 OK", length),
+		"blank before the colon":         answer("200 OK", "Content-Length : 2\r\n"),
+		"blank before another colon":     answer("200 OK", length+"X-Other : 1\r\n"),
+		"blank in a name":                answer("200 OK", length+"X Y: 1\r\n"),
+		"tab in a name":                  answer("200 OK", length+"X\tY: 1\r\n"),
+		"control byte in a name":         answer("200 OK", length+"X\x01Y: 1\r\n"),
+		"NUL in a name":                  answer("200 OK", length+"X\x00Y: 1\r\n"),
+		"delete in a name":               answer("200 OK", length+"X\x7fY: 1\r\n"),
+		"no name":                        answer("200 OK", length+": 1\r\n"),
+		"blank before the framing colon": {Bytes: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n"},
+	}
+	return answers
+}
+
 // Handler gives each request the next of its answers. It may serve at several
 // addresses. A request for which none is left gets a closed connection.
 type Handler struct {
