--- a/lib/strict/conn.go
+++ b/lib/strict/conn.go
@@ -61,7 +61,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == io.EOF { //nolint:errorlint // a connection returns it as it is
+	if errors.Is(err, io.EOF) {
 		if broken := c.whyBroken(); broken != nil {
 			return n, errors.Annotate(broken, "the connection was broken off")
 		}
--- a/lib/strict/conn_test.go
+++ b/lib/strict/conn_test.go
@@ -31,7 +31,7 @@
 	}}
 	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	near, err = strict.Dial((&net.Dialer{}).DialContext)(t.Context(), "tcp", listener.Addr().String())
 	is.NoErr(err)
 	accepted, err := listener.Accept()
--- a/lib/strict/transport.go
+++ b/lib/strict/transport.go
@@ -102,7 +102,7 @@
 // Read implements io.Reader.
 func (b *trailedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF { //nolint:errorlint // readers return it as it is
+	if errors.Is(err, io.EOF) {
 		if err := checkNames(b.response.Trailer); err != nil {
 			return n, err
 		}
