resume: a daemon writes its own origins each second where others do as well

The origins of all streams are in the store twice: as the first two daemons write them, each half second, and as their own daemon does. That second copy is needed if the first two do not reach the store, or run an earlier build. Written each half second it made 14 writes a second of seven daemons; each second it is 9.

TestOriginsAreWrittenTogetherWhileOneVersionServes holds both to their bounds.

--- a/resume/journal.go
+++ b/resume/journal.go
@@ -26,8 +26,10 @@
 	// deleteMargin is how long after the end of its origins a row is deleted.
 	deleteMargin = 5 * time.Second
 	// calmInterval is the shortest time between two writes of origins that no daemon
-	// needs unless all are lost and another version joins.
+	// needs unless all are lost and another version joins; ownInterval is the same for a
+	// daemon whose own are usually written by others.
 	calmInterval = 500 * time.Millisecond
+	ownInterval  = time.Second
 	// maxWrittenRows is the number of rows from which the origins that have not expired
 	// are written anew, together: streams may last for hours.
 	maxWrittenRows = 1024
@@ -92,7 +94,11 @@
 	now := j.clock.Now()
 	j.contested = len(j.origins.contestedServices()) > 0
 	urgent := j.contested || j.origins.dividedSince(j.position)
-	if !urgent && !j.steppedAt.IsZero() && now.Sub(j.steppedAt) < calmInterval {
+	interval := calmInterval
+	if scope == ScopeOwn {
+		interval = ownInterval
+	}
+	if !urgent && !j.steppedAt.IsZero() && now.Sub(j.steppedAt) < interval {
 		return
 	}
 	j.steppedAt = now
--- a/resume/journal_test.go
+++ b/resume/journal_test.go
@@ -158,19 +158,25 @@
 
 // What is written does not grow with the streams that begin, while one version serves.
 func TestOriginsAreWrittenTogetherWhileOneVersionServes(t *testing.T) {
-	runVersions(t, func(f *versionFixture) {
-		const seconds, perSecond, writesPerSecond = 10, 20, 2
-		f.follow(registered("v1"), 0)
-		writes := f.table.writes
-		for i := range seconds * perSecond {
-			f.begin(models.RequestID(strconv.Itoa(i)), v1, lifetime)
-			_, err := f.versions.Follow(f.t.Context(), 0, 0)
-			f.is.NoErr(err)
-			f.journal.Step(f.t.Context())
-			f.is.NoErr(system.NewClock().Sleep(f.t.Context(), time.Second/perSecond))
-		}
-		f.is.True(f.table.writes-writes <= seconds*writesPerSecond)
-	})
+	for scope, writesPerSecond := range map[resume.Scope]int{resume.ScopeAll: 2, resume.ScopeOwn: 1} {
+		runVersions(t, func(f *versionFixture) { f.expectWrites(scope, writesPerSecond) })
+	}
+}
+
+// expectWrites checks the rows that a daemon writes at most while streams begin.
+func (f *versionFixture) expectWrites(scope resume.Scope, perSecond int) {
+	const seconds, streamsPerSecond = 10, 20
+	f.scope = scope
+	f.follow(registered("v1"), 0)
+	writes := f.table.writes
+	for i := range seconds * streamsPerSecond {
+		f.begin(models.RequestID(strconv.Itoa(i)), v1, lifetime)
+		_, err := f.versions.Follow(f.t.Context(), 0, 0)
+		f.is.NoErr(err)
+		f.journal.Step(f.t.Context())
+		f.is.NoErr(system.NewClock().Sleep(f.t.Context(), time.Second/streamsPerSecond))
+	}
+	f.is.True(f.table.writes-writes <= seconds*perSecond)
 }
 
 // Streams that last for hours do not fill the store with small rows.
