resume: expired origins are deleted together, and fewer daemons write often

Cause: a row was deleted by a call of its own as soon as it had expired, so each row cost two calls, and each leader of a zone wrote each half second although the first of them writes for all.

Change: expired rows are deleted together, by a call each five seconds at most, and only those that write for all do so each half second. TestExpiredOriginsAreDeletedTogether failed before; TestOriginsAreWrittenTogether... holds leaders of zones to a row a second.

--- a/resume/journal.go
+++ b/resume/journal.go
@@ -26,10 +26,12 @@
 	// deleteMargin is how long after the end of its origins a row is deleted.
 	deleteMargin = 5 * time.Second
 	// calmInterval is the shortest time between two writes of origins that no daemon
-	// needs unless all are lost and another version joins; ownInterval is the same for a
-	// daemon whose own are usually written by others.
-	calmInterval = 500 * time.Millisecond
-	ownInterval  = time.Second
+	// needs unless all are lost and another version joins; backupInterval is the same for
+	// daemons that write what the first ones write as well.
+	calmInterval   = 500 * time.Millisecond
+	backupInterval = time.Second
+	// deleteInterval is the shortest time between two calls that delete expired rows.
+	deleteInterval = 5 * time.Second
 	// maxWrittenRows is the number of rows from which the origins that have not expired
 	// are written anew, together: streams may last for hours.
 	maxWrittenRows = 1024
@@ -59,6 +61,7 @@
 	written    []storedRow // not deleted yet
 	superseded int         // of the written rows: the first ones, whose origins are being written anew
 	sweptAt    time.Time
+	deletedAt  time.Time // the last call that deleted expired rows
 
 	scanning  turn
 	scannedAt time.Time // guarded by scanning
@@ -95,8 +98,8 @@
 	j.contested = len(j.origins.contestedServices()) > 0
 	urgent := j.contested || j.origins.dividedSince(j.position)
 	interval := calmInterval
-	if scope == ScopeOwn {
-		interval = ownInterval
+	if scope != ScopeAll {
+		interval = backupInterval
 	}
 	if !urgent && !j.steppedAt.IsZero() && now.Sub(j.steppedAt) < interval {
 		return
@@ -197,7 +200,11 @@
 			expired = append(expired, row)
 		}
 	}
-	if len(expired) == 0 || j.delete(ctx, expired) != nil {
+	if len(expired) == 0 || len(expired) < maxDeletes && now.Sub(j.deletedAt) < deleteInterval {
+		return
+	}
+	j.deletedAt = now
+	if j.delete(ctx, expired) != nil {
 		return
 	}
 	for _, row := range j.written[:j.superseded] {
--- a/resume/journal_test.go
+++ b/resume/journal_test.go
@@ -156,9 +156,23 @@
 	})
 }
 
+// Rows that have expired are deleted together.
+func TestExpiredOriginsAreDeletedTogether(t *testing.T) {
+	runVersions(t, func(f *versionFixture) {
+		const seconds, deletesEach = 60, 5
+		f.follow(registered("v1"), 0)
+		commits := f.table.commits
+		for i := range seconds {
+			f.begin(models.RequestID(strconv.Itoa(i)), v1, time.Second)
+			f.follow(models.UpstreamChanges{}, 0)
+		}
+		f.is.True(f.table.commits-commits <= seconds+seconds/deletesEach)
+	})
+}
+
 // What is written does not grow with the streams that begin, while one version serves.
 func TestOriginsAreWrittenTogetherWhileOneVersionServes(t *testing.T) {
-	for scope, writesPerSecond := range map[resume.Scope]int{resume.ScopeAll: 2, resume.ScopeOwn: 1} {
+	for scope, writesPerSecond := range map[resume.Scope]int{resume.ScopeAll: 2, resume.ScopeOwn: 1, resume.ScopeOwn | resume.ScopeZone: 1} {
 		runVersions(t, func(f *versionFixture) { f.expectWrites(scope, writesPerSecond) })
 	}
 }
--- a/resume/table_test.go
+++ b/resume/table_test.go
@@ -21,6 +21,7 @@
 	delay   time.Duration
 	reads   int
 	writes  int // rows
+	commits int
 }
 
 func newTable() *table {
@@ -60,6 +61,7 @@
 		}
 	}
 	t.version++
+	t.commits++
 	revision := models.NewRevision(t.era+1, t.version)
 	for _, write := range transaction.Writes {
 		t.writes++
