quarantine: a wrong first block does not outlive the loss of all daemons

Cause: a block that no probe has confirmed was kept like one that was; and each crash was stored as soon as it counted, although it may be refuted for 1.3 s more, as connections that were reset are.

Change: a daemon that starts probes a part at once if its stored block is the first. Crashes are stored 1.5 s after they happened, unless they are refuted; blocks at once, also if no request asks. A row is learned once, so that what was refuted and forgotten does not come back with it.

--- a/quarantine/journal.go
+++ b/quarantine/journal.go
@@ -60,6 +60,7 @@
 	era          uint64                      // of the rows
 	revision     uint64                      // of the quarantine, when it was last compared
 	comparedAt   time.Time
+	unsettled    bool      // crashes were too young to be written
 	pendingSince time.Time // when a row was first found to be written; zero: none is
 	failedAt     time.Time // the last call, if it failed
 }
@@ -110,8 +111,9 @@
 // due reports whether there are rows to write and it is this daemon's turn.
 func (j *Journal) due(rank int) bool {
 	now := j.clock.Now()
+	j.quarantine.Settle()
 	revision, _ := j.quarantine.Revision()
-	if j.pendingSince.IsZero() && revision == j.revision && now.Sub(j.comparedAt) < compareInterval {
+	if j.pendingSince.IsZero() && !j.unsettled && revision == j.revision && now.Sub(j.comparedAt) < compareInterval {
 		return false
 	}
 	transaction, urgent := j.compare()
@@ -154,7 +156,13 @@
 		}
 		stored.revision = row.Revision
 		j.rows[row.Key] = stored
-		stored.addTo(evidence, changes.PlatformTime)
+		// What has been refuted and forgotten since a row was learned must not come back.
+		if known[row.Key].revision != row.Revision {
+			stored.addTo(evidence, changes.PlatformTime)
+		}
+	}
+	if known == nil {
+		endUnconfirmed(evidence.Blocks)
 	}
 	if known == nil && len(changes.Rows) > 0 {
 		j.logger.Info("crashes read from the store", zap.Int("crashes", len(evidence.Crashes)), zap.Int("blocks", len(evidence.Blocks)))
@@ -163,6 +171,16 @@
 	return nil
 }
 
+// endUnconfirmed makes the probes of parts due that no probe has confirmed yet. If such a
+// part is sound, all requests of a kind may share it, and a start ends the outage.
+func endUnconfirmed(blocks []models.PartBlock) {
+	for i, b := range blocks {
+		if !b.Whole && b.Count == 1 {
+			blocks[i].Duration = min(b.Duration, b.Age)
+		}
+	}
+}
+
 // compare returns a transaction that makes the rows what they should be. Urgent is set if
 // it has more than news of crashes that are stored.
 func (j *Journal) compare() (transaction models.Transaction, urgent bool) {
@@ -186,8 +204,11 @@
 			write(models.Write{Key: key, Delete: true})
 		}
 	}
+	j.unsettled = false
 	for _, key := range sortedKeys(wanted) {
-		if row := wanted[key]; !row.unsettled && row.addsTo(j.rows[key]) {
+		row := wanted[key]
+		j.unsettled = j.unsettled || row.unsettled
+		if !row.unsettled && row.addsTo(j.rows[key]) {
 			write(models.Write{Key: key, Value: row.encode()})
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -151,6 +151,14 @@
 	return q.latest, q.own
 }
 
+// Settle blocks what the crashes that count by now are to be blamed on.
+func (q *Quarantine) Settle() {
+	now := q.clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.evaluate(now)
+}
+
 // evaluate blocks the parts that the crashes are to be blamed on. The caller must
 // hold q.mu.
 func (q *Quarantine) evaluate(now time.Time) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -27,7 +27,7 @@
 type storedRow struct {
 	revision   models.Revision
 	unreadable bool // written by another version
-	unsettled  bool // the other daemons may not have reported what the crash broke off
+	unsettled  bool // the process may still turn out to be alive
 	crash      *crashForm
 	block      *blockForm
 }
@@ -127,7 +127,7 @@
 			form.Sound = append(form.Sound, soundForm{Part: part.ID, AtMS: at.Add(-part.Age).UnixMilli()})
 		}
 	}
-	return storedRow{crash: form, unsettled: crash.Age < settleTime}
+	return storedRow{crash: form, unsettled: crash.Age < minRestartTime}
 }
 
 // addsTo reports whether a row tells anything that the stored one does not.
