--- a/quarantine/journal.go
+++ b/quarantine/journal.go
@@ -23,7 +23,7 @@
 	// mergeDelay is how long a row of a crash waits for further news of it, such as parts
 	// that turn out to be sound.
 	mergeDelay = 2 * time.Second
-	// retryInterval is the time from a call that failed to the next one.
+	// retryInterval is the shortest time between a failed call and the next one.
 	retryInterval = 500 * time.Millisecond
 	// compareInterval is the time between two comparisons with the stored rows while
 	// nothing changes: rows expire.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -151,7 +151,7 @@
 	return q.latest, q.own
 }
 
-// Settle blocks what the crashes that count by now are to be blamed on.
+// Settle evaluates the crashes that count by now, also while no request arrives.
 func (q *Quarantine) Settle() {
 	now := q.clock.Now()
 	q.mu.Lock()
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -18,8 +18,8 @@
 	// them that are sound. They take up to 21 and 52 bytes each, and a row up to 64 KiB.
 	maxRowParts      = 1600
 	maxRowSoundParts = 500
-	// minEarlier is by how much the end of a block must lie before the stored one to be
-	// written: daemons find a block at slightly different times.
+	// minEarlier is by how much a block must end earlier than its row says to be written
+	// again. Daemons find the same block at slightly different times.
 	minEarlier = 2 * time.Second
 )
 
@@ -27,7 +27,7 @@
 type storedRow struct {
 	revision   models.Revision
 	unreadable bool // written by another version
-	unsettled  bool // the process may still turn out to be alive
+	unsettled  bool // too young to be written: the process may still turn out to be alive
 	crash      *crashForm
 	block      *blockForm
 }
--- a/resume/journal.go
+++ b/resume/journal.go
@@ -60,8 +60,8 @@
 	rows       int         // written so far; numbers the next one
 	written    []storedRow // not deleted yet
 	superseded int         // of the written rows: the first ones, whose origins are being written anew
-	sweptAt    time.Time
-	deletedAt  time.Time // the last call that deleted expired rows
+	sweptAt    time.Time   // the last search for rows of processes that have ended
+	deletedAt  time.Time   // the last call that deleted expired rows
 
 	scanning  turn
 	scannedAt time.Time // guarded by scanning
