review/14: heads of short lines in answers use up the memory of daemons

Heads of answers are bounded in bytes; 60 KB of short lines take some MB while a body without end is read.

--- a/review/third/main_test.go
+++ b/review/third/main_test.go
@@ -24,6 +24,7 @@
 	"11": manyParts,
 	"12": listInTwoLines,
 	"13": manyShortParts,
+	"14": endlessJunk,
 }
 
 // TestMain runs the case that the environment names. Without one there is nothing to run.
