review/14: a part that crashes engines is not found if streams have no length

A stream that ends with its connection after an event counts as whole, so that the crash behind it is not seen. Blocked if the crash comes before the first event.

--- a/review/third/main_test.go
+++ b/review/third/main_test.go
@@ -24,6 +24,7 @@
 	"11": listInTwoLines,
 	"12": manyShortParts,
 	"13": endlessJunk,
+	"14": unframedCrashes,
 }
 
 // TestMain runs the case that the environment names. Without one there is nothing to run.
