--- a/review/third/main_test.go
+++ b/review/third/main_test.go
@@ -25,6 +25,7 @@
 	"12": manyShortParts,
 	"13": endlessJunk,
 	"14": unframedCrashes,
+	"15": hostInOtherForms,
 }
 
 // TestMain runs the case that the environment names. Without one there is nothing to run.
